Set up the formatter, linter, tests and the shared base packages

The base holds coded errors, registries, numbered events with a hybrid logical clock, the names of the twelve invariants and the typed configuration, so that the parts can be written side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= anadolu
+SEED ?= 1
+MINUTES ?= 1
+CODE := chestnutshift tests bench standins
+
+.PHONY: setup test lint format binary demo bench soak capacity clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+test: setup
+	$(BIN)/python -m nose2 -c nose2.cfg
+
+lint: setup
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/flake8 $(CODE)
+
+format: setup
+	$(BIN)/ruff format $(CODE)
+
+clean:
+	rm -rf build .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and measurements; no verdicts in CI."""
--- /dev/null
+++ b/chestnutshift/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration that the platform holds."""
--- /dev/null
+++ b/chestnutshift/configuration/model.py
@@ -0,0 +1,122 @@
+"""Typed content of a numbered configuration.
+
+Times are seconds, sizes bytes, rates per second. A configuration is a value:
+every change makes a new one with the next number.
+"""
+
+import attrs
+
+from chestnutshift.conf import defaults
+
+
+@attrs.frozen
+class Service:
+    """One service that upstreams offer under a path prefix."""
+
+    name: str
+    path: str
+    open: bool = False
+    idempotent: bool = True
+
+
+@attrs.frozen
+class AccountLimit:
+    """Rate and burst of one client account, counted over all VMs."""
+
+    rate: float
+    burst: float
+
+
+@attrs.frozen
+class LookupPreset:
+    """How long callers may cache the answer that names entry VMs."""
+
+    lifetime_s: float = defaults.LOOKUP_LIFETIME_S
+
+
+@attrs.frozen
+class KeysPreset:
+    """How long a VM without fresh knowledge goes on trusting keys."""
+
+    trust_s: float = defaults.KEY_TRUST_S
+
+
+@attrs.frozen
+class SharesPreset:
+    """How the accounts' rates are divided over the VMs' seats."""
+
+    lease_s: float = defaults.SEAT_LEASE_S
+    floor_s: float = defaults.SEAT_FLOOR_S
+    floor_fraction: float = defaults.SEAT_FLOOR_FRACTION
+    loan_s: float = defaults.LOAN_S
+
+
+@attrs.frozen
+class RetriesPreset:
+    """Retries allowed per first attempt, and the reserve when idle."""
+
+    ratio: float = defaults.RETRY_RATIO
+    reserve: float = defaults.RETRY_RESERVE
+
+
+@attrs.frozen
+class ShiftPreset:
+    """Cap and ramp of a shift, per pair of regions and direction."""
+
+    requests_per_s: float = defaults.SHIFT_REQUEST_RATE
+    bytes_per_s: float = defaults.SHIFT_BYTES_RATE
+    ramp_s: float = defaults.SHIFT_RAMP_S
+    region_ceiling: float = defaults.REGION_CEILING
+
+
+@attrs.frozen
+class UpstreamsPreset:
+    """Connections to one upstream, its warm-up, and trust in its reports."""
+
+    connection_pace_s: float = defaults.CONNECTION_PACE_S
+    connections_max: int = defaults.CONNECTIONS_MAX
+    warm_up_s: float = defaults.WARM_UP_S
+    report_age_s: float = defaults.REPORT_AGE_S
+    policy: str = 'observed'
+
+
+@attrs.frozen
+class Preset:
+    """Everything that operators adjust, under one name."""
+
+    accounts: dict[str, AccountLimit]
+    deadline_s: float = defaults.REQUEST_DEADLINE_S
+    body_limit_b: int = defaults.BODY_LIMIT_B
+    lookup: LookupPreset = attrs.field(factory=LookupPreset)
+    keys: KeysPreset = attrs.field(factory=KeysPreset)
+    shares: SharesPreset = attrs.field(factory=SharesPreset)
+    retries: RetriesPreset = attrs.field(factory=RetriesPreset)
+    shift: ShiftPreset = attrs.field(factory=ShiftPreset)
+    upstreams: UpstreamsPreset = attrs.field(factory=UpstreamsPreset)
+
+
+@attrs.frozen
+class KeyRecord:
+    """One key, known by its digest only, and the account it speaks for."""
+
+    account: str
+    label: str
+    withdrawn: bool = False
+
+
+@attrs.frozen
+class Configuration:
+    """One numbered configuration; higher numbers replace lower ones."""
+
+    number: int
+    deployment: str
+    services: tuple[Service, ...]
+    presets: dict[str, Preset]
+    in_force: str
+    keys: dict[str, KeyRecord] = attrs.field(factory=dict)
+    drains: frozenset[str] = frozenset()
+
+    @property
+    def preset(self) -> Preset:
+        """The one preset in force."""
+        return self.presets[self.in_force]
--- /dev/null
+++ b/chestnutshift/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered events: what every decision leaves behind, with its cause."""
--- /dev/null
+++ b/chestnutshift/events/log.py
@@ -0,0 +1,105 @@
+"""Write numbered events to the log and keep the newest for the time line."""
+
+import json
+import logging
+import time
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutshift.events.catalogue import EventKind
+from chestnutshift.events.clock import HybridClock
+
+KEPT_EVENTS = 20000
+
+logger = logging.getLogger('chestnutshift')
+
+
+@attrs.frozen
+class Event:
+    """One event as the time line shows it."""
+
+    timestamp: int
+    vm: str
+    number: int
+    name: str
+    request: str = ''
+    account: str = ''
+    upstream: str = ''
+    facts: dict[str, object] = attrs.field(factory=dict)
+
+    def as_json(self) -> str:
+        """Return the event as one line of JSON."""
+        return json.dumps(attrs.asdict(self), sort_keys=True, default=str)
+
+
+@attrs.frozen
+class EventFilter:
+    """Which events a reader of the time line asks for; empty means all."""
+
+    request: str = ''
+    account: str = ''
+    upstream: str = ''
+    number: int = 0
+    since: int = 0
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether the event is asked for."""
+        wanted = (
+            (self.request, event.request),
+            (self.account, event.account),
+            (self.upstream, event.upstream),
+            (self.number, event.number),
+        )
+        if event.timestamp < self.since:
+            return False
+        return all(not asked or asked == found for asked, found in wanted)
+
+
+class EventLog:
+    """The events of one VM: logged at once, the newest kept in memory."""
+
+    def __init__(self, vm: str, clock: HybridClock | None = None) -> None:
+        """Start an empty log for the named VM."""
+        self._vm = vm
+        self._clock = clock or HybridClock()
+        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+
+    @property
+    def clock(self) -> HybridClock:
+        """The clock that stamps messages to other VMs as well."""
+        return self._clock
+
+    def emit(
+        self,
+        kind: EventKind,
+        request: str = '',
+        account: str = '',
+        upstream: str = '',
+        **facts: object,
+    ) -> None:
+        """Record one event with its cause."""
+        event = Event(
+            timestamp=self._clock.tick(time.time()),
+            vm=self._vm,
+            number=kind.number,
+            name=kind.name,
+            request=request,
+            account=account,
+            upstream=upstream,
+            facts=facts,
+        )
+        self._events.append(event)
+        if logger.isEnabledFor(kind.level):
+            logger.log(kind.level, '%s', event.name, extra={'event': event})
+
+    def select(self, wanted: EventFilter) -> list[Event]:
+        """Return the kept events that match, oldest first."""
+        return [event for event in self._events if wanted.matches(event)]
+
+
+def merge(batches: Iterable[Iterable[Event]]) -> list[Event]:
+    """Merge the events of several VMs in causal order."""
+    events = [event for batch in batches for event in batch]
+    return sorted(events, key=lambda event: (event.timestamp, event.vm))
--- /dev/null
+++ b/chestnutshift/invariants/__init__.py
@@ -0,0 +1,1 @@
+"""What must always hold, asserted inside the running program."""
--- /dev/null
+++ b/chestnutshift/invariants/registry.py
@@ -0,0 +1,106 @@
+"""The twelve invariants, by name, and what happens when one is broken.
+
+In tests a violation raises; in production it is counted and logged, so that
+a fault in a check cannot take the service down.
+"""
+
+import attrs
+
+from chestnutshift.exceptions import CodedError
+
+
+class InvariantViolationError(CodedError):
+    """The program saw itself break one of its invariants."""
+
+    code = 'invariants.violated'
+
+
+@attrs.define
+class Invariant:
+    """One invariant: its name, what it says, and how often it was broken."""
+
+    name: str
+    statement: str
+    violations: int = 0
+
+
+INVARIANTS: dict[str, Invariant] = {}
+
+
+def _define(name: str, statement: str) -> str:
+    INVARIANTS[name] = Invariant(name, statement)
+    return name
+
+
+SHIFT_CAP = _define(
+    'shift_cap',
+    'A shift of traffic between regions stays under its cap.',
+)
+REGION_LOAD = _define(
+    'region_load',
+    'No steering decision overloads a region.',
+)
+KEYED_REQUEST = _define(
+    'keyed_request',
+    'Off open routes a request runs only for the account of its key.',
+)
+KEY_SECRECY = _define(
+    'key_secrecy',
+    'No upstream sees the key of a caller.',
+)
+KEY_WITHDRAWAL = _define(
+    'key_withdrawal',
+    'A withdrawn key stops working within seconds.',
+)
+ACCOUNT_RATE = _define(
+    'account_rate',
+    'No account gets more than its rate and burst over all VMs.',
+)
+WHOLE_ANSWER = _define(
+    'whole_answer',
+    'A caller gets the whole answer to its own request.',
+)
+TRUE_REFUSAL = _define(
+    'true_refusal',
+    'A refusal that says the request did not run is true.',
+)
+AT_MOST_ONCE = _define(
+    'at_most_once',
+    'A non-idempotent request runs at most once.',
+)
+LEAVING_UPSTREAM = _define(
+    'leaving_upstream',
+    'An upstream that is leaving gets no new work after a few seconds.',
+)
+GRACEFUL_STOP = _define(
+    'graceful_stop',
+    'Every planned stop is a graceful shutdown.',
+)
+CONFIGURATION_ORDER = _define(
+    'configuration_order',
+    'An accepted configuration is in force soon and never reverts.',
+)
+
+
+@attrs.define
+class Enforcement:
+    """Whether a violation raises; tests switch it on."""
+
+    raises: bool = False
+
+
+ENFORCEMENT = Enforcement()
+
+
+def verify(name: str, *, holds: bool, detail: str = '') -> bool:
+    """Count a broken invariant, raise where enforced, return whether it held.
+
+    Raises InvariantViolationError only when enforcement is on.
+    """
+    if holds:
+        return True
+    invariant = INVARIANTS[name]
+    invariant.violations += 1
+    if ENFORCEMENT.raises:
+        raise InvariantViolationError(f'{name}: {invariant.statement} {detail}')
+    return False
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chestnutshift; each package mirrors one of the product."""
