--- /dev/null
+++ b/chestnutshift/conf/loader.py
@@ -0,0 +1,86 @@
+"""Read TOML into typed values, naming every key that is wrong."""
+
+import pathlib
+import tomllib
+from typing import TypeVar
+
+from cattrs import Converter, transform_error
+
+from chestnutshift.conf.exceptions import SettingsError
+from chestnutshift.conf.settings import Settings
+
+Loaded = TypeVar('Loaded')
+
+
+def _strict_float(number: object, _target: type) -> float:
+    if isinstance(number, bool) or not isinstance(number, (int, float)):
+        raise ValueError(f'{number!r} is not a number')
+    return float(number)
+
+
+def _strict_int(number: object, _target: type) -> int:
+    if isinstance(number, bool) or not isinstance(number, int):
+        raise ValueError(f'{number!r} is not a whole number')
+    return number
+
+
+def _strict_text(text: object, _target: type) -> str:
+    if not isinstance(text, str):
+        raise ValueError(f'{text!r} is not a string')
+    return text
+
+
+def _strict_bool(flag: object, _target: type) -> bool:
+    if not isinstance(flag, bool):
+        raise ValueError(f'{flag!r} is neither true nor false')
+    return flag
+
+
+def make_converter() -> Converter:
+    """Return a converter that refuses unknown keys and wrong types."""
+    converter = Converter(forbid_extra_keys=True)
+    converter.register_structure_hook(float, _strict_float)
+    converter.register_structure_hook(int, _strict_int)
+    converter.register_structure_hook(str, _strict_text)
+    converter.register_structure_hook(bool, _strict_bool)
+    return converter
+
+
+CONVERTER = make_converter()
+
+
+def structure(raw: object, target: type[Loaded], path: str) -> Loaded:
+    """Return raw as the target class; raise SettingsError naming each key."""
+    try:
+        return CONVERTER.structure(raw, target)
+    except Exception as error:
+        problems = tuple(transform_error(error, path=''))
+        raise SettingsError(path, problems) from error
+
+
+def read_toml(path: str) -> dict[str, object]:
+    """Return the tables of a TOML file; raise SettingsError."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        raise SettingsError(path, (f'can not be read: {error}',)) from error
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(path, (f'is not TOML: {error}',)) from error
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings of a VM; raise SettingsError."""
+    return structure(read_toml(path), Settings, path)
+
+
+def read_secret(path: str) -> bytes:
+    """Return the shared secret in a file; raise SettingsError."""
+    try:
+        secret = pathlib.Path(path).read_bytes().strip()
+    except OSError as error:
+        raise SettingsError(path, (f'can not be read: {error}',)) from error
+    if not secret:
+        raise SettingsError(path, ('holds no secret',))
+    return secret
--- /dev/null
+++ b/chestnutshift/links/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift connections between the entry VMs."""
--- /dev/null
+++ b/chestnutshift/links/events.py
@@ -0,0 +1,19 @@
+"""Numbered events of links."""
+
+import logging
+
+from chestnutshift.events.catalogue import define
+
+LINK_UP = define(1001, 'link.up', 'A link to another VM carries heartbeats.')
+LINK_DOWN = define(
+    1002,
+    'link.down',
+    'A link to another VM broke or fell silent.',
+    logging.WARNING,
+)
+STRANGER_REFUSED = define(
+    1003,
+    'link.stranger',
+    "A connection to the peers' port failed the handshake.",
+    logging.WARNING,
+)
--- /dev/null
+++ b/chestnutshift/links/handlers.py
@@ -0,0 +1,44 @@
+"""What a VM does with each kind of message; filled by decorators."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from chestnutshift.exceptions import CodedError
+from chestnutshift.registry import Registry
+from chestnutshift.wire.generated.links import ttypes
+
+Handler = Callable[[str, object], Awaitable[ttypes.Body]]
+
+
+@attrs.define
+class Handlers:
+    """The handlers of one VM, by the name of the field in Body."""
+
+    _registry: Registry[Handler] = attrs.field(
+        factory=lambda: Registry('message handler'),
+    )
+
+    def register(self, field: str) -> Callable[[Handler], Handler]:
+        """Return a decorator that adds the handler of one message."""
+        return self._registry.register(field)
+
+    async def answer(self, peer: str, body: ttypes.Body | None) -> ttypes.Body:
+        """Return the answer to a message; a coded error becomes a Refusal."""
+        try:
+            return await self._answer(peer, body)
+        except CodedError as error:
+            refusal = ttypes.Refusal(code=error.code, detail=error.detail)
+            return ttypes.Body(refusal=refusal)
+
+    async def _answer(
+        self,
+        peer: str,
+        body: ttypes.Body | None,
+    ) -> ttypes.Body:
+        for field in self._registry:
+            message = getattr(body, field, None)
+            if message is not None:
+                return await self._registry.get(field)(peer, message)
+        refusal = ttypes.Refusal(code='links.unknown', detail='no handler')
+        return ttypes.Body(refusal=refusal)
--- /dev/null
+++ b/chestnutshift/links/server.py
@@ -0,0 +1,130 @@
+"""Accept links from other VMs; one task for each connection."""
+
+import ssl
+
+import trio
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.links import events, handshake
+from chestnutshift.links.exceptions import HandshakeError
+from chestnutshift.links.handlers import Handlers
+from chestnutshift.wire.codec import FrameError, FrameReader, encode
+from chestnutshift.wire.generated.links import ttypes
+
+HANDSHAKE_S = 3.0
+
+
+class LinkServer:
+    """Answer the messages of other VMs."""
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: str,
+        secret: bytes,
+        handlers: Handlers,
+        event_log: EventLog,
+    ) -> None:
+        """Serve as the VM, to whoever knows the secret."""
+        self._vm = vm
+        self._incarnation = incarnation
+        self._secret = secret
+        self._handlers = handlers
+        self._event_log = event_log
+
+    async def serve(
+        self,
+        address: str,
+        port: int,
+        silence_s: float,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Accept until cancelled; close a link silent for silence_s."""
+
+        async def connection(stream: trio.abc.Stream) -> None:
+            async with stream:
+                await self._serve_link(stream, silence_s)
+
+        if tls is None:
+            await trio.serve_tcp(connection, port, host=address)
+        else:
+            await trio.serve_ssl_over_tcp(connection, port, tls, host=address)
+
+    async def _serve_link(
+        self,
+        stream: trio.abc.Stream,
+        silence_s: float,
+    ) -> None:
+        reader = FrameReader(stream)
+        try:
+            with trio.fail_after(HANDSHAKE_S):
+                peer = await self._welcome(stream, reader)
+        except (HandshakeError, FrameError, trio.TooSlowError) as error:
+            self._event_log.emit(events.STRANGER_REFUSED, reason=str(error))
+            return
+        except trio.BrokenResourceError:
+            return
+        try:
+            await self._answer_all(stream, reader, peer, silence_s)
+        except (FrameError, trio.TooSlowError, trio.BrokenResourceError):
+            # The dialling side notices, logs and redials.
+            return
+
+    async def _welcome(
+        self,
+        stream: trio.abc.Stream,
+        reader: FrameReader,
+    ) -> str:
+        nonce = handshake.new_nonce()
+        challenge = ttypes.Challenge(nonce=nonce)
+        await self._send(stream, 0, ttypes.Body(challenge=challenge))
+        body = (await reader.read()).body
+        hello = body.hello if body else None
+        if hello is None or not hello.vm:
+            raise HandshakeError('the first message was no hello')
+        handshake.verify(
+            self._secret,
+            hello.proof,
+            'dialler',
+            nonce,
+            hello.nonce,
+            hello.vm,
+            hello.incarnation,
+        )
+        proof = handshake.prove(
+            self._secret,
+            'listener',
+            hello.nonce,
+            self._vm,
+            self._incarnation,
+        )
+        welcome = ttypes.Welcome(
+            vm=self._vm,
+            incarnation=self._incarnation,
+            proof=proof,
+        )
+        await self._send(stream, 0, ttypes.Body(welcome=welcome))
+        return hello.vm
+
+    async def _answer_all(
+        self,
+        stream: trio.abc.Stream,
+        reader: FrameReader,
+        peer: str,
+        silence_s: float,
+    ) -> None:
+        while True:
+            with trio.fail_after(silence_s):
+                frame = await reader.read()
+            body = await self._handlers.answer(peer, frame.body)
+            with trio.fail_after(silence_s):
+                await self._send(stream, frame.sequence or 0, body)
+
+    async def _send(
+        self,
+        stream: trio.abc.Stream,
+        answers: int,
+        body: ttypes.Body,
+    ) -> None:
+        frame = ttypes.Frame(answers=answers, body=body)
+        await stream.send_all(encode(frame))
--- /dev/null
+++ b/chestnutshift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between VMs; `generated` is made from links.thrift."""
