--- /dev/null
+++ b/chestnutshift/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered checks of settings and configurations."""
--- /dev/null
+++ b/chestnutshift/checks/settings.py
@@ -0,0 +1,108 @@
+"""Checks of one VM's settings; each yields key, problem, what is allowed."""
+
+import ipaddress
+import pathlib
+import stat
+from collections.abc import Iterator
+
+from chestnutshift.checks.registry import SETTINGS, Finding
+from chestnutshift.conf.settings import Settings
+
+LEVELS = frozenset(('debug', 'info', 'warning', 'error'))
+FORMS = frozenset(('plain', 'json'))
+
+
+@SETTINGS.register('S001')
+def ports_distinct(settings: Settings) -> Iterator[Finding]:
+    """The VM's three ports differ."""
+    ports = {
+        'callers.port': settings.callers.port,
+        'operators.port': settings.operators.port,
+        'peers.port': settings.peers.port,
+    }
+    for key, port in ports.items():
+        if not 0 < port < 2**16:
+            yield key, f'{port} is no port', 'allowed: 1 to 65535'
+        if list(ports.values()).count(port) > 1:
+            yield key, f'{port} is used twice', 'allowed: three different ones'
+
+
+@SETTINGS.register('S002')
+def secrets_private(settings: Settings) -> Iterator[Finding]:
+    """Secret files exist and only their owner can read them."""
+    paths = {
+        'operators.secret_file': settings.operators.secret_file,
+        'peers.secret_file': settings.peers.secret_file,
+    }
+    for key, path in paths.items():
+        if not pathlib.Path(path).is_file():
+            yield key, f'there is no file {path}', 'allowed: a file'
+            continue
+        mode = stat.S_IMODE(pathlib.Path(path).stat().st_mode)
+        if mode & (stat.S_IRWXG | stat.S_IRWXO):
+            yield key, f'mode {mode:o} lets others in', 'allowed: 600 or 400'
+
+
+@SETTINGS.register('S003')
+def addresses_numeric(settings: Settings) -> Iterator[Finding]:
+    """VMs talk by IP numbers."""
+    addresses = {
+        'callers.address': settings.callers.address,
+        'operators.address': settings.operators.address,
+        'peers.address': settings.peers.address,
+    }
+    for peer in settings.peers.vms:
+        addresses[f'peers.vms.{peer.name}.address'] = peer.address
+    for key, address in addresses.items():
+        try:
+            ipaddress.ip_address(address)
+        except ValueError:
+            yield key, f'{address!r} is no IP number', 'allowed: an IP number'
+
+
+@SETTINGS.register('S004')
+def peers_named_once(settings: Settings) -> Iterator[Finding]:
+    """No two VMs share a name, and this VM is not its own peer."""
+    names = [peer.name for peer in settings.peers.vms]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        yield 'peers.vms', f'{name!r} stands twice', 'allowed: once'
+    if settings.vm.name in names:
+        yield 'peers.vms', 'this VM is listed', 'allowed: other VMs only'
+
+
+@SETTINGS.register('S005')
+def logging_known(settings: Settings) -> Iterator[Finding]:
+    """Log level and form are known ones."""
+    if settings.logging.level not in LEVELS:
+        allowed = ', '.join(sorted(LEVELS))
+        yield 'logging.level', settings.logging.level, f'allowed: {allowed}'
+    if settings.logging.form not in FORMS:
+        allowed = ', '.join(sorted(FORMS))
+        yield 'logging.form', settings.logging.form, f'allowed: {allowed}'
+
+
+@SETTINGS.register('S006')
+def certificates_paired(settings: Settings) -> Iterator[Finding]:
+    """A port that has a certificate has its key file too."""
+    ports = {'callers': settings.callers, 'operators': settings.operators}
+    for name, port in ports.items():
+        files = (port.tls.certificate_file, port.tls.key_file)
+        if any(files) and not all(files):
+            yield f'{name}.tls', 'one file is missing', 'allowed: both or none'
+
+
+@SETTINGS.register('S007')
+def beats_before_silence(settings: Settings) -> Iterator[Finding]:
+    """A peer counts as silent only after several missed heartbeats."""
+    peers = settings.peers
+    if peers.silence_s < 3 * peers.heartbeat_s:
+        problem = f'{peers.silence_s} s is under three heartbeats'
+        low = 3 * peers.heartbeat_s
+        yield 'peers.silence_s', problem, f'allowed: {low} s or more'
+
+
+@SETTINGS.register('S008')
+def platform_by_http(settings: Settings) -> Iterator[Finding]:
+    """The platform is reached over HTTP."""
+    if not settings.platform.url.startswith(('http://', 'https://')):
+        yield 'platform.url', settings.platform.url, 'allowed: http(s)://...'
--- /dev/null
+++ b/chestnutshift/configuration/changes.py
@@ -0,0 +1,111 @@
+"""The changes that operators can make, each a function of configurations."""
+
+import attrs
+
+from chestnutshift.configuration.codec import to_document
+from chestnutshift.configuration.exceptions import UnknownNameError
+from chestnutshift.configuration.model import Configuration, KeyRecord, Preset
+
+
+def _next(configuration: Configuration, **fields: object) -> Configuration:
+    number = configuration.number + 1
+    return attrs.evolve(configuration, number=number, **fields)
+
+
+def choose_preset(configuration: Configuration, name: str) -> Configuration:
+    """Put the named preset in force; raise UnknownNameError."""
+    if name not in configuration.presets:
+        known = ', '.join(sorted(configuration.presets))
+        raise UnknownNameError(f'no preset {name!r}; there are: {known}')
+    return _next(configuration, in_force=name)
+
+
+def edit_preset(
+    configuration: Configuration,
+    name: str,
+    preset: Preset,
+) -> Configuration:
+    """Replace or add the named preset."""
+    presets = {**configuration.presets, name: preset}
+    return _next(configuration, presets=presets)
+
+
+def give_key(
+    configuration: Configuration,
+    digest: str,
+    account: str,
+    label: str,
+) -> Configuration:
+    """Let a key, known by its digest, speak for the account."""
+    if account not in configuration.preset.accounts:
+        raise UnknownNameError(f'no client account {account!r}')
+    if digest in configuration.keys:
+        raise UnknownNameError('this key was given before')
+    record = KeyRecord(account=account, label=label)
+    return _next(configuration, keys={**configuration.keys, digest: record})
+
+
+def withdraw_key(configuration: Configuration, digest: str) -> Configuration:
+    """Withdraw a key for good; raise UnknownNameError."""
+    record = configuration.keys.get(digest)
+    if record is None:
+        raise UnknownNameError(f'no key with digest {digest!r}')
+    withdrawn = attrs.evolve(record, withdrawn=True)
+    keys = {**configuration.keys, digest: withdrawn}
+    return _next(configuration, keys=keys)
+
+
+def find_digest(configuration: Configuration, reference: str) -> str:
+    """Return the digest that starts with, or whose label is, reference.
+
+    Raises UnknownNameError when none or several keys match.
+    """
+    matches = [
+        digest
+        for digest, record in configuration.keys.items()
+        if reference and reference in {digest, record.label}
+    ]
+    if not matches and reference:
+        matches = [
+            digest
+            for digest in configuration.keys
+            if digest.startswith(reference)
+        ]
+    if len(matches) != 1:
+        raise UnknownNameError(f'{len(matches)} keys match {reference!r}')
+    return matches[0]
+
+
+def start_drain(configuration: Configuration, target: str) -> Configuration:
+    """Plan that the target takes no new work."""
+    return _next(configuration, drains=configuration.drains | {target})
+
+
+def end_drain(configuration: Configuration, target: str) -> Configuration:
+    """Let the target take work again; raise UnknownNameError."""
+    if target not in configuration.drains:
+        raise UnknownNameError(f'{target!r} is not being drained')
+    return _next(configuration, drains=configuration.drains - {target})
+
+
+def describe(before: Configuration, after: Configuration) -> tuple[str, ...]:
+    """Return one line for each value that differs, by its path."""
+    old = _flatten(to_document(before), '')
+    new = _flatten(to_document(after), '')
+    old.pop('number', None)
+    new.pop('number', None)
+    return tuple(
+        f'{path}: {old.get(path, "(none)")} -> {new.get(path, "(none)")}'
+        for path in sorted(old.keys() | new.keys())
+        if old.get(path) != new.get(path)
+    )
+
+
+def _flatten(document: object, path: str) -> dict[str, object]:
+    if not isinstance(document, dict):
+        return {path: document}
+    flat: dict[str, object] = {}
+    for key, inner in document.items():
+        inner_path = f'{path}.{key}' if path else str(key)
+        flat.update(_flatten(inner, inner_path))
+    return flat
