--- /dev/null
+++ b/chestnutshift/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""A caller's request to an upstream, and the answer back."""
--- /dev/null
+++ b/chestnutshift/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: which there are, and the connections to them."""
