--- /dev/null
+++ b/chestnutshift/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers ask of the system itself, beside their services."""
--- /dev/null
+++ b/chestnutshift/configuration/follow.py
@@ -0,0 +1,102 @@
+"""Follow the platform: its configuration and its list of VMs."""
+
+from collections.abc import Callable
+
+import trio
+
+from chestnutshift.checks.registry import check_configuration
+from chestnutshift.conf.exceptions import SettingsError
+from chestnutshift.configuration import events, store
+from chestnutshift.configuration.exceptions import NoConfigurationError
+from chestnutshift.configuration.holder import ConfigurationHolder
+from chestnutshift.configuration.model import Configuration
+from chestnutshift.events.log import EventLog
+from chestnutshift.exceptions import CodedError
+from chestnutshift.platform.backends.base import Platform
+from chestnutshift.platform.records import VmList
+
+
+class PlatformFollower:
+    """Poll the platform, and know since when it has not answered."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        holder: ConfigurationHolder,
+        event_log: EventLog,
+    ) -> None:
+        """Follow for one VM."""
+        self._platform = platform
+        self._holder = holder
+        self._event_log = event_log
+        self._confirmed_at: float | None = None
+        self._reachable = False
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Start of the latest read that the platform answered, or None."""
+        return self._confirmed_at
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the platform answered the latest question."""
+        return self._reachable
+
+    async def run(
+        self,
+        poll_s: float,
+        on_poll: Callable[[], None],
+        on_vms: Callable[[VmList], None],
+    ) -> None:
+        """Poll forever; on_poll is called after each answer or failure."""
+        while True:
+            asked_at = trio.current_time()
+            try:
+                await self._poll(asked_at, on_vms)
+            except CodedError as error:
+                self._note_failure(error)
+            on_poll()
+            await trio.sleep_until(asked_at + poll_s)
+
+    async def refresh(self) -> None:
+        """Read the configuration now; raise the platform's errors."""
+        asked_at = trio.current_time()
+        stored = await store.read_current(self._platform)
+        self._take(stored.configuration)
+        self._note_answer(asked_at)
+
+    async def _poll(
+        self,
+        asked_at: float,
+        on_vms: Callable[[VmList], None],
+    ) -> None:
+        try:
+            await self.refresh()
+        except NoConfigurationError:
+            self._note_answer(asked_at)
+        on_vms(await self._platform.list_vms())
+
+    def _take(self, configuration: Configuration) -> None:
+        if configuration.number <= self._holder.number:
+            return
+        problems = check_configuration(configuration)
+        if problems:
+            raise SettingsError(
+                f'configuration {configuration.number}',
+                tuple(str(problem) for problem in problems),
+            )
+        self._holder.offer(configuration)
+
+    def _note_answer(self, asked_at: float) -> None:
+        self._confirmed_at = asked_at
+        if not self._reachable:
+            self._event_log.emit(events.PLATFORM_BACK)
+        self._reachable = True
+
+    def _note_failure(self, error: CodedError) -> None:
+        if isinstance(error, SettingsError):
+            self._event_log.emit(events.REJECTED, problems=error.problems)
+            return
+        if self._reachable:
+            self._event_log.emit(events.PLATFORM_LOST, code=error.code)
+        self._reachable = False
--- /dev/null
+++ b/chestnutshift/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, thin over library code."""
--- /dev/null
+++ b/chestnutshift/management/client.py
@@ -0,0 +1,57 @@
+"""Ask a VM's operators' port."""
+
+import ssl
+
+import attrs
+import httpx
+
+from chestnutshift.conf.loader import read_secret
+from chestnutshift.conf.settings import Settings
+from chestnutshift.management.exceptions import RemoteError, UnreachableError
+
+TIMEOUT_S = 20.0
+
+
+@attrs.frozen
+class OperatorsClient:
+    """The operators' interface of the VM that the settings describe."""
+
+    _settings: Settings
+
+    def get(self, path: str, **arguments: object) -> dict:
+        """Return the document at path; raise UnreachableError, RemoteError."""
+        return self._ask('GET', path, params=arguments)
+
+    def post(self, path: str, document: dict) -> dict:
+        """Send a document; raise UnreachableError, RemoteError."""
+        return self._ask('POST', path, json=document)
+
+    def _ask(self, method: str, path: str, **options: object) -> dict:
+        operators = self._settings.operators
+        secret = read_secret(operators.secret_file).decode()
+        certificate = operators.tls.certificate_file
+        scheme = 'https' if certificate else 'http'
+        verify = (
+            ssl.create_default_context(cafile=certificate)
+            if certificate
+            else False
+        )
+        url = f'{scheme}://{operators.address}:{operators.port}{path}'
+        with httpx.Client(
+            verify=verify,
+            trust_env=False,
+            timeout=TIMEOUT_S,
+        ) as client:
+            try:
+                answer = client.request(
+                    method,
+                    url,
+                    headers={'Authorization': f'Bearer {secret}'},
+                    **options,
+                )
+            except httpx.HTTPError as error:
+                raise UnreachableError(f'{url}: {error!r}') from error
+        document = answer.json()
+        if answer.is_error:
+            raise RemoteError(document['code'], document['detail'])
+        return document
--- /dev/null
+++ b/chestnutshift/management/exceptions.py
@@ -0,0 +1,43 @@
+"""Errors of the command line, and the exit codes of all errors."""
+
+from chestnutshift.exceptions import CodedError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_PARTIAL = 4
+EXIT_UNREACHABLE = 5
+
+
+class UnreachableError(CodedError):
+    """The operators' port does not answer."""
+
+    code = 'management.unreachable'
+
+
+class RemoteError(CodedError):
+    """The VM refused what the command asked for."""
+
+    def __init__(self, code: str, detail: str) -> None:
+        """Carry the code that the VM gave."""
+        super().__init__(detail)
+        self.code = code
+
+
+class PartialError(CodedError):
+    """The change is accepted, but not in force on every VM yet."""
+
+    code = 'management.partial'
+
+
+EXIT_CODES = {
+    'configuration.conflict': EXIT_CONFLICT,
+    'management.partial': EXIT_PARTIAL,
+    'management.unreachable': EXIT_UNREACHABLE,
+}
+
+
+def exit_code(error: CodedError) -> int:
+    """Return the exit code of an error."""
+    return EXIT_CODES.get(error.code, EXIT_FAILED)
--- /dev/null
+++ b/chestnutshift/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface: its own port, its own secret."""
--- /dev/null
+++ b/chestnutshift/operators/application.py
@@ -0,0 +1,77 @@
+"""The Quart application on the operators' port."""
+
+import hmac
+import http
+
+import attrs
+import trio
+from quart import Response, jsonify, request
+from quart_trio import QuartTrio
+
+from chestnutshift.conf.exceptions import SettingsError
+from chestnutshift.conf.loader import structure
+from chestnutshift.configuration.codec import to_document
+from chestnutshift.exceptions import CodedError
+from chestnutshift.operators.acceptance import ChangeRequest, accept
+from chestnutshift.operators.exceptions import BadRequestError, StrangerError
+from chestnutshift.operators.status import vm_status
+from chestnutshift.operators.timeline import gather
+from chestnutshift.vms.state import VmState
+
+STATUS_BY_CODE = {
+    'configuration.conflict': http.HTTPStatus.CONFLICT,
+    'configuration.invalid': http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    'configuration.unknown_name': http.HTTPStatus.NOT_FOUND,
+    'settings.invalid': http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    'registry.unknown': http.HTTPStatus.NOT_FOUND,
+}
+
+
+def _error(error: CodedError) -> Response:
+    status = getattr(error, 'status', None)
+    status = status or STATUS_BY_CODE.get(
+        error.code,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+    response = jsonify(code=error.code, detail=error.detail)
+    response.status_code = int(status)
+    return response
+
+
+def make_operators(state: VmState, secret: bytes) -> QuartTrio:
+    """Return the application; every page needs the operators' secret."""
+    app = QuartTrio('chestnutshift')
+
+    @app.before_request
+    async def authorize() -> Response | None:
+        given = request.headers.get('Authorization', '').encode()
+        if hmac.compare_digest(given, b'Bearer ' + secret):
+            return None
+        return _error(StrangerError("this needs the operators' secret"))
+
+    @app.errorhandler(CodedError)
+    async def coded(error: CodedError) -> Response:
+        return _error(error)
+
+    @app.get('/status')
+    async def status() -> Response:
+        return jsonify(vm_status(state, trio.current_time()))
+
+    @app.get('/configuration')
+    async def configuration() -> Response:
+        return jsonify(to_document(state.holder.current))
+
+    @app.post('/changes')
+    async def change() -> Response:
+        raw = await request.get_json(force=True, silent=True)
+        try:
+            asked = structure(raw, ChangeRequest, 'change')
+        except SettingsError as error:
+            raise BadRequestError(error.detail) from error
+        return jsonify(attrs.asdict(await accept(state, asked)))
+
+    @app.get('/timeline')
+    async def timeline() -> Response:
+        return jsonify(await gather(state, request.args))
+
+    return app
--- /dev/null
+++ b/chestnutshift/operators/timeline.py
@@ -0,0 +1,92 @@
+"""The time line of events over all VMs."""
+
+import json
+from collections.abc import Mapping
+
+import attrs
+import trio
+
+from chestnutshift.conf.loader import structure
+from chestnutshift.events.log import Event, EventFilter, merge
+from chestnutshift.exceptions import CodedError
+from chestnutshift.links.handlers import Handlers
+from chestnutshift.links.peer import PeerLink
+from chestnutshift.operators.exceptions import BadRequestError
+from chestnutshift.vms.state import VmState
+from chestnutshift.wire.generated.links import ttypes
+
+ANSWER_S = 2.0
+EVENTS_MAX = 2000
+
+
+def register(handlers: Handlers, state: VmState) -> None:
+    """Add the handler that gives this VM's events to another."""
+
+    @handlers.register('event_query')
+    async def answer_query(_peer: str, query: object) -> ttypes.Body:
+        wanted = EventFilter(
+            request=query.request or '',
+            account=query.account or '',
+            upstream=query.upstream or '',
+            number=query.number or 0,
+            since=query.since or 0,
+        )
+        events = state.event_log.select(wanted)[-EVENTS_MAX:]
+        batch = ttypes.EventBatch(events=[event.as_json() for event in events])
+        return ttypes.Body(event_batch=batch)
+
+
+def read_filter(arguments: Mapping[str, str]) -> EventFilter:
+    """Return the filter that query arguments ask for."""
+    numbers = {}
+    for name in ('number', 'since'):
+        text = arguments.get(name) or '0'
+        if not text.isdigit():
+            raise BadRequestError(f'{name} is a whole number')
+        numbers[name] = int(text)
+    return EventFilter(
+        request=arguments.get('request', ''),
+        account=arguments.get('account', ''),
+        upstream=arguments.get('upstream', ''),
+        **numbers,
+    )
+
+
+async def gather(
+    state: VmState,
+    arguments: Mapping[str, str],
+) -> dict[str, object]:
+    """Return the events of all VMs in causal order, and who was not heard."""
+    wanted = read_filter(arguments)
+    batches = {state.name: state.event_log.select(wanted)[-EVENTS_MAX:]}
+    async with trio.open_nursery() as nursery:
+        for link in state.links.values():
+            nursery.start_soon(_ask, link, wanted, batches)
+    missing = sorted({*state.links} - {*batches})
+    events = merge(batches.values())
+    return {
+        'events': [attrs.asdict(event) for event in events],
+        'not_heard': missing,
+    }
+
+
+async def _ask(
+    link: PeerLink,
+    wanted: EventFilter,
+    batches: dict[str, list[Event]],
+) -> None:
+    query = ttypes.EventQuery(
+        request=wanted.request,
+        account=wanted.account,
+        upstream=wanted.upstream,
+        number=wanted.number,
+        since=wanted.since,
+    )
+    try:
+        answer = await link.call(ttypes.Body(event_query=query), ANSWER_S)
+    except CodedError:
+        return
+    batches[link.name] = [
+        structure(json.loads(line), Event, link.name)
+        for line in answer.event_batch.events
+    ]
--- /dev/null
+++ b/chestnutshift/vms/__init__.py
@@ -0,0 +1,1 @@
+"""The entry VMs: their process, and what each knows of the others."""
--- /dev/null
+++ b/chestnutshift/vms/beats.py
@@ -0,0 +1,99 @@
+"""Heartbeats between VMs, and what follows from their answers."""
+
+import trio
+
+from chestnutshift.configuration.codec import from_bytes, to_bytes
+from chestnutshift.links.exceptions import LinkDownError, PeerRefusedError
+from chestnutshift.links.handlers import Handlers
+from chestnutshift.links.peer import PeerLink
+from chestnutshift.vms.membership import PeerReport
+from chestnutshift.vms.state import VmState
+from chestnutshift.wire.generated.links import ttypes
+
+
+def to_heartbeat(state: VmState, now: float) -> ttypes.Heartbeat:
+    """Return what this VM says of itself at the time now."""
+    confirmed_at = state.follower.confirmed_at
+    age_s = None if confirmed_at is None else now - confirmed_at
+    return ttypes.Heartbeat(
+        state=state.phase,
+        configuration_number=state.holder.number,
+        platform_reachable=state.follower.reachable,
+        knowledge_age_s=age_s,
+        headroom=state.headroom(),
+        withdrawal_count=len(state.key_ring.withdrawals),
+    )
+
+
+def from_heartbeat(heartbeat: ttypes.Heartbeat) -> PeerReport:
+    """Return the report in a heartbeat, with safe values for gaps."""
+    return PeerReport(
+        phase=heartbeat.state or '',
+        configuration_number=heartbeat.configuration_number or 0,
+        platform_reachable=bool(heartbeat.platform_reachable),
+        knowledge_age_s=heartbeat.knowledge_age_s,
+        headroom=heartbeat.headroom or 0,
+        withdrawal_count=heartbeat.withdrawal_count or 0,
+    )
+
+
+def register(handlers: Handlers, state: VmState) -> None:
+    """Add the handlers of heartbeats and of what they lead to."""
+
+    @handlers.register('heartbeat')
+    async def answer_heartbeat(_peer: str, _message: object) -> ttypes.Body:
+        heartbeat = to_heartbeat(state, trio.current_time())
+        return ttypes.Body(heartbeat=heartbeat)
+
+    @handlers.register('configuration_request')
+    async def answer_configuration(
+        _peer: str,
+        _message: object,
+    ) -> ttypes.Body:
+        current = state.holder.current
+        document = ttypes.ConfigurationDocument(
+            number=current.number,
+            document=to_bytes(current),
+        )
+        return ttypes.Body(configuration_document=document)
+
+
+async def beat(state: VmState, link: PeerLink) -> None:
+    """Ask one VM for its report and catch up with what it has newer.
+
+    Raises LinkDownError if it does not answer.
+    """
+    silence_s = state.settings.peers.silence_s
+    asked_at = trio.current_time()
+    heartbeat = to_heartbeat(state, asked_at)
+    answer = await link.call(ttypes.Body(heartbeat=heartbeat), silence_s)
+    if answer.heartbeat is None:
+        raise LinkDownError(f'{link.name} answered no heartbeat')
+    report = from_heartbeat(answer.heartbeat)
+    if report.configuration_number > state.holder.number:
+        await fetch_configuration(state, link, silence_s)
+    state.membership.note_answer(
+        link.name,
+        link.incarnation,
+        asked_at,
+        report,
+    )
+    state.refresh_knowledge()
+
+
+async def fetch_configuration(
+    state: VmState,
+    link: PeerLink,
+    timeout_s: float,
+) -> None:
+    """Take the configuration that the other VM runs, if it is newer."""
+    request = ttypes.ConfigurationRequest(newer_than=state.holder.number)
+    try:
+        answer = await link.call(
+            ttypes.Body(configuration_request=request),
+            timeout_s,
+        )
+    except PeerRefusedError:
+        return
+    if answer.configuration_document is not None:
+        state.holder.offer(from_bytes(answer.configuration_document.document))
--- /dev/null
+++ b/chestnutshift/vms/membership.py
@@ -0,0 +1,102 @@
+"""What one VM knows of the others, from its own questions to them."""
+
+import enum
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutshift.conf.settings import PeerAddress
+
+
+class VmPhase(enum.StrEnum):
+    """Where a VM is between start and stop."""
+
+    STARTING = 'starting'
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@attrs.frozen
+class PeerReport:
+    """What a VM says of itself in a heartbeat.
+
+    knowledge_age_s is how old its confirmation by the platform was, None if
+    it never had one; headroom is the free share of its slots.
+    """
+
+    phase: str
+    configuration_number: int
+    platform_reachable: bool
+    knowledge_age_s: float | None
+    headroom: float
+    withdrawal_count: int
+
+
+@attrs.define
+class Peer:
+    """One other VM and its latest report."""
+
+    address: PeerAddress
+    incarnation: str = ''
+    asked_at: float = -math.inf
+    report: PeerReport | None = None
+
+    @property
+    def name(self) -> str:
+        """The VM's name."""
+        return self.address.name
+
+    def is_heard(self, now: float, silence_s: float) -> bool:
+        """Tell whether a question of the last silence_s was answered."""
+        return now - self.asked_at <= silence_s
+
+
+class Membership:
+    """The other VMs, by name."""
+
+    def __init__(
+        self,
+        addresses: Iterable[PeerAddress],
+        silence_s: float,
+    ) -> None:
+        """Know the addresses; nobody was heard yet."""
+        self._silence_s = silence_s
+        self._peers = {address.name: Peer(address) for address in addresses}
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Every other VM known."""
+        return tuple(self._peers.values())
+
+    def get(self, name: str) -> Peer | None:
+        """Return the VM of that name, None for a stranger."""
+        return self._peers.get(name)
+
+    def note_answer(
+        self,
+        name: str,
+        incarnation: str,
+        asked_at: float,
+        report: PeerReport,
+    ) -> None:
+        """Take over the answer to a question that was asked at asked_at."""
+        peer = self._peers[name]
+        peer.incarnation = incarnation
+        peer.asked_at = max(peer.asked_at, asked_at)
+        peer.report = report
+
+    def heard(self, now: float) -> tuple[Peer, ...]:
+        """Return the VMs that answered lately."""
+        return tuple(
+            peer for peer in self.peers if peer.is_heard(now, self._silence_s)
+        )
+
+    def behind(self, number: int, now: float) -> tuple[str, ...]:
+        """Return the VMs not known to run configuration `number` or newer."""
+        reached = {
+            peer.name
+            for peer in self.heard(now)
+            if peer.report and peer.report.configuration_number >= number
+        }
+        return tuple(sorted(self._peers.keys() - reached))
