Read, hide, authenticate and withdraw callers' keys

Cause: a request must run only for the account of its key, no upstream may see the key, and a withdrawn key must stop within seconds.

--- /dev/null
+++ b/chestnutshift/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: reading, hiding, authenticating and withdrawing them."""
--- /dev/null
+++ b/tests/keys/__init__.py
@@ -0,0 +1,48 @@
+"""Tests of the keys package, with what they share."""
+
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from chestnutshift.configuration.model import (
+    AccountLimit,
+    Configuration,
+    KeyRecord,
+    Preset,
+)
+from chestnutshift.invariants.registry import ENFORCEMENT
+from chestnutshift.keys import credentials
+
+KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
+OTHER_KEY = 'another-key-of-another-account'
+DIGEST = credentials.digest(KEY)
+
+raises = unittest.TestCase().assertRaises
+
+
+@contextmanager
+def enforced() -> Iterator[None]:
+    """Let violated invariants raise inside the block."""
+    ENFORCEMENT.raises = True
+    try:
+        yield
+    finally:
+        ENFORCEMENT.raises = False
+
+
+def make_configuration(
+    number: int = 1,
+    *,
+    withdrawn: bool = False,
+    account: str = 'konya',
+) -> Configuration:
+    """Return a configuration with the one key KEY."""
+    preset = Preset(accounts={account: AccountLimit(rate=10, burst=10)})
+    return Configuration(
+        number=number,
+        deployment='anadolu',
+        services=(),
+        presets={'ordinary': preset},
+        in_force='ordinary',
+        keys={DIGEST: KeyRecord(account, 'test', withdrawn=withdrawn)},
+    )
--- /dev/null
+++ b/tests/keys/test_freshness.py
@@ -0,0 +1,86 @@
+"""Keys are trusted while no unheard withdrawal can exist elsewhere."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutshift.keys.freshness import (
+    Freshness,
+    KnowledgeView,
+    PeerView,
+    assess,
+    trusted_until,
+)
+
+TRUST_S = 5.0
+LATER = 1000.0
+ROUNDING_S = 0.000001
+
+times = st.floats(min_value=0, max_value=100)
+peers = st.builds(
+    PeerView,
+    asked_at=st.none() | times,
+    age_s=st.none() | times,
+    is_held=st.booleans(),
+    is_gone=st.booleans(),
+)
+views = st.builds(
+    KnowledgeView,
+    trust_s=st.just(TRUST_S),
+    confirmed_at=st.none() | times,
+    peers=st.lists(peers, max_size=4).map(tuple),
+)
+
+
+def state(*heard: PeerView, confirmed_at: float | None = 0) -> Freshness:
+    """Return the state at LATER with these peers."""
+    return assess(KnowledgeView(TRUST_S, confirmed_at, heard), LATER)
+
+
+def test_own_confirmation_lasts_for_trust_s():
+    """The bound counts from the start of the confirmed request."""
+    silent = PeerView()
+    assert state(silent, confirmed_at=LATER - 5) is Freshness.FRESH
+    assert state(silent, confirmed_at=LATER - 5.1) is Freshness.UNCERTAIN
+    assert state(silent, confirmed_at=None) is Freshness.UNCERTAIN
+
+
+def test_relayed_confirmation_keeps_its_age():
+    """A peer's age adds to the age of its answer."""
+    silent = PeerView()
+    relay = PeerView(asked_at=LATER - 1, age_s=4)
+    older = PeerView(asked_at=LATER - 1, age_s=4.1)
+    ahead = PeerView(asked_at=LATER - 1, age_s=1, is_held=False)
+    assert state(silent, relay) is Freshness.FRESH
+    assert state(silent, older) is Freshness.UNCERTAIN
+    assert state(silent, ahead) is Freshness.UNCERTAIN
+
+
+def test_outage_shared_by_all_keeps_trust():
+    """Trust goes on while every VM says that it can't reach the platform."""
+    down = PeerView(asked_at=LATER - 1, age_s=500)
+    started = PeerView(asked_at=LATER - 1)
+    assert state(down, started) is Freshness.SHARED_OUTAGE
+    assert state(down, PeerView(is_gone=True)) is Freshness.SHARED_OUTAGE
+    assert state() is Freshness.SHARED_OUTAGE
+
+
+def test_silent_vm_ends_trust():
+    """One unheard VM may hold a withdrawal, be it crashed or cut off."""
+    down = PeerView(asked_at=LATER - 1, age_s=500)
+    silent = PeerView(asked_at=LATER - 6, age_s=500)
+    assert state(down, silent) is Freshness.UNCERTAIN
+
+
+def test_vm_that_is_ahead_ends_trust():
+    """A peer with a newer configuration must be caught up with first."""
+    ahead = PeerView(asked_at=LATER - 1, age_s=500, is_held=False)
+    assert state(ahead) is Freshness.UNCERTAIN
+
+
+@given(views, times)
+@settings(derandomize=True, deadline=None, database=None)
+def test_trusted_until_agrees_with_assess(view, now):
+    """The cached bound and the state never differ."""
+    trusted = assess(view, now).is_trusted
+    margin = abs(trusted_until(view) - now)
+    assert trusted == (now <= trusted_until(view)) or margin < ROUNDING_S
