Divide rate and burst over seats held under leases

Each VM admits from its seat's equal part of every account's rate and burst. The seat is a row of the platform's table; its holder spends the part for floor_s after the start of its last confirmed renewal, and nothing after a pause until a renewal that was started after it.

--- /dev/null
+++ b/chestnutshift/accounts/keeper.py
@@ -0,0 +1,188 @@
+"""Keep this VM's seat: read its row, take it, renew it, give it up."""
+
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import attrs
+import trio
+
+from chestnutshift.accounts import events
+from chestnutshift.accounts.seats import (
+    NO_RIGHT,
+    RowWatch,
+    SeatRecord,
+    SeatRight,
+    SeatStep,
+    next_step,
+)
+from chestnutshift.configuration.model import SharesPreset
+from chestnutshift.events.log import EventLog
+from chestnutshift.exceptions import CodedError
+
+
+@attrs.frozen
+class SeatRow:
+    """A row of the table of seats and its version."""
+
+    record: SeatRecord
+    version: int
+
+
+class SeatTable(Protocol):
+    """The platform's table of seats, as the keeper needs it.
+
+    Both methods raise a CodedError when the platform can't be reached, when
+    the row has another version, or when the outcome is unknown.
+    """
+
+    async def read(self, seat: str) -> SeatRow | None:
+        """Return the row of the seat."""
+
+    async def write(
+        self,
+        seat: str,
+        record: SeatRecord,
+        version: int | None,
+        operation_id: str,
+    ) -> None:
+        """Write the row if it has this version; None means no row."""
+
+
+# Tells whether the platform's list no longer has a VM incarnation.
+GoneCheck = Callable[[str], Awaitable[bool]]
+
+
+@attrs.define
+class SeatKeeper:
+    """Hold one seat for one VM incarnation."""
+
+    _seat: str
+    _vm: str
+    _table: SeatTable
+    _is_gone: GoneCheck
+    _log: EventLog
+    _clock: Callable[[], float] = trio.current_time
+    _watch: RowWatch = attrs.field(factory=RowWatch)
+    _right: SeatRight = NO_RIGHT
+    _holds: bool = False
+
+    @property
+    def right(self) -> SeatRight:
+        """The right that the last confirmed renewal gave."""
+        return self._right
+
+    async def step(self, shares: SharesPreset, settle_s: float) -> SeatRight:
+        """Take or renew the seat once, and return the right that holds.
+
+        A platform that fails leaves the former right as it is: the right
+        ends by itself. Raises no error of the platform.
+        """
+        try:
+            await self._step(shares, settle_s)
+        except CodedError as error:
+            self._log.emit(
+                events.SEAT_UNREACHABLE,
+                seat=self._seat,
+                code=error.code,
+            )
+        return self._right
+
+    async def release(self, settle_s: float) -> bool:
+        """Give the seat up; tell whether the platform confirmed it.
+
+        The caller stops spending first. settle_s is the longest time that
+        loans given by this VM still run.
+        """
+        self._right = NO_RIGHT
+        try:
+            return await self._release(settle_s)
+        except CodedError:
+            return False
+
+    async def _step(self, shares: SharesPreset, settle_s: float) -> None:
+        row = await self._table.read(self._seat)
+        step = await self._choose(row)
+        if step is SeatStep.WAIT:
+            self._lose(row)
+            return
+        started = self._clock()
+        record = self._next_record(row, shares, settle_s)
+        await self._write(row, record)
+        if step is SeatStep.RENEW and self._holds:
+            starts = self._right.starts
+        else:
+            starts = self._clock() + self._wait_s(row, record)
+            self._log.emit(
+                events.SEAT_TAKEN,
+                seat=self._seat,
+                fence=record.fence,
+            )
+        self._holds = True
+        self._right = SeatRight(started, starts, started + shares.floor_s)
+
+    async def _choose(self, row: SeatRow | None) -> SeatStep:
+        if row is None:
+            return SeatStep.TAKE
+        record = row.record
+        unchanged_s = self._watch.observe(row.version, self._clock())
+        gone = False
+        if record.holder != self._vm and unchanged_s > record.lease_s:
+            gone = await self._is_gone(record.holder)
+        return next_step(record, self._vm, unchanged_s, holder_gone=gone)
+
+    def _next_record(
+        self,
+        row: SeatRow | None,
+        shares: SharesPreset,
+        settle_s: float,
+    ) -> SeatRecord:
+        fence = row.record.fence if row else 0
+        if row is None or not self._holds:
+            fence += 1
+        if row is not None and not self._holds:
+            # Kept for the case that the outcome of this write stays unknown.
+            settle_s = max(settle_s, row.record.settle_s)
+        return SeatRecord(
+            holder=self._vm,
+            fence=fence,
+            lease_s=shares.lease_s,
+            floor_s=shares.floor_s,
+            settle_s=settle_s,
+        )
+
+    def _wait_s(self, row: SeatRow | None, record: SeatRecord) -> float:
+        if row is None:
+            return 0
+        if row.record.released:
+            return row.record.settle_s
+        return record.settle_s
+
+    def _lose(self, row: SeatRow | None) -> None:
+        if not self._holds:
+            return
+        self._holds = False
+        self._right = NO_RIGHT
+        self._log.emit(
+            events.SEAT_LOST,
+            seat=self._seat,
+            holder=row.record.holder if row else '',
+        )
+
+    async def _release(self, settle_s: float) -> bool:
+        row = await self._table.read(self._seat)
+        if row is None or row.record.holder != self._vm:
+            return False
+        record = attrs.evolve(row.record, released=True, settle_s=settle_s)
+        await self._write(row, record)
+        self._holds = False
+        self._log.emit(events.SEAT_RELEASED, seat=self._seat)
+        return True
+
+    async def _write(self, row: SeatRow | None, record: SeatRecord) -> None:
+        await self._table.write(
+            self._seat,
+            record,
+            row.version if row else None,
+            uuid.uuid4().hex,
+        )
--- /dev/null
+++ b/chestnutshift/accounts/loans.py
@@ -0,0 +1,87 @@
+"""Loans of rate, burst and tokens between VMs: messages and records.
+
+A loan moves part of the giver's share of one account to the taker for
+`life_s`. The giver reduces its own share first, and counts the loan until
+`life_s` plus a margin after the moment of the grant; the taker counts it
+until `life_s` after the moment it asked. A lost message therefore loses
+tokens and never doubles them.
+"""
+
+import attrs
+
+# Seconds by which the giver counts a loan longer than the taker does.
+LOAN_MARGIN_S = 0.1
+
+# Asks for a new loan, in LoanRequest.loan.
+NEW_LOAN = 0
+
+
+@attrs.frozen
+class LoanRequest:
+    """Ask a peer for a loan, or renew, reduce or hand back one.
+
+    For a new loan rate, burst and tokens are what is asked for. For an
+    existing one rate and burst are what the taker keeps, and tokens what it
+    hands back. ask numbers the requests of one taker incarnation.
+    """
+
+    peer: str
+    taker: str
+    account: str
+    ask: int
+    loan: int
+    rate: float
+    burst: float
+    tokens: float
+
+
+@attrs.frozen
+class LoanGrant:
+    """Answer to a request: what the taker may use for life_s since it asked.
+
+    All amounts are zero where the giver has nothing to lend.
+    """
+
+    giver: str
+    taker: str
+    account: str
+    ask: int
+    loan: int
+    rate: float
+    burst: float
+    tokens: float
+    life_s: float
+
+
+@attrs.frozen
+class LentLoan:
+    """What the giver remembers of a loan."""
+
+    taker: str
+    rate: float
+    burst: float
+    expires: float
+
+
+@attrs.frozen
+class BorrowedLoan:
+    """What the taker remembers of a loan."""
+
+    peer: str
+    giver: str
+    loan: int
+    rate: float
+    burst: float
+    expires: float
+    since: float
+    life_s: float
+
+
+@attrs.frozen
+class OpenAsk:
+    """A request that was sent and is not answered yet."""
+
+    peer: str
+    account: str
+    loan: int
+    asked: float
--- /dev/null
+++ b/chestnutshift/accounts/share.py
@@ -0,0 +1,104 @@
+"""One account's share at one VM: the seat's part, loans given and taken."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from chestnutshift.accounts.bucket import EPSILON, TokenBucket
+from chestnutshift.accounts.loans import BorrowedLoan, LentLoan
+from chestnutshift.accounts.seats import NO_RIGHT, SeatRight
+from chestnutshift.invariants.registry import ACCOUNT_RATE, verify
+
+
+@attrs.define
+class AccountShare:
+    """The tokens of one account that this VM may spend.
+
+    The bucket's rate and capacity are the seat's part while the seat's right
+    covers the moment, less loans given, plus loans taken. Each of these ends
+    at a moment known in advance; the bucket is filled piece by piece between
+    these moments, however late it is looked at.
+    """
+
+    base_rate: float = 0
+    base_burst: float = 0
+    right: SeatRight = NO_RIGHT
+    bucket: TokenBucket = attrs.field(factory=TokenBucket)
+    lent: dict[int, LentLoan] = attrs.field(factory=dict)
+    borrowed: dict[tuple[str, int], BorrowedLoan] = attrs.field(factory=dict)
+    _next_change: float = math.inf
+
+    @property
+    def lent_rate(self) -> float:
+        """Rate lent to other VMs, in tokens per second."""
+        return sum(loan.rate for loan in self.lent.values())
+
+    @property
+    def lent_burst(self) -> float:
+        """Burst lent to other VMs, in tokens."""
+        return sum(loan.burst for loan in self.lent.values())
+
+    def refresh(self, now: float) -> None:
+        """Bring the bucket up to now (seconds)."""
+        while self._next_change <= now:
+            self.resize(self._next_change)
+        self.bucket.fill(now)
+
+    def resize(self, moment: float) -> None:
+        """Set the bucket's rate and capacity to what holds from moment on."""
+        self._forget_expired(moment)
+        rate, burst = self._own_part(moment)
+        rate += sum(loan.rate for loan in self.borrowed.values())
+        burst += sum(loan.burst for loan in self.borrowed.values())
+        self.bucket.resize(rate, burst, moment)
+        self._next_change = min(
+            (end for end in self._ends() if end > moment),
+            default=math.inf,
+        )
+        verify(
+            ACCOUNT_RATE,
+            holds=self.bucket.level <= burst + EPSILON,
+            detail='the bucket holds more than its capacity',
+        )
+
+    def own_part(self, moment: float) -> tuple[float, float]:
+        """Return rate and burst of the seat that are not lent."""
+        return self._own_part(moment)
+
+    def spend(self, now: float) -> bool:
+        """Take one token; tell whether there was one."""
+        self.refresh(now)
+        if not self.bucket.take(1.0, now):
+            return False
+        verify(
+            ACCOUNT_RATE,
+            holds=self.right.covers(now) or bool(self.borrowed),
+            detail='a token was spent without lease or loan',
+        )
+        return True
+
+    def _own_part(self, moment: float) -> tuple[float, float]:
+        if not self.right.covers(moment):
+            return 0, 0
+        rate = max(0, self.base_rate - self.lent_rate)
+        burst = max(0, self.base_burst - self.lent_burst)
+        return rate, burst
+
+    def _forget_expired(self, moment: float) -> None:
+        self.lent = {
+            number: loan
+            for number, loan in self.lent.items()
+            if loan.expires > moment
+        }
+        self.borrowed = {
+            key: loan
+            for key, loan in self.borrowed.items()
+            if loan.expires > moment
+        }
+
+    def _ends(self) -> Iterator[float]:
+        yield self.right.starts
+        yield self.right.ends
+        yield from (loan.expires for loan in self.lent.values())
+        yield from (loan.expires for loan in self.borrowed.values())
--- /dev/null
+++ b/tests/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of rate and burst over the fleet."""
--- /dev/null
+++ b/tests/accounts/test_admission.py
@@ -0,0 +1,107 @@
+"""Admission of one VM: its seat's share, its lease, its configuration."""
+
+import pytest
+
+from chestnutshift.accounts.admission import (
+    NO_SHARE,
+    OVER_RATE,
+    PAUSE_S,
+    UNKNOWN_ACCOUNT,
+    Admission,
+)
+from chestnutshift.accounts.seats import SeatRight
+from chestnutshift.configuration.model import AccountLimit
+
+SEATS = 4
+LIMITS = {'pier': AccountLimit(rate=8, burst=40)}
+
+
+def _admission(ends: float = 100) -> Admission:
+    admission = Admission('vm-1', SEATS)
+    admission.configure(LIMITS, 0)
+    admission.renewed(SeatRight(0, 0, ends), 0)
+    admission.tick(0)
+    return admission
+
+
+def _spend_all(admission: Admission, now: float) -> int:
+    count = 0
+    while admission.admit('pier', now).admitted:
+        count += 1
+    return count
+
+
+def _run_until(admission: Admission, start: float, end: float) -> None:
+    moment = start
+    while moment <= end:
+        admission.tick(moment)
+        moment += PAUSE_S / 2
+
+
+def test_a_new_holder_starts_with_an_empty_bucket():
+    """Nothing may be spent before tokens arrived."""
+    assert _spend_all(_admission(), 0) == 0
+
+
+def test_a_seat_gets_its_part_of_rate_and_burst():
+    """One of four seats has a quarter of the rate and of the burst."""
+    admission = _admission()
+    assert _spend_all(admission, 1) == 2
+    _run_until(admission, 1, 90)
+    assert _spend_all(admission, 90) == 10
+
+
+def test_nothing_is_spent_past_the_lease():
+    """The moment is checked at each admission, not when the lease is read."""
+    admission = _admission(ends=PAUSE_S)
+    decision = admission.admit('pier', PAUSE_S)
+    assert not decision.admitted
+    assert decision.reason == NO_SHARE
+
+
+def test_a_paused_vm_that_wakes_spends_nothing():
+    """A VM that did not run may have lost its seat without knowing."""
+    admission = _admission()
+    assert _spend_all(admission, PAUSE_S + 0.1) == 0
+
+
+def test_a_renewal_from_before_a_pause_is_ignored():
+    """Its answer can be older than the take-over by another VM."""
+    admission = _admission()
+    admission.renewed(SeatRight(1, 0, 200), 10)
+    assert _spend_all(admission, 11) == 0
+    admission.renewed(SeatRight(11, 0, 200), 11)
+    assert _spend_all(admission, 12) == 2
+
+
+def test_an_unknown_account_is_refused():
+    """An account without limits gets nothing."""
+    assert _admission().admit('nobody', 1).reason == UNKNOWN_ACCOUNT
+
+
+def test_a_refusal_says_when_to_come_back():
+    """The wait is computed from the bucket."""
+    admission = _admission()
+    _spend_all(admission, 1)
+    decision = admission.admit('pier', 1.25)
+    assert decision.reason == OVER_RATE
+    assert pytest.approx(decision.retry_after_s) == 1 / 4
+
+
+def test_a_smaller_limit_cuts_the_tokens_at_once():
+    """Tokens over the new burst are lost; a larger burst adds none."""
+    admission = _admission()
+    _run_until(admission, 0, 50)
+    admission.configure({'pier': AccountLimit(8, 8)}, 50)
+    admission.configure(LIMITS, 50)
+    assert _spend_all(admission, 50) == 2
+
+
+def test_a_removed_account_is_refused_at_once():
+    """Its tokens are gone as well when it comes back."""
+    admission = _admission()
+    _run_until(admission, 0, 50)
+    admission.configure({}, 50)
+    assert admission.admit('pier', 50).reason == UNKNOWN_ACCOUNT
+    admission.configure(LIMITS, 50)
+    assert _spend_all(admission, 50) == 0
--- /dev/null
+++ b/tests/accounts/test_bucket.py
@@ -0,0 +1,40 @@
+"""The token bucket fills, is spent and changes size."""
+
+import math
+
+from chestnutshift.accounts.bucket import TokenBucket
+
+
+def test_fill_stops_at_the_capacity():
+    """A bucket never holds more than its capacity."""
+    bucket = TokenBucket(rate=2, capacity=5, updated=0)
+    bucket.fill(2)
+    assert bucket.level == 4
+    bucket.fill(100)
+    assert bucket.level == 5
+
+
+def test_take_needs_whole_tokens():
+    """A request needs its whole token."""
+    bucket = TokenBucket(rate=1, capacity=5, updated=0)
+    assert not bucket.take(1, 0.9)
+    assert bucket.take(1, 1)
+    assert not bucket.take(1, 1)
+    assert bucket.wait_s(1) == 1
+
+
+def test_resize_fills_with_the_old_rate_first():
+    """Time before a change counts at the rate that held then."""
+    bucket = TokenBucket(rate=1, capacity=10, updated=0)
+    bucket.resize(5, 3, 2)
+    assert bucket.level == 2
+    bucket.resize(0, 1, 2)
+    assert bucket.level == 1
+    assert bucket.wait_s(2) == math.inf
+
+
+def test_time_never_runs_backwards():
+    """An earlier moment adds nothing and takes nothing back."""
+    bucket = TokenBucket(rate=1, capacity=10, updated=5)
+    bucket.fill(3)
+    assert (bucket.level, bucket.updated) == (0, 5)
--- /dev/null
+++ b/tests/accounts/test_seats.py
@@ -0,0 +1,170 @@
+"""Seats are renewed, taken and given up under every fault of the table."""
+
+import attrs
+from trio.testing import trio_test
+
+from chestnutshift.accounts.keeper import SeatKeeper, SeatRow
+from chestnutshift.accounts.seats import (
+    CLOCK_MARGIN_S,
+    SeatRecord,
+    SeatRight,
+    SeatStep,
+    next_step,
+)
+from chestnutshift.configuration.model import SharesPreset
+from chestnutshift.events.log import EventLog
+from chestnutshift.exceptions import CodedError
+
+SHARES = SharesPreset(lease_s=10, floor_s=100)
+SETTLE_S = 2.1
+RECORD = SeatRecord('old', 3, lease_s=10, floor_s=100, settle_s=SETTLE_S)
+
+
+@attrs.define
+class FakeTable:
+    """A table of one row whose answers can be lost."""
+
+    row: SeatRow | None = None
+    down: bool = False
+    loses_answers: bool = False
+
+    async def read(self, seat: str) -> SeatRow | None:
+        """Return the row, or fail."""
+        if self.down:
+            raise CodedError('down')
+        return self.row
+
+    async def write(self, seat, record, version, operation_id) -> None:
+        """Write under the version, or fail."""
+        if self.down:
+            raise CodedError('down')
+        current = self.row.version if self.row else None
+        if version != current:
+            raise CodedError('conflict')
+        self.row = SeatRow(record, (version or 0) + 1)
+        if self.loses_answers:
+            raise CodedError('outcome unknown')
+
+
+@attrs.define
+class World:
+    """The clock, the list and the table that keepers of a test share."""
+
+    now: float = 0
+    gone: set[str] = attrs.field(factory=set)
+    table: FakeTable = attrs.field(factory=FakeTable)
+
+    async def is_gone(self, vm: str) -> bool:
+        """Tell whether the list has lost the VM."""
+        return vm in self.gone
+
+    def keeper(self, vm: str) -> SeatKeeper:
+        """Return a keeper of the one seat."""
+        return SeatKeeper(
+            seat='seat-1',
+            vm=vm,
+            table=self.table,
+            is_gone=self.is_gone,
+            log=EventLog(vm),
+            clock=lambda: self.now,
+        )
+
+
+def test_steps_follow_row_and_list():
+    """Each row leads to the one step that is safe."""
+    cases = (
+        (None, 0, False, SeatStep.TAKE),
+        (attrs.evolve(RECORD, holder='me'), 0, False, SeatStep.RENEW),
+        (attrs.evolve(RECORD, released=True), 0, False, SeatStep.TAKE),
+        (RECORD, 10, True, SeatStep.WAIT),
+        (RECORD, 10.1 + CLOCK_MARGIN_S, False, SeatStep.WAIT),
+        (RECORD, 10.1 + CLOCK_MARGIN_S, True, SeatStep.TAKE),
+        (RECORD, 100, False, SeatStep.WAIT),
+        (RECORD, 100.1 + CLOCK_MARGIN_S, False, SeatStep.TAKE),
+    )
+    for record, unchanged_s, gone, step in cases:
+        assert next_step(record, 'me', unchanged_s, holder_gone=gone) is step
+
+
+@trio_test
+async def test_a_free_seat_is_taken_and_renewed():
+    """Each renewal extends the right from the moment it was started."""
+    world = World()
+    keeper = world.keeper('a')
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100)
+    world.now = 3
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(3, 0, 103)
+    assert world.table.row.record.fence == 1
+
+
+@trio_test
+async def test_an_outage_leaves_the_right_to_end():
+    """An outage neither extends nor ends what was confirmed before."""
+    world = World()
+    keeper = world.keeper('a')
+    await keeper.step(SHARES, SETTLE_S)
+    world.now = 3
+    world.table.down = True
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100)
+
+
+@trio_test
+async def test_a_lost_answer_extends_nothing():
+    """A take whose answer was lost counts only once it is renewed."""
+    world = World()
+    keeper = world.keeper('a')
+    world.table.loses_answers = True
+    right = await keeper.step(SHARES, SETTLE_S)
+    assert not right.covers(0)
+    world.table.loses_answers = False
+    world.now = 1
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(
+        1,
+        1 + SETTLE_S,
+        101,
+    )
+
+
+@trio_test
+async def test_a_silent_holder_is_replaced_once_gone():
+    """The taker waits out the lease, then the holder's loans."""
+    world = World()
+    old, new = world.keeper('old'), world.keeper('new')
+    await old.step(SHARES, SETTLE_S)
+    world.gone.add('old')
+    assert not (await new.step(SHARES, SETTLE_S)).covers(0)
+    world.now = 10 + CLOCK_MARGIN_S
+    assert not (await new.step(SHARES, SETTLE_S)).covers(world.now)
+    world.now = 11
+    right = await new.step(SHARES, SETTLE_S)
+    assert right.starts == 11 + SETTLE_S
+    assert world.table.row.record.fence == 2
+    # The old holder wakes: it learns that the seat is lost.
+    assert not (await old.step(SHARES, SETTLE_S)).covers(world.now)
+    assert world.table.row.record.holder == 'new'
+
+
+@trio_test
+async def test_a_holder_that_renews_is_never_replaced():
+    """Each renewal restarts the taker's watch, whatever the list says."""
+    world = World()
+    old, new = world.keeper('old'), world.keeper('new')
+    world.gone.add('old')
+    for second in range(60):
+        world.now = second
+        await old.step(SHARES, SETTLE_S)
+        assert not (await new.step(SHARES, SETTLE_S)).covers(second)
+
+
+@trio_test
+async def test_a_released_seat_is_taken_after_its_loans():
+    """The row says how long loans of the former holder still run."""
+    world = World()
+    old, new = world.keeper('old'), world.keeper('new')
+    await old.step(SHARES, SETTLE_S)
+    assert await old.release(1.5)
+    assert not old.right.covers(0)
+    right = await new.step(SHARES, SETTLE_S)
+    assert not right.covers(1.4)
+    assert right.covers(1.5)
+    assert not await old.release(0)
