Add the look-up package: client block table, answers, outstanding counts

Blocks are kept per family and prefix length in sorted packed arrays, so that a delta inserts into one array and nested blocks need no flattening. Answers spread callers by weighted rendezvous hashing of their block's bucket. What cached answers can still send is counted per VM, region and shift; the cap of a shift is asserted when an answer is handed out.

The preset gains lookup.moving_lifetime_s, the lifetime while a drain or a shift concerns the caller's region.

--- a/chestnutshift/conf/defaults.py
+++ b/chestnutshift/conf/defaults.py
@@ -2,6 +2,7 @@
 
 # Names carry the unit: _S seconds, _B bytes, _RATE requests per second.
 LOOKUP_LIFETIME_S = 10.0
+LOOKUP_MOVING_LIFETIME_S = 2.0
 KEY_TRUST_S = 5.0
 REQUEST_DEADLINE_S = 30.0
 HEARTBEAT_S = 0.25
--- a/chestnutshift/configuration/model.py
+++ b/chestnutshift/configuration/model.py
@@ -32,6 +32,7 @@
     """How long callers may cache the answer that names entry VMs."""
 
     lifetime_s: float = defaults.LOOKUP_LIFETIME_S
+    moving_lifetime_s: float = defaults.LOOKUP_MOVING_LIFETIME_S
 
 
 @attrs.frozen
--- /dev/null
+++ b/chestnutshift/lookup/answers.py
@@ -0,0 +1,161 @@
+"""Choose the entry VMs that a caller should use, and for how long."""
+
+import zlib
+
+import attrs
+
+from chestnutshift.configuration.model import Preset
+from chestnutshift.lookup.exceptions import NoEntryKnownError
+from chestnutshift.lookup.prefixes import Family, Prefix, parse_address
+from chestnutshift.lookup.view import (
+    BUCKETS,
+    FALLBACK_STATES,
+    EntryState,
+    EntryVM,
+    LookupView,
+    Shift,
+)
+
+# VMs that one answer names: in all, of each region but the first, silent.
+NAMED_MAX = 8
+NEXT_REGION_MAX = 2
+SILENT_MAX = 2
+# Callers of one block this long are spread as one.
+SPREAD_SHIFT = {Family.V4: 8, Family.V6: 16}
+KEY_BYTES = 8
+
+
+@attrs.frozen
+class Question:
+    """What a caller asks: its address, or a block it speaks for, and a hint.
+
+    block goes before address; region goes before what the table says.
+    """
+
+    address: str
+    block: str = ''
+    region: str = ''
+
+
+@attrs.frozen
+class LookupAnswer:
+    """Entry VMs in the order to try them, cacheable for lifetime_s seconds.
+
+    home is the region that the caller's block prefers; region is the one
+    that the answer sends it to, another one while a shift moves it.
+    """
+
+    entries: tuple[EntryVM, ...]
+    lifetime_s: float
+    expires_at: float
+    home: str
+    region: str
+    shift: Shift | None = None
+
+    @property
+    def moved(self) -> bool:
+        """Whether a shift, a drain or a loss sends the caller from home."""
+        return self.home != self.region
+
+
+def choose(
+    question: Question,
+    view: LookupView,
+    preset: Preset,
+    now: float,
+) -> LookupAnswer:
+    """Answer one look-up at the time now, in seconds.
+
+    Raise InvalidAddressError or InvalidBlockError for a malformed question,
+    and NoEntryKnownError if the view holds no VM at all.
+    """
+    family, key = _client_key(question)
+    bucket = bucket_of(family, key)
+    order = _region_order(question, view, family, key)
+    home = order[0] if order else ''
+    shift = view.shift_of(home, bucket)
+    if shift is not None:
+        order = view.complete((shift.target, *order))
+    entries = _name_entries(view, order, bucket)
+    if not entries:
+        raise NoEntryKnownError('no entry VM is known')
+    lifetime = _lifetime(view, preset, home, entries[0])
+    return LookupAnswer(
+        entries=entries,
+        lifetime_s=lifetime,
+        expires_at=now + lifetime,
+        home=home,
+        region=entries[0].region,
+        shift=shift,
+    )
+
+
+def bucket_of(family: Family, key: int) -> int:
+    """Return the bucket of the client block that holds the key."""
+    block = key >> SPREAD_SHIFT[family]
+    return zlib.crc32(block.to_bytes(KEY_BYTES), family) % BUCKETS
+
+
+def _client_key(question: Question) -> tuple[Family, int]:
+    if question.block:
+        prefix = Prefix.parse(question.block)
+        return prefix.family, prefix.first_key
+    return parse_address(question.address)
+
+
+def _region_order(
+    question: Question,
+    view: LookupView,
+    family: Family,
+    key: int,
+) -> tuple[str, ...]:
+    order = view.order_at(view.table.locate_key(family, key))
+    if question.region in order:
+        return view.complete((question.region, *order))
+    return order
+
+
+def _name_entries(
+    view: LookupView,
+    order: tuple[str, ...],
+    bucket: int,
+) -> tuple[EntryVM, ...]:
+    live: list[EntryVM] = []
+    for region in order:
+        ranked = view.ranked(region, EntryState.LIVE, bucket)
+        live.extend(ranked[:NEXT_REGION_MAX] if live else ranked)
+        if len(live) >= NAMED_MAX:
+            break
+    if live:
+        served = tuple(one for one in order if one not in view.drained_regions)
+        silent = _in_state(view, served, bucket, EntryState.SILENT)
+        return (*live[:NAMED_MAX], *silent[:SILENT_MAX])
+    known: list[EntryVM] = []
+    for state in FALLBACK_STATES:
+        known.extend(_in_state(view, order, bucket, state))
+    return tuple(known[:NAMED_MAX])
+
+
+def _in_state(
+    view: LookupView,
+    order: tuple[str, ...],
+    bucket: int,
+    state: EntryState,
+) -> list[EntryVM]:
+    found: list[EntryVM] = []
+    for region in order:
+        found.extend(view.ranked(region, state, bucket))
+    return found
+
+
+def _lifetime(
+    view: LookupView,
+    preset: Preset,
+    home: str,
+    first: EntryVM,
+) -> float:
+    ordinary = preset.lookup.lifetime_s
+    settled = first.state is EntryState.LIVE and first.region == home
+    if settled and not view.moving(home):
+        return ordinary
+    return min(ordinary, preset.lookup.moving_lifetime_s)
--- /dev/null
+++ b/chestnutshift/lookup/deltas.py
@@ -0,0 +1,84 @@
+"""Changes of a few client blocks, and their form on the wire."""
+
+import struct
+
+import attrs
+
+from chestnutshift.lookup.exceptions import (
+    CorruptTableError,
+    DeltaTooLargeError,
+)
+from chestnutshift.lookup.prefixes import Family, Prefix
+
+# More changes than this travel as a whole table through the object store.
+CHANGES_MAX = 1000
+WITHDRAWN = 0xFFFF
+BITS_PER_BYTE = 8
+
+_HEADER = struct.Struct('<QQH')
+_CHANGE = struct.Struct('<BBH')
+
+
+@attrs.frozen
+class BlockChange:
+    """One client block set to an order index, or withdrawn if None."""
+
+    prefix: Prefix
+    order: int | None
+
+
+@attrs.frozen
+class Delta:
+    """The changes that lead from the table numbered base to number."""
+
+    base: int
+    number: int
+    changes: tuple[BlockChange, ...]
+
+    def dump(self) -> bytes:
+        """Return the delta as bytes; raise DeltaTooLargeError."""
+        if len(self.changes) > CHANGES_MAX:
+            raise DeltaTooLargeError(f'{len(self.changes)} changes')
+        header = _HEADER.pack(self.base, self.number, len(self.changes))
+        return header + b''.join(map(_dump_change, self.changes))
+
+
+def load_delta(source: bytes) -> Delta:
+    """Read a delta from its bytes; raise CorruptTableError."""
+    try:
+        return _load(source)
+    except (struct.error, ValueError) as error:
+        raise CorruptTableError('delta cut short or altered') from error
+
+
+def _load(source: bytes) -> Delta:
+    base, number, count = _HEADER.unpack_from(source)
+    offset = _HEADER.size
+    changes = []
+    for _ in range(count):
+        change, offset = _load_change(source, offset)
+        changes.append(change)
+    if offset != len(source):
+        raise ValueError('length of the delta')
+    return Delta(base, number, tuple(changes))
+
+
+def _network_size(length: int) -> int:
+    return -(-length // BITS_PER_BYTE)
+
+
+def _dump_change(change: BlockChange) -> bytes:
+    prefix = change.prefix
+    order = WITHDRAWN if change.order is None else change.order
+    head = _CHANGE.pack(prefix.family, prefix.length, order)
+    return head + prefix.network.to_bytes(_network_size(prefix.length))
+
+
+def _load_change(source: bytes, offset: int) -> tuple[BlockChange, int]:
+    family, length, order = _CHANGE.unpack_from(source, offset)
+    start = offset + _CHANGE.size
+    end = start + _network_size(length)
+    if end > len(source):
+        raise ValueError('length of the delta')
+    prefix = Prefix(Family(family), length, int.from_bytes(source[start:end]))
+    return BlockChange(prefix, None if order == WITHDRAWN else order), end
--- /dev/null
+++ b/chestnutshift/lookup/directory.py
@@ -0,0 +1,127 @@
+"""Answer look-ups of one VM: choose, keep to the caps, count."""
+
+import attrs
+
+from chestnutshift.configuration.model import Preset
+from chestnutshift.events.log import EventLog
+from chestnutshift.lookup import events
+from chestnutshift.lookup.answers import LookupAnswer, Question, choose
+from chestnutshift.lookup.deltas import Delta
+from chestnutshift.lookup.exceptions import DeltaGapError
+from chestnutshift.lookup.outstanding import (
+    MoveBudget,
+    OutstandingAnswers,
+    movable_answers,
+)
+from chestnutshift.lookup.table import ClientTable, load_table
+from chestnutshift.lookup.view import EntryState, LookupView
+
+Move = tuple[str, str]
+
+
+@attrs.define
+class LookupDirectory:
+    """The look-up state of one VM.
+
+    budgets holds what each shift, by source and target region, may send;
+    a shift without a budget moves nobody.
+    """
+
+    view: LookupView
+    outstanding: OutstandingAnswers
+    log: EventLog
+    budgets: dict[Move, MoveBudget] = attrs.field(factory=dict)
+    _unshifted: LookupView = attrs.field(init=False)
+    _held: set[Move] = attrs.field(factory=set, init=False)
+    _without_live: bool = attrs.field(default=False, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare the view for callers that a cap holds at home."""
+        self._unshifted = self.view.without_shifts
+
+    @property
+    def table(self) -> ClientTable:
+        """The table of client blocks in use."""
+        return self.view.table
+
+    def update(self, view: LookupView) -> None:
+        """Answer from this view from now on."""
+        self.view = view
+        self._unshifted = view.without_shifts
+
+    def load(self, source: bytes) -> bool:
+        """Take a whole table; return False if it is not newer.
+
+        Raise CorruptTableError, with the table before still in use.
+        """
+        table = load_table(source)
+        if table.number <= self.table.number:
+            return False
+        self.update(attrs.evolve(self.view, table=table))
+        self.log.emit(
+            events.TABLE_LOADED,
+            number=table.number,
+            blocks=len(table),
+        )
+        return True
+
+    def apply(self, delta: Delta) -> bool:
+        """Apply a delta to the table; return False if it is part already.
+
+        Raise DeltaGapError if the whole table has to be fetched.
+        """
+        try:
+            changed = self.table.apply(delta)
+        except DeltaGapError as error:
+            self.log.emit(events.TABLE_GAP, detail=error.detail)
+            raise
+        if changed:
+            self.log.emit(
+                events.TABLE_CHANGED,
+                number=delta.number,
+                changes=len(delta.changes),
+            )
+        return changed
+
+    def answer(
+        self,
+        question: Question,
+        preset: Preset,
+        now: float,
+    ) -> LookupAnswer:
+        """Answer one look-up and count the answer; raise as choose does."""
+        answer = choose(question, self.view, preset, now)
+        if answer.shift and not self._may_move(answer, now):
+            answer = choose(question, self._unshifted, preset, now)
+        self.outstanding.record(answer)
+        if answer.shift:
+            move = (answer.home, answer.region)
+            self.outstanding.verify_move(*move, self.budgets[move], now)
+        self._note_state(answer)
+        return answer
+
+    def _may_move(self, answer: LookupAnswer, now: float) -> bool:
+        move = (answer.home, answer.region)
+        budget = self.budgets.get(move)
+        moved = self.outstanding.moved(*move, now)
+        free = movable_answers(budget, moved) if budget else 0
+        self._note_hold(move, held=not free)
+        return free > 0
+
+    def _note_hold(self, move: Move, *, held: bool) -> None:
+        if held == (move in self._held):
+            return
+        if held:
+            self._held.add(move)
+        else:
+            self._held.discard(move)
+        kind = events.MOVE_HELD if held else events.MOVE_RESUMED
+        self.log.emit(kind, source=move[0], target=move[1])
+
+    def _note_state(self, answer: LookupAnswer) -> None:
+        without_live = answer.entries[0].state is not EntryState.LIVE
+        if without_live == self._without_live:
+            return
+        self._without_live = without_live
+        kind = events.NO_LIVE_ENTRY if without_live else events.LIVE_ENTRY_AGAIN
+        self.log.emit(kind, home=answer.home)
--- /dev/null
+++ b/chestnutshift/lookup/prefixes.py
@@ -0,0 +1,86 @@
+"""Client blocks: IPv4 and IPv6 prefixes as small integers."""
+
+import enum
+import socket
+
+import attrs
+
+from chestnutshift.lookup.exceptions import (
+    InvalidAddressError,
+    InvalidBlockError,
+)
+
+MAPPED_IPV4 = bytes.fromhex('00000000000000000000ffff')
+
+
+class Family(enum.IntEnum):
+    """The address family of a client block."""
+
+    V4 = 4
+    V6 = 6
+
+
+# An IPv6 client block ends at /64, one subnet; its key is the upper half.
+KEY_BITS = {Family.V4: 32, Family.V6: 64}
+SOCKET_FAMILIES = {Family.V4: socket.AF_INET, Family.V6: socket.AF_INET6}
+INTERFACE_BITS = 64
+
+
+def parse_address(text: str) -> tuple[Family, int]:
+    """Return the family and the key of an address.
+
+    An IPv4 address mapped into IPv6 counts as IPv4. Raise
+    InvalidAddressError for anything else than an address.
+    """
+    family = Family.V6 if ':' in text else Family.V4
+    try:
+        packed = socket.inet_pton(SOCKET_FAMILIES[family], text)
+    except (OSError, ValueError) as error:
+        raise InvalidAddressError(f'no address: {text!r}') from error
+    if family is Family.V4:
+        return family, int.from_bytes(packed)
+    if packed.startswith(MAPPED_IPV4):
+        return Family.V4, int.from_bytes(packed[len(MAPPED_IPV4) :])
+    return family, int.from_bytes(packed) >> INTERFACE_BITS
+
+
+@attrs.frozen
+class Prefix:
+    """One client block; network holds its first length bits, shifted down."""
+
+    family: Family
+    length: int
+    network: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Prefix':
+        """Read a block such as 192.0.2.0/24; host bits must be zero.
+
+        Raise InvalidAddressError or InvalidBlockError.
+        """
+        address, _, suffix = text.partition('/')
+        family, key = parse_address(address)
+        if not suffix.isdecimal():
+            raise InvalidBlockError(f'no prefix length: {text!r}')
+        length = int(suffix)
+        spare = KEY_BITS[family] - length
+        if spare < 0 or key & ((1 << spare) - 1):
+            raise InvalidBlockError(f'length out of range: {text!r}')
+        return cls(family, length, key >> spare)
+
+    @property
+    def first_key(self) -> int:
+        """The key of the first address of the block."""
+        return self.network << (KEY_BITS[self.family] - self.length)
+
+    def __str__(self) -> str:
+        """Return the block in the usual notation."""
+        whole = self.first_key
+        if self.family is Family.V6:
+            whole <<= INTERFACE_BITS
+        size = 4 if self.family is Family.V4 else 16
+        address = socket.inet_ntop(
+            SOCKET_FAMILIES[self.family],
+            whole.to_bytes(size),
+        )
+        return f'{address}/{self.length}'
--- /dev/null
+++ b/chestnutshift/lookup/table.py
@@ -0,0 +1,295 @@
+"""The table of client blocks: longest-prefix match in packed arrays.
+
+One level holds the blocks of one family and length, sorted, in two arrays.
+A look-up bisects the levels from the longest length down. A change inserts
+into or deletes from one level, so that nested blocks need no special care.
+"""
+
+import hashlib
+import struct
+import sys
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator
+
+import attrs
+
+from chestnutshift.lookup.deltas import WITHDRAWN, Delta
+from chestnutshift.lookup.exceptions import (
+    CorruptTableError,
+    DeltaGapError,
+    DuplicateBlockError,
+    InvalidBlockError,
+)
+from chestnutshift.lookup.prefixes import (
+    KEY_BITS,
+    Family,
+    Prefix,
+    parse_address,
+)
+
+MAGIC = b'CSLT\x01'
+NETWORK_TYPES = {Family.V4: 'I', Family.V6: 'Q'}
+ORDER_TYPE = 'H'
+ORDER_BITS = 16
+ORDER_MASK = (1 << ORDER_BITS) - 1
+DIGEST_SIZE = hashlib.sha256().digest_size
+
+_HEADER = struct.Struct('<5sQH')
+_LEVEL = struct.Struct('<BBI')
+
+
+def check_block(prefix: Prefix, order: int) -> None:
+    """Raise InvalidBlockError if the block or its order is out of range."""
+    if not 0 <= prefix.length <= KEY_BITS[prefix.family]:
+        raise InvalidBlockError(f'prefix length {prefix.length}')
+    if prefix.network >> prefix.length:
+        raise InvalidBlockError(f'network exceeds /{prefix.length}')
+    if not 0 <= order < WITHDRAWN:
+        raise InvalidBlockError(f'order index {order}')
+
+
+@attrs.define
+class _Level:
+    """The blocks of one family and one length, sorted by network."""
+
+    family: Family
+    length: int
+    networks: array
+    orders: array
+
+    @classmethod
+    def empty(cls, family: Family, length: int) -> '_Level':
+        """Make a level without blocks."""
+        networks = array(NETWORK_TYPES[family])
+        return cls(family, length, networks, array(ORDER_TYPE))
+
+    def sort(self) -> None:
+        """Sort the blocks; raise DuplicateBlockError on a repetition."""
+        pairs = [
+            network << ORDER_BITS | order
+            for network, order in zip(self.networks, self.orders, strict=True)
+        ]
+        pairs.sort()
+        self.networks = array(
+            NETWORK_TYPES[self.family],
+            (pair >> ORDER_BITS for pair in pairs),
+        )
+        self.orders = array(ORDER_TYPE, (pair & ORDER_MASK for pair in pairs))
+        self._check_strictly_rising()
+
+    def put(self, network: int, order: int) -> None:
+        """Set the order index of one block."""
+        place = bisect_left(self.networks, network)
+        if self._holds(place, network):
+            self.orders[place] = order
+            return
+        self.networks.insert(place, network)
+        self.orders.insert(place, order)
+
+    def withdraw(self, network: int) -> None:
+        """Remove one block, if it is there."""
+        place = bisect_left(self.networks, network)
+        if self._holds(place, network):
+            self.networks.pop(place)
+            self.orders.pop(place)
+
+    def dump(self) -> bytes:
+        """Return the level as bytes."""
+        head = _LEVEL.pack(self.family, self.length, len(self.networks))
+        return head + _little(self.networks) + _little(self.orders)
+
+    def _holds(self, place: int, network: int) -> bool:
+        return place < len(self.networks) and self.networks[place] == network
+
+    def _check_strictly_rising(self) -> None:
+        rising = iter(self.networks)
+        next(rising, None)
+        for before, after in zip(self.networks, rising, strict=False):
+            if before == after:
+                block = Prefix(self.family, self.length, after)
+                raise DuplicateBlockError(str(block))
+
+
+class ClientTable:
+    """Map addresses to order indexes by the longest matching block."""
+
+    def __init__(self, number: int, levels: list[_Level]) -> None:
+        """Take sorted levels; use TableBuilder or load_table instead."""
+        self._number = number
+        self._levels = {(level.family, level.length): level for level in levels}
+        self._searched: dict[Family, list[tuple[int, array, array]]] = {}
+        self._order_levels()
+
+    def __len__(self) -> int:
+        """Return the number of blocks."""
+        return sum(len(level.networks) for level in self._levels.values())
+
+    def __iter__(self) -> Iterator[tuple[Prefix, int]]:
+        """Iterate over the blocks and their order indexes."""
+        for family, length in sorted(self._levels):
+            level = self._levels[family, length]
+            for network, order in zip(
+                level.networks,
+                level.orders,
+                strict=True,
+            ):
+                yield Prefix(family, length, network), order
+
+    @property
+    def number(self) -> int:
+        """The number of the newest change that is part of the table."""
+        return self._number
+
+    def locate(self, address: str) -> int | None:
+        """Return the order index for the address, or None.
+
+        Raise InvalidAddressError if the text is no address.
+        """
+        family, key = parse_address(address)
+        return self.locate_key(family, key)
+
+    def locate_key(self, family: Family, key: int) -> int | None:
+        """Return the order index for a key of parse_address, or None."""
+        for shift, networks, orders in self._searched[family]:
+            network = key >> shift
+            place = bisect_left(networks, network)
+            if place < len(networks) and networks[place] == network:
+                return orders[place]
+        return None
+
+    def apply(self, delta: Delta) -> bool:
+        """Apply a delta in place; return False if it is part already.
+
+        Raise DeltaGapError if changes between are missing, and
+        InvalidBlockError, in both cases without a change to the table.
+        """
+        if delta.number <= self._number:
+            return False
+        if delta.base != self._number:
+            raise DeltaGapError(f'{delta.base} is not {self._number}')
+        for checked in delta.changes:
+            check_block(checked.prefix, checked.order or 0)
+        for change in delta.changes:
+            self._change(change.prefix, change.order)
+        self._number = delta.number
+        self._order_levels()
+        return True
+
+    def dump(self) -> bytes:
+        """Return the table as bytes that end in their SHA-256 digest."""
+        levels = [self._levels[place] for place in sorted(self._levels)]
+        header = _HEADER.pack(MAGIC, self._number, len(levels))
+        packed = b''.join([header, *(level.dump() for level in levels)])
+        return packed + hashlib.sha256(packed).digest()
+
+    def digest(self) -> str:
+        """Return the hexadecimal digest; equal tables have equal ones."""
+        return self.dump()[-DIGEST_SIZE:].hex()
+
+    def _change(self, prefix: Prefix, order: int | None) -> None:
+        place = (prefix.family, prefix.length)
+        if order is None:
+            self._withdraw(place, prefix.network)
+            return
+        level = self._levels.get(place)
+        if level is None:
+            level = _Level.empty(prefix.family, prefix.length)
+            self._levels[place] = level
+        level.put(prefix.network, order)
+
+    def _withdraw(self, place: tuple[Family, int], network: int) -> None:
+        level = self._levels.get(place)
+        if level is None:
+            return
+        level.withdraw(network)
+        if not level.networks:
+            del self._levels[place]
+
+    def _order_levels(self) -> None:
+        longest_first = sorted(self._levels, reverse=True)
+        self._searched = {
+            family: [
+                (
+                    KEY_BITS[family] - length,
+                    self._levels[family, length].networks,
+                    self._levels[family, length].orders,
+                )
+                for found, length in longest_first
+                if found is family
+            ]
+            for family in Family
+        }
+
+
+class TableBuilder:
+    """Collect client blocks in any order and build a table."""
+
+    def __init__(self) -> None:
+        """Start without blocks."""
+        self._levels: dict[tuple[Family, int], _Level] = {}
+
+    def add(self, prefix: Prefix, order: int) -> None:
+        """Add one block; raise InvalidBlockError."""
+        check_block(prefix, order)
+        place = (prefix.family, prefix.length)
+        if place not in self._levels:
+            self._levels[place] = _Level.empty(*place)
+        self._levels[place].networks.append(prefix.network)
+        self._levels[place].orders.append(order)
+
+    def build(self, number: int) -> ClientTable:
+        """Return the table; raise DuplicateBlockError."""
+        levels = list(self._levels.values())
+        for level in levels:
+            level.sort()
+        self._levels = {}
+        return ClientTable(number, levels)
+
+
+def load_table(source: bytes) -> ClientTable:
+    """Read a table from its bytes; raise CorruptTableError."""
+    packed = memoryview(source)[:-DIGEST_SIZE]
+    if hashlib.sha256(packed).digest() != source[-DIGEST_SIZE:]:
+        raise CorruptTableError('digest of the table differs')
+    try:
+        return _load(packed)
+    except (struct.error, ValueError) as error:
+        raise CorruptTableError('table of another format') from error
+
+
+def _load(packed: memoryview) -> ClientTable:
+    magic, number, count = _HEADER.unpack_from(packed)
+    if magic != MAGIC:
+        raise ValueError('magic number')
+    offset = _HEADER.size
+    levels = []
+    for _ in range(count):
+        level, offset = _load_level(packed, offset)
+        levels.append(level)
+    return ClientTable(number, levels)
+
+
+def _load_level(packed: memoryview, offset: int) -> tuple[_Level, int]:
+    family, length, count = _LEVEL.unpack_from(packed, offset)
+    level = _Level.empty(Family(family), length)
+    offset += _LEVEL.size
+    for column in (level.networks, level.orders):
+        size = count * column.itemsize
+        column.frombytes(packed[offset : offset + size])
+        _swap_on_big_endian(column)
+        offset += size
+    return level, offset
+
+
+def _little(column: array) -> bytes:
+    if sys.byteorder == 'little':
+        return column.tobytes()
+    swapped = array(column.typecode, column)
+    swapped.byteswap()
+    return swapped.tobytes()
+
+
+def _swap_on_big_endian(column: array) -> None:
+    if sys.byteorder == 'big':
+        column.byteswap()
--- /dev/null
+++ b/tests/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the look-up package."""
--- /dev/null
+++ b/tests/lookup/test_answers.py
@@ -0,0 +1,151 @@
+"""Answers name the right VMs, stay stable, and are never empty."""
+
+import unittest
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutshift.lookup.answers import Question, choose
+from chestnutshift.lookup.exceptions import NoEntryKnownError
+from chestnutshift.lookup.view import EntryState, Shift
+from tests.lookup.fixtures import PRESET, make_entries, make_view
+
+CASE = unittest.TestCase()
+STEADY = settings(derandomize=True, deadline=None, database=None)
+CALLERS = tuple(f'10.2.{block}.7' for block in range(256))
+DRAINED = frozenset(('east',))
+STATES = st.sampled_from(EntryState)
+
+
+def first_entries(view) -> dict[str, str]:
+    """Return the first VM named to each caller."""
+    return {
+        caller: choose(Question(caller), view, PRESET, 0).entries[0].name
+        for caller in CALLERS
+    }
+
+
+def regions_of(answer) -> list[str]:
+    """Return the regions of the named VMs, first mentions in order."""
+    return list(dict.fromkeys(entry.region for entry in answer.entries))
+
+
+def test_region_by_block_hint_and_address():
+    """The hint goes before the block, and the block before the address."""
+    view = make_view()
+    cases = (
+        (Question('10.9.9.9'), 'east'),
+        (Question('10.1.9.9'), 'north'),
+        (Question('2001:db8::1'), 'west'),
+        (Question('192.0.2.1'), 'east'),
+        (Question('10.9.9.9', block='10.1.2.0/24'), 'north'),
+        (Question('10.9.9.9', region='west'), 'west'),
+        (Question('10.9.9.9', region='unknown'), 'east'),
+    )
+    for question, region in cases:
+        answer = choose(question, view, PRESET, 0)
+        assert answer.region == region, question
+        assert len(regions_of(answer)) == 3
+
+
+def test_second_vm_is_in_another_failure_domain():
+    """The first two VMs named share no failure domain."""
+    view = make_view()
+    for caller in CALLERS:
+        first, second, *_ = choose(Question(caller), view, PRESET, 0).entries
+        assert first.region == second.region
+        assert first.failure_domain != second.failure_domain
+
+
+def test_loss_moves_only_own_callers():
+    """Without one VM, only its callers change, and all VMs share them."""
+    before = first_entries(make_view())
+    assert set(before.values()) == {'east11', 'east12', 'east21', 'east22'}
+    lost = make_view(entries=make_entries(east11=EntryState.LEAVING))
+    after = first_entries(lost)
+    moved = {one for one in CALLERS if before[one] != after[one]}
+    assert moved == {one for one in CALLERS if before[one] == 'east11'}
+    assert {after[one] for one in moved} == {'east12', 'east21', 'east22'}
+
+
+def test_headroom_weighs_callers():
+    """A VM with a quarter of the others' headroom gets fewer callers."""
+    entries = tuple(
+        attrs.evolve(entry, headroom=0.25) if entry.name == 'east11' else entry
+        for entry in make_entries()
+    )
+    names = list(first_entries(make_view(entries=entries)).values())
+    even = len(CALLERS) / 4
+    assert 0 < names.count('east11') < even / 2
+
+
+@STEADY
+@given(st.lists(STATES, min_size=12, max_size=12), st.booleans())
+def test_never_empty_and_silent_last(states, drained):
+    """Any known VM gives an answer; live ones first, silent ones last."""
+    entries = tuple(
+        attrs.evolve(entry, state=state)
+        for entry, state in zip(make_entries(), states, strict=True)
+    )
+    regions = DRAINED if drained else frozenset()
+    view = make_view(entries=entries, drained_regions=regions)
+    answer = choose(Question('10.2.3.4'), view, PRESET, 0)
+    named = [entry.state for entry in answer.entries]
+    assert named
+    first_silent = [*named, EntryState.SILENT].index(EntryState.SILENT)
+    assert set(named[first_silent:]) <= {EntryState.SILENT}
+    live = {
+        entry.region
+        for entry in entries
+        if entry.state is EntryState.LIVE and entry.region not in regions
+    }
+    if live:
+        assert set(named) <= {EntryState.LIVE, EntryState.SILENT}
+        assert answer.region in live
+
+
+def test_single_vm_in_any_state_is_named():
+    """The last known VM is named, even silent and in a drained region."""
+    for state in EntryState:
+        entry = attrs.evolve(make_entries()[0], state=state)
+        view = make_view(entries=(entry,), drained_regions=DRAINED)
+        answer = choose(Question('10.2.3.4'), view, PRESET, 0)
+        assert answer.entries == (entry,)
+
+
+def test_no_vm_raises():
+    """Without any VM there is a coded error in place of an answer."""
+    with CASE.assertRaises(NoEntryKnownError):
+        choose(Question('10.2.3.4'), make_view(entries=()), PRESET, 0)
+
+
+def test_shift_moves_its_fraction():
+    """A larger fraction moves more callers and takes none of them back."""
+    previous: set[str] = set()
+    for fraction in (0, 0.25, 0.5, 1):
+        view = make_view(shifts=(Shift('east', 'west', fraction),))
+        answers = {
+            one: choose(Question(one), view, PRESET, 0) for one in CALLERS
+        }
+        moved = {one for one in CALLERS if answers[one].region == 'west'}
+        assert previous <= moved
+        off = abs(len(moved) - fraction * len(CALLERS))
+        assert off < len(CALLERS) / 10
+        previous = moved
+
+
+def test_lifetime_is_short_while_moving():
+    """A shift, a drain or a loss at home shortens the lifetime."""
+    ordinary = choose(Question('10.2.3.4'), make_view(), PRESET, 5)
+    assert ordinary.lifetime_s == PRESET.lookup.lifetime_s
+    assert ordinary.expires_at == 5 + PRESET.lookup.lifetime_s
+    moving = (
+        make_view(shifts=(Shift('east', 'west', 0.1),)),
+        make_view(drained_regions=DRAINED),
+        make_view(entries=make_entries(east12=EntryState.DRAINED)),
+        make_view(entries=make_entries()[4:]),
+    )
+    for view in moving:
+        answer = choose(Question('10.2.3.4'), view, PRESET, 5)
+        assert answer.lifetime_s == PRESET.lookup.moving_lifetime_s
--- /dev/null
+++ b/tests/lookup/test_outstanding.py
@@ -0,0 +1,139 @@
+"""Cached answers are counted to their expiry, and shifts paced by them."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutshift.events.log import EventFilter, EventLog
+from chestnutshift.lookup import events
+from chestnutshift.lookup.answers import Question
+from chestnutshift.lookup.directory import LookupDirectory
+from chestnutshift.lookup.outstanding import (
+    DELIVERY_S,
+    MoveBudget,
+    OutstandingAnswers,
+    movable_answers,
+    movable_fraction,
+)
+from chestnutshift.lookup.view import EntryState, Shift
+from tests.lookup.fixtures import (
+    PRESET,
+    enforced_invariants,
+    make_entries,
+    make_table,
+    make_view,
+)
+
+STEADY = settings(derandomize=True, deadline=None, database=None)
+LIFETIME_S = PRESET.lookup.lifetime_s
+SHIFT = Shift('east', 'west', 1.0)
+
+
+def make_directory(view=None, **fields) -> LookupDirectory:
+    """Return a directory whose process has run for long."""
+    return LookupDirectory(
+        view=view or make_view(),
+        outstanding=OutstandingAnswers(-1000, LIFETIME_S),
+        log=EventLog('vm'),
+        **fields,
+    )
+
+
+def seen(directory) -> list[int]:
+    """Return the numbers of the events so far."""
+    return [event.number for event in directory.log.select(EventFilter())]
+
+
+@STEADY
+@given(st.lists(st.floats(0, 30), min_size=1, max_size=20), st.floats(0, 60))
+def test_empty_only_after_last_expiry(asked_at, now):
+    """A VM is empty only when each answer that named it has expired."""
+    directory = make_directory()
+    expiries: dict[str, list[float]] = {}
+    for moment in sorted(asked_at):
+        answer = directory.answer(Question('10.2.3.4'), PRESET, moment)
+        for entry in answer.entries:
+            last = answer.expires_at + DELIVERY_S
+            expiries.setdefault(entry.name, []).append(last)
+    for name, times in expiries.items():
+        live = sum(time > now for time in times)
+        assert directory.outstanding.naming(name, now) >= live
+        assert directory.outstanding.empty_at(name, now) >= max(now, *times)
+        assert directory.outstanding.empty_at(name, now) < max(now, *times) + 1
+
+
+def test_drained_vm_empties():
+    """After a drain no answer names the VM, and its count falls to none."""
+    directory = make_directory()
+    directory.answer(Question('10.2.3.4'), PRESET, 100)
+    name = directory.answer(Question('10.2.3.4'), PRESET, 100).entries[0].name
+    states = {name: EntryState.DRAINED}
+    directory.update(make_view(entries=make_entries(**states)))
+    directory.answer(Question('10.2.3.4'), PRESET, 105)
+    assert directory.outstanding.naming(name, 105) == 2
+    empty_at = directory.outstanding.empty_at(name, 105)
+    assert empty_at == 100 + LIFETIME_S + DELIVERY_S
+    assert directory.outstanding.naming(name, empty_at) == 0
+    directory.answer(Question('10.2.3.4'), PRESET, 111)
+    assert directory.outstanding.region_empty_at('east', 111) > empty_at
+
+
+def test_new_process_knows_nothing():
+    """What the process before handed out is waited for after a start."""
+    outstanding = OutstandingAnswers(50, LIFETIME_S)
+    assert outstanding.empty_at('any', 51) == 50 + LIFETIME_S + DELIVERY_S
+    assert outstanding.region_empty_at('any', 200) == 200
+
+
+def test_moves_stay_under_cap():
+    """With the invariant enforced, no seed moves more than the budget."""
+    budget = MoveBudget(cap_rate=20, answer_rate=0.5)
+    directory = make_directory(
+        make_view(shifts=(SHIFT,)),
+        budgets={('east', 'west'): budget},
+    )
+    generator = random.Random(1)
+    moved_most = 0
+    with enforced_invariants():
+        for step in range(5000):
+            caller = f'10.2.{generator.randrange(256)}.1'
+            directory.answer(Question(caller), PRESET, step / 100)
+            moved = directory.outstanding.moved('east', 'west', step / 100)
+            moved_most = max(moved_most, moved)
+    assert moved_most == 40
+    assert events.MOVE_HELD.number in seen(directory)
+    assert events.MOVE_RESUMED.number in seen(directory)
+
+
+def test_shift_without_budget_moves_nobody():
+    """Callers stay at home while nothing is known of the cap."""
+    directory = make_directory(make_view(shifts=(SHIFT,)))
+    answer = directory.answer(Question('10.2.3.4'), PRESET, 0)
+    assert answer.region == 'east'
+    assert not answer.moved
+
+
+def test_movable():
+    """Free answers and the fraction follow from cap and rate."""
+    budget = MoveBudget(cap_rate=10, answer_rate=2)
+    assert movable_answers(budget, 3) == 2
+    assert movable_answers(budget, 9) == 0
+    assert movable_answers(MoveBudget(10, 0), 0) == 0
+    assert movable_fraction(budget, 20) * 20 == 5
+    assert movable_fraction(budget, 0) == 1
+
+
+def test_events_of_state_and_table():
+    """Changes of the table and of the live state leave numbered events."""
+    directory = make_directory()
+    assert directory.load(make_table({'10.0.0.0/8': 2}, number=4).dump())
+    assert not directory.load(make_table({}, number=3).dump())
+    assert directory.answer(Question('10.2.3.4'), PRESET, 0).region == 'west'
+    silent = {entry.name: EntryState.SILENT for entry in make_entries()}
+    directory.update(make_view(entries=make_entries(**silent)))
+    directory.answer(Question('10.2.3.4'), PRESET, 0)
+    assert seen(directory) == [
+        events.TABLE_LOADED.number,
+        events.NO_LIVE_ENTRY.number,
+    ]
