--- /dev/null
+++ b/chestnutshift/logs/__init__.py
@@ -0,0 +1,1 @@
+"""The form of the log."""
--- /dev/null
+++ b/chestnutshift/management/output.py
@@ -0,0 +1,33 @@
+"""Print documents for people, or as JSON for scripts."""
+
+import json
+import sys
+
+import attrs
+
+
+@attrs.frozen
+class Output:
+    """Where a command prints to; as_json for scripts."""
+
+    as_json: bool = False
+
+    def show(self, document: dict[str, object], *lines: str) -> None:
+        """Print the document as JSON, or the lines for people."""
+        if self.as_json:
+            sys.stdout.write(f'{json.dumps(document)}\n')
+            return
+        for line in lines:
+            sys.stdout.write(f'{line}\n')
+
+
+def table(rows: list[list[object]]) -> list[str]:
+    """Return the rows as lines with aligned columns."""
+    texts = [[str(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
+    return [
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in texts
+    ]
--- a/chestnutshift/operators/application.py
+++ b/chestnutshift/operators/application.py
@@ -45,7 +45,7 @@
     @app.before_request
     async def authorize() -> Response | None:
         given = request.headers.get('Authorization', '').encode()
-        if hmac.compare_digest(given, b'Bearer ' + secret):
+        if hmac.compare_digest(given, b'Bearer %b' % secret):
             return None
         return _error(StrangerError("this needs the operators' secret"))
 
--- a/chestnutshift/operators/timeline.py
+++ b/chestnutshift/operators/timeline.py
@@ -62,7 +62,7 @@
     async with trio.open_nursery() as nursery:
         for link in state.links.values():
             nursery.start_soon(_ask, link, wanted, batches)
-    missing = sorted({*state.links} - {*batches})
+    missing = sorted(state.links.keys() - batches.keys())
     events = merge(batches.values())
     return {
         'events': [attrs.asdict(event) for event in events],
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -1,40 +1,31 @@
 """The process of one entry VM: every task it runs, from start to stop."""
 
-import logging
-import random
 import secrets
 import signal
-import ssl
 
 import attrs
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
-from chestnutshift.callers.application import CallersApplication
-from chestnutshift.callers.steering import make_steering
 from chestnutshift.conf.loader import read_secret
-from chestnutshift.conf.settings import Settings, TlsSettings
+from chestnutshift.conf.settings import PeerAddress, Settings
 from chestnutshift.configuration.events import IN_FORCE
 from chestnutshift.configuration.follow import PlatformFollower
 from chestnutshift.configuration.holder import ConfigurationHolder
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.events.log import EventLog
-from chestnutshift.forwarding.application import Forwarder
 from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.links.handlers import Handlers
 from chestnutshift.links.peer import Identity, PeerLink
 from chestnutshift.links.server import LinkServer
-from chestnutshift.operators.application import make_operators
 from chestnutshift.platform.backends.base import Platform
 from chestnutshift.platform.records import VmList
 from chestnutshift.upstreams.directory import UpstreamDirectory
-from chestnutshift.vms import beats, events
+from chestnutshift.operators import timeline
+from chestnutshift.vms import beats, events, serving
 from chestnutshift.vms.membership import Membership, VmPhase
 from chestnutshift.vms.state import VmState
 
 INCARNATION_B = 8
-BACKLOG = 512
 
 
 def make_state(settings: Settings, platform: Platform) -> VmState:
@@ -57,8 +48,7 @@
 async def wait_for_stop_signal() -> None:
     """Return on SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for _number in received:
-            return
+        await anext(aiter(received))
 
 
 @attrs.define
@@ -82,11 +72,11 @@
                 state.refresh_knowledge,
                 self._take_vms,
             )
-            nursery.start_soon(self._serve_operators)
+            nursery.start_soon(serving.serve_operators, state)
             nursery.start_soon(self._watch_signals)
             state.phase = VmPhase.LIVE
             state.event_log.emit(events.STARTED, incarnation=state.incarnation)
-            await self._serve_callers()
+            await serving.serve_callers(state, self._stopping)
             nursery.cancel_scope.cancel()
         await state.platform.aclose()
         state.event_log.emit(events.STOPPED)
@@ -110,7 +100,7 @@
     def _take_vms(self, vm_list: VmList) -> None:
         self._state.directory.update(vm_list.vms)
 
-    def _make_link(self, address) -> PeerLink:
+    def _make_link(self, address: PeerAddress) -> PeerLink:
         state = self._state
         secret = read_secret(state.settings.peers.secret_file)
         identity = Identity(state.name, state.incarnation, secret)
@@ -130,6 +120,7 @@
         peers = state.settings.peers
         handlers = Handlers()
         beats.register(handlers, state)
+        timeline.register(handlers, state)
         server = LinkServer(
             state.name,
             state.incarnation,
@@ -138,60 +129,3 @@
             state.event_log,
         )
         await server.serve(peers.address, peers.port, peers.silence_s)
-
-    async def _serve_callers(self) -> None:
-        state = self._state
-        callers = state.settings.callers
-        forwarder = Forwarder(
-            failure_domain=state.settings.vm.failure_domain,
-            holder=state.holder,
-            key_ring=state.key_ring,
-            directory=state.directory,
-            event_log=state.event_log,
-            rng=random.Random(state.incarnation),
-        )
-        application = CallersApplication(make_steering(state), forwarder)
-        config = _server_config(callers.address, callers.port, callers.tls)
-        config.h11_max_incomplete_size = callers.header_limit_b
-        config.graceful_timeout = state.settings.grace_s
-        await serve(
-            application,
-            config,
-            shutdown_trigger=self._stopping.wait,
-        )
-
-    async def _serve_operators(self) -> None:
-        state = self._state
-        operators = state.settings.operators
-        application = make_operators(state, read_secret(operators.secret_file))
-        config = _server_config(
-            operators.address,
-            operators.port,
-            operators.tls,
-        )
-        await serve(
-            application,
-            config,
-            shutdown_trigger=trio.sleep_forever,
-        )
-
-
-def _server_config(address: str, port: int, tls: TlsSettings) -> Config:
-    config = Config()
-    config.bind = [f'{address}:{port}']
-    config.backlog = BACKLOG
-    config.errorlog = logging.getLogger('chestnutshift.http')
-    config.accesslog = None
-    config.include_server_header = False
-    config.alpn_protocols = ['http/1.1']
-    if tls.certificate_file:
-        config.certfile = tls.certificate_file
-        config.keyfile = tls.key_file
-    return config
-
-
-def make_platform_tls(url: str) -> ssl.SSLContext | None:
-    """Return the TLS context for an https URL, None for plain HTTP."""
-    if url.startswith('https://'):
-        return ssl.create_default_context()
-    return None
