--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DEPLOYMENT ?= anadolu
 SEED ?= 1
 MINUTES ?= 1
-CODE := chestnutshift tests bench standins
+CODE := chestnutshift tests bench standins demo tools
 
 .PHONY: setup test lint format binary demo bench soak capacity clean
 
--- a/chestnutshift/conf/loader.py
+++ b/chestnutshift/conf/loader.py
@@ -36,6 +36,14 @@
     return flag
 
 
+def _is_free(target: object) -> bool:
+    return target is object
+
+
+def _as_it_is(raw: object, _target: type) -> object:
+    return raw
+
+
 def make_converter() -> Converter:
     """Return a converter that refuses unknown keys and wrong types."""
     converter = Converter(forbid_extra_keys=True)
@@ -43,6 +51,7 @@
     converter.register_structure_hook(int, _strict_int)
     converter.register_structure_hook(str, _strict_text)
     converter.register_structure_hook(bool, _strict_bool)
+    converter.register_structure_hook_func(_is_free, _as_it_is)
     return converter
 
 
--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -72,13 +72,15 @@
 
 def caller_headers(headers: Headers, request_id: str) -> Headers:
     """Return the headers of an upstream's answer for the caller."""
+    # The server on the callers' port puts its own date.
+    dropped = HOP_BY_HOP | {b'date', REQUEST_ID_HEADER}
     named = _named_by_connection(
-        [(name.lower(), text) for name, text in headers]
+        [(name.lower(), text) for name, text in headers],
     )
     kept = [
         (name, text)
         for name, text in headers
-        if name.lower() not in HOP_BY_HOP
+        if name.lower() not in dropped
         and name.lower() not in named
         and not name.lower().startswith(OWN_PREFIX)
     ]
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -21,7 +21,7 @@
         platform_reachable=state.follower.reachable,
         knowledge_age_s=age_s,
         headroom=state.headroom(),
-        withdrawal_count=len(state.key_ring.withdrawals),
+        withdrawal_count=len(state.key_ring.withdrawals.digests),
     )
 
 
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -58,21 +58,23 @@
         if not self.holder.number:
             return
         preset = self.holder.current.preset
-        self.key_ring.knowledge = KnowledgeView(
+        knowledge = KnowledgeView(
             trust_s=preset.keys.trust_s,
             confirmed_at=self.follower.confirmed_at,
             peers=tuple(
                 self._peer_view(peer) for peer in self.membership.peers
             ),
         )
+        self.key_ring.learn(knowledge)
 
     def _peer_view(self, peer: Peer) -> PeerView:
         report = peer.report
         if report is None:
             return PeerView()
+        withdrawn = len(self.key_ring.withdrawals.digests)
         held = (
             report.configuration_number <= self.holder.number
-            and report.withdrawal_count <= len(self.key_ring.withdrawals)
+            and report.withdrawal_count <= withdrawn
         )
         return PeerView(
             asked_at=peer.asked_at,
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,67 @@
+"""Run a deployment until Ctrl-C, from the command line."""
+
+import argparse
+import pathlib
+import signal
+import sys
+
+import trio
+
+from demo.plan import Plan, make_plan
+from demo.processes import Demonstration
+
+
+def _advice(plan: Plan) -> str:
+    path = plan.deployment['services'][0]['path']
+    account, key = next(iter(plan.keys.items()))
+    vm = plan.vms[0]
+    url = vm['url']
+    settings = plan.settings_path(vm['name'])
+    command = f'{" ".join(plan.binary)} --settings {settings}'
+    name = plan.deployment['deployment']
+    return '\n'.join(
+        (
+            f'The {name} deployment serves. Try:',
+            f'  curl {url}/steering/entries',
+            f'  curl -H "Authorization: Bearer {key}" {url}{path}',
+            f'  # the key of {account}; the others are in build/demo.json',
+            f'  {command} status',
+            f'  {command} preset choose peak',
+            f'  {command} timeline',
+            'Ctrl-C stops it.',
+        )
+    )
+
+
+async def run(plan: Plan) -> None:
+    """Run the demonstration until SIGINT or SIGTERM."""
+    demonstration = Demonstration(plan)
+    try:
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as asked:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_start_and_tell, demonstration)
+                await anext(aiter(asked))
+                nursery.cancel_scope.cancel()
+    finally:
+        demonstration.stop()
+
+
+async def _start_and_tell(demonstration: Demonstration) -> None:
+    await demonstration.start()
+    sys.stdout.write(f'{_advice(demonstration.plan)}\n')
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Run the demonstration from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--deployment', default='anadolu')
+    parser.add_argument('--base-port', type=int, default=18100)
+    arguments = parser.parse_args()
+    directory = pathlib.Path('build/demo')
+    plan = make_plan(arguments.deployment, arguments.base_port, directory)
+    trio.run(run, plan)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/demo/platform.py
@@ -0,0 +1,77 @@
+"""What the stand-in platform holds when a demonstration starts."""
+
+import secrets
+import tomllib
+from typing import Any
+
+import httpx
+
+from chestnutshift.keys import credentials
+from demo.plan import EXAMPLES, Plan
+
+PRESETS = ('ordinary', 'peak', 'maintenance')
+
+
+def first_configuration(plan: Plan) -> dict[str, Any]:
+    """Return configuration 1, with one key for each client account."""
+    deployment = plan.deployment
+    examples = EXAMPLES / deployment['deployment']
+    presets = {
+        name: tomllib.loads((examples / f'{name}.toml').read_text())
+        for name in PRESETS
+    }
+    accounts = presets[deployment['in_force']]['accounts']
+    plan.keys.update({account: credentials.generate() for account in accounts})
+    fields = ('name', 'path', 'open', 'idempotent')
+    return {
+        'number': 1,
+        'deployment': deployment['deployment'],
+        'services': [
+            {field: service[field] for field in fields}
+            for service in deployment['services']
+        ],
+        'presets': presets,
+        'in_force': deployment['in_force'],
+        'keys': {
+            credentials.digest(key): {'account': account, 'label': account}
+            for account, key in plan.keys.items()
+        },
+    }
+
+
+def seed_platform(plan: Plan, client: httpx.Client) -> None:
+    """Give the stand-in platform its list of VMs and the configuration."""
+    for vm in plan.vms:
+        record = {
+            'role': 'entry',
+            'failure_domain': vm['failure_domain'],
+            'region': vm['region'],
+            'address': f'{vm["address"]}:{vm["callers"]}',
+        }
+        _checked(client.put(f'/standin/vms/{vm["name"]}', json=record))
+    for upstream in plan.upstreams:
+        record = {
+            'role': 'upstream',
+            'failure_domain': upstream['failure_domain'],
+            'region': upstream['region'],
+            'address': f'{upstream["address"]}:{upstream["port"]}',
+            'service': upstream['service'],
+            'slots': upstream['slots'],
+        }
+        _checked(client.put(f'/standin/vms/{upstream["name"]}', json=record))
+    row = {
+        'table': 'configuration',
+        'key': 'current',
+        'value': first_configuration(plan),
+    }
+    transaction = {
+        'operation_id': secrets.token_hex(),
+        'conditions': [],
+        'writes': [row],
+    }
+    _checked(client.post('/transactions', json=transaction))
+
+
+def _checked(answer: httpx.Response) -> None:
+    if answer.is_error:
+        raise RuntimeError(f'{answer.request.url}: {answer.text}')
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,153 @@
+"""Start, watch and stop the processes of a demonstration."""
+
+import json
+import signal
+import subprocess
+import sys
+
+import httpx
+import trio
+
+from demo.plan import Plan
+from demo.platform import PRESETS, seed_platform
+from demo.settings import write_private, write_settings
+
+READY_S = 60
+STOP_S = 9
+
+
+class Demonstration:
+    """The processes of a plan."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Start nothing yet."""
+        self.plan = plan
+        self.vms: dict[str, subprocess.Popen] = {}
+        self.standins: list[subprocess.Popen] = []
+
+    async def start(self) -> None:
+        """Start every process and return when all VMs serve."""
+        write_settings(self.plan)
+        platform = self._start_standin('standins.platform', 'platform')
+        for _region, domain in self.plan.domains:
+            self._start_standin('standins.upstream', f'upstreams-{domain}')
+        with httpx.Client(
+            base_url=self.plan.platform_url,
+            verify=False,
+            trust_env=False,
+        ) as client:
+            await _wait_until(lambda: _answers(client, '/vms'))
+            seed_platform(self.plan, client)
+        for vm in self.plan.vms:
+            self.start_vm(vm['name'])
+        await _wait_until(self._all_know_each_other)
+        self._write_document(platform.pid)
+
+    def start_vm(self, name: str) -> None:
+        """Start one entry VM."""
+        path = self.plan.settings_path(name)
+        command = [*self.plan.binary, '--settings', str(path), 'serve']
+        self.vms[name] = subprocess.Popen(command, start_new_session=True)
+
+    def stop(self) -> None:
+        """End every process, the VMs gracefully and first."""
+        _end(list(self.vms.values()))
+        _end(self.standins)
+
+    def operator(self, name: str, *words: str) -> list[str]:
+        """Return the command line of an operator's command at a VM."""
+        path = self.plan.settings_path(name)
+        return [*self.plan.binary, '--settings', str(path), *words]
+
+    def _start_standin(self, module: str, name: str) -> subprocess.Popen:
+        path = self.plan.settings_path(name)
+        command = [sys.executable, '-m', module, '--settings', str(path)]
+        process = subprocess.Popen(command, start_new_session=True)
+        self.standins.append(process)
+        return process
+
+    def _all_know_each_other(self) -> bool:
+        secret = (self.plan.directory / 'operators.secret').read_text()
+        headers = {'Authorization': f'Bearer {secret}'}
+        with httpx.Client(
+            verify=False,
+            trust_env=False,
+            headers=headers,
+        ) as client:
+            return all(
+                _is_ready(client, f'http://{vm["address"]}:{vm["operators"]}')
+                for vm in self.plan.vms
+            )
+
+    def _write_document(self, platform_pid: int) -> None:
+        plan = self.plan
+        entries = [
+            {
+                'vm': vm['name'],
+                'region': vm['region'],
+                'failure_domain': vm['failure_domain'],
+                'url': vm['url'],
+                'pid': self.vms[vm['name']].pid,
+            }
+            for vm in plan.vms
+        ]
+        fields = ('name', 'path', 'open', 'idempotent')
+        command = ' '.join(self.operator(plan.vms[0]['name']))
+        document = {
+            'deployment': plan.deployment['deployment'],
+            'entries': entries,
+            'platform': {'url': plan.platform_url, 'pid': platform_pid},
+            'services': [
+                {field: service[field] for field in fields}
+                for service in plan.deployment['services']
+            ],
+            'upstreams': [
+                {
+                    'name': upstream['name'],
+                    'service': upstream['service'],
+                    'failure_domain': upstream['failure_domain'],
+                    'url': f'http://{upstream["address"]}:{upstream["port"]}',
+                }
+                for upstream in plan.upstreams
+            ],
+            'keys': plan.keys,
+            'operator': {'command': command, 'presets': list(PRESETS)},
+        }
+        text = json.dumps(document, indent=1)
+        write_private(plan.directory.parent / 'demo.json', text)
+
+
+def _answers(client: httpx.Client, path: str) -> bool:
+    try:
+        return client.get(path).is_success
+    except httpx.HTTPError:
+        return False
+
+
+def _is_ready(client: httpx.Client, url: str) -> bool:
+    try:
+        answer = client.get(f'{url}/status')
+    except httpx.HTTPError:
+        return False
+    if answer.is_error:
+        return False
+    status = answer.json()
+    return status['in_force_on'] == status['vms'] and status['headroom'] > 0
+
+
+async def _wait_until(condition) -> None:
+    with trio.fail_after(READY_S):
+        while not await trio.to_thread.run_sync(condition):
+            await trio.sleep(0.1)
+
+
+def _end(processes: list[subprocess.Popen]) -> None:
+    for process in processes:
+        if process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+    for ending in processes:
+        try:
+            ending.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            ending.kill()
+            ending.wait()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build; nothing here ships in the binary."""
