--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,13 +3,11 @@
 Run as `python -m standins.platform --settings FILE.toml`.
 """
 
-import argparse
 import hashlib
 import json
 import math
 import time
 from typing import Any
-from urllib.parse import parse_qsl, unquote
 
 import attrs
 import cattrs
@@ -17,11 +15,10 @@
 from hypercorn.trio import serve
 
 from chestnutshift.platform.backends import memory
-from chestnutshift.platform.records import Row, Transaction, VmRecord, Write
+from chestnutshift.platform.records import Transaction, VmRecord, Write
 from standins import serving
 
-SCAN_LIMIT = 1000
-REFUSE = 'refuse'
+Answer = serving.Answer
 
 _MALFORMED = (ValueError, TypeError, KeyError, ExceptionGroup)
 
@@ -38,7 +35,7 @@
 
     latency_ms: float = 0
     outage: bool = False
-    outage_mode: str = REFUSE
+    outage_mode: str = 'refuse'
     lose_answers: int = 0
     silent_answers: int = 0
     writes_per_s: float = 300
@@ -53,48 +50,25 @@
     _tokens: float = math.inf
     _at: float = 0
 
-    def delay_s(self, cost: float, rate: float, now: float) -> float:
-        """Take the cost and return 0, or the seconds until it is there."""
-        refilled = self._tokens + (now - self._at) * rate
-        self._tokens = min(rate, refilled)
+    def refusal(self, cost: float, rate: float) -> Answer | None:
+        """Take the cost and return None, or return the refusal."""
+        now = trio.current_time()
+        self._tokens = min(rate, self._tokens + (now - self._at) * rate)
         self._at = now
-        cost = min(cost, rate) if rate else cost
-        if cost > self._tokens:
-            return (cost - self._tokens) / rate if rate else 1
-        self._tokens -= cost
-        return 0
+        lacking = min(cost, max(rate, 1)) - self._tokens
+        if lacking <= 0:
+            self._tokens -= cost
+            return None
+        delay_s = math.ceil(lacking / rate) if rate else 1
+        headers = ((b'retry-after', str(delay_s).encode()),)
+        return Answer(429, {'error': 'over the limit'}, headers)
 
 
-@attrs.frozen
-class Request:
-    """One request: its path in decoded segments, its query and its body."""
-
-    method: str
-    path: tuple[str, ...]
-    query: dict[str, str]
-    body: bytes
-
-    def json(self) -> Any:
-        """Return the body's content."""
-        return json.loads(self.body)
-
-
-@attrs.frozen
-class Answer:
-    """A status with a JSON payload, or with raw bytes."""
+class WithheldAnswerError(Exception):
+    """A fault, which is the argument, withholds the answer."""
 
-    status: int
-    payload: Any = None
-    body: bytes | None = None
-    headers: tuple[serving.Header, ...] = ()
 
-
-class LostAnswerError(Exception):
-    """The connection is to close without an answer."""
-
-
-class SilentAnswerError(Exception):
-    """The connection is to stay open without an answer."""
+_UNANSWERED = (WithheldAnswerError, trio.BrokenResourceError)
 
 
 class PlatformApp:
@@ -104,208 +78,126 @@
         """Fill the store from the settings."""
         vms = cattrs.structure(settings.get('vms', []), list[VmRecord])
         self.store = memory.Store(vms)
-        self.faults = serving.change(Faults(), settings.get('faults', {}))
-        self.store.vms.lag_s = self.faults.list_lag_s
+        self.faults = Faults()
+        self._change_faults(settings.get('faults', {}))
         self._reads = Meter()
         self._writes = Meter()
         writes = tuple(map(_initial_write, settings.get('rows', ())))
         self.store.tables.commit(Transaction('initial', (), writes))
 
-    async def __call__(
-        self,
-        scope: dict[str, Any],
-        receive: serving.Receive,
-        send: serving.Send,
-    ) -> None:
+    async def __call__(self, scope, receive, send) -> None:
         """Answer one request."""
-        if scope['type'] == 'lifespan':
-            await serving.answer_lifespan(receive, send)
-            return
+        if scope['type'] != 'http':
+            raise NotImplementedError(scope['type'])
         try:
-            reply = await self._serve(await _read_request(scope, receive))
-        except (serving.DisconnectedError, LostAnswerError):
+            reply = await self._serve(scope, await serving.read_body(receive))
+        except _UNANSWERED as error:
+            if error.args == ('silent_answers',):
+                await receive()
             await serving.close_connection(send)
-            return
-        except SilentAnswerError:
-            await receive()
-            return
         except _MALFORMED as error:
-            reply = Answer(400, {'error': repr(error)})
-        if reply.body is None:
-            await serving.answer(
-                send,
-                reply.status,
-                reply.payload,
-                reply.headers,
-            )
-            return
-        await serving.answer_bytes(
-            send,
-            reply.status,
-            reply.body,
-            reply.headers,
-        )
-
-    async def _serve(self, request: Request) -> Answer:
-        if request.path[0] == 'standin':
-            return self._control(request)
+            await Answer(400, {'error': repr(error)}).send(send)
+        else:
+            await reply.send(send)
+
+    async def _serve(self, scope: serving.Scope, body: bytes) -> Answer:
+        path = serving.parse_path(scope)
+        if path[0] == 'standin':
+            return self._control(path[1:], json.loads(body))
         await trio.sleep(self.faults.latency_ms / 1000)
+        if self.faults.outage and self.faults.outage_mode == 'refuse':
+            return Answer(503, {'error': 'outage'})
         if self.faults.outage:
-            if self.faults.outage_mode == REFUSE:
-                return Answer(503, {'error': 'outage'})
-            raise LostAnswerError
-        match (request.method, *request.path):
+            raise WithheldAnswerError('outage')
+        match (scope['method'], *path):
             case ('POST', 'transactions'):
-                return self._transact(request)
+                return self._transact(json.loads(body))
             case ('PUT', 'objects', name):
-                return self._limit_writes(1) or self._put(name, request.body)
-            case ('GET', *path):
-                return self._limit_reads() or self._get(path, request)
+                refusal = self._writes.refusal(1, self.faults.writes_per_s)
+                if refusal is None:
+                    self.store.blobs[name] = body
+                return refusal or Answer(200, {}, _etag(body))
+            case ('GET', *_):
+                refusal = self._reads.refusal(1, self.faults.reads_per_s)
+                return refusal or self._get(path, serving.parse_query(scope))
         return Answer(404, {'error': 'no such path'})
 
-    def _get(self, path: list[str], request: Request) -> Answer:
+    def _get(self, path: tuple[str, ...], query: dict[str, str]) -> Answer:
         match path:
             case ('tables', table, 'rows', key):
                 row = self.store.tables.read(table, key)
-                return Answer(200 if row.version else 404, _row(row))
+                status = 200 if row.version else 404
+                return Answer(status, cattrs.unstructure(row))
             case ('tables', table, 'rows'):
-                rows = self.store.tables.scan(
-                    table,
-                    request.query.get('prefix', ''),
-                    request.query.get('after', ''),
-                    int(request.query.get('limit', SCAN_LIMIT)),
-                )
-                return Answer(200, {'rows': [_row(row) for row in rows]})
+                prefix, after = query.get('prefix', ''), query.get('after', '')
+                limit = int(query.get('limit', memory.SCAN_LIMIT))
+                rows = self.store.tables.scan(table, prefix, after, limit)
+                return Answer(200, {'rows': cattrs.unstructure(rows)})
             case ('operations', operation_id):
-                return self._recorded(operation_id)
+                outcome = self.store.tables.recorded(operation_id)
+                if outcome:
+                    return attrs.evolve(_outcome(outcome), status=200)
             case ('objects', name) if name in self.store.blobs:
-                return _object(200, self.store.blobs[name])
+                body = self.store.blobs[name]
+                return Answer(200, headers=_etag(body), body=body)
             case ('vms',):
                 listed = self.store.vms.visible(time.time())
                 return Answer(200, cattrs.unstructure(listed))
         return Answer(404, {'error': 'absent'})
 
-    def _put(self, name: str, body: bytes) -> Answer:
-        self.store.blobs[name] = body
-        return attrs.evolve(_object(200, body), body=b'')
-
-    def _transact(self, request: Request) -> Answer:
-        transaction = cattrs.structure(request.json(), Transaction)
-        limited = self._limit_writes(len(transaction.writes))
-        if limited:
-            return limited
+    def _transact(self, payload: dict[str, Any]) -> Answer:
+        transaction = cattrs.structure(payload, Transaction)
+        cost = max(1, len(transaction.writes))
+        refusal = self._writes.refusal(cost, self.faults.writes_per_s)
+        if refusal:
+            return refusal
         outcome = self.store.tables.commit(transaction)
-        self._withhold_answer()
+        for fault in ('lose_answers', 'silent_answers'):
+            left = getattr(self.faults, fault)
+            if left > 0:
+                self._change_faults({fault: left - 1})
+                raise WithheldAnswerError(fault)
         return _outcome(outcome)
 
-    def _withhold_answer(self) -> None:
-        lost = self.faults.lose_answers
-        silent = self.faults.silent_answers
-        if lost > 0:
-            self.faults = attrs.evolve(self.faults, lose_answers=lost - 1)
-            raise LostAnswerError
-        if silent > 0:
-            self.faults = attrs.evolve(self.faults, silent_answers=silent - 1)
-            raise SilentAnswerError
-
-    def _recorded(self, operation_id: str) -> Answer:
-        outcome = self.store.tables.recorded(operation_id)
-        if outcome is None:
-            return Answer(404, {'error': 'not recorded'})
-        recorded = _outcome(outcome)
-        payload = {'status': recorded.status, **recorded.payload}
-        return Answer(200, payload)
-
-    def _limit_writes(self, cost: int) -> Answer | None:
-        rate = self.faults.writes_per_s
-        cost = max(cost, 1)
-        return _over(self._writes.delay_s(cost, rate, trio.current_time()))
-
-    def _limit_reads(self) -> Answer | None:
-        rate = self.faults.reads_per_s
-        return _over(self._reads.delay_s(1, rate, trio.current_time()))
-
-    def _control(self, request: Request) -> Answer:
-        match (request.method, *request.path[1:]):
-            case ('PUT', 'faults'):
-                self.faults = serving.change(self.faults, request.json())
-                self.store.vms.lag_s = self.faults.list_lag_s
-            case ('PUT', 'vms', vm):
+    def _control(self, path: tuple[str, ...], payload: Any) -> Answer:
+        match path:
+            case ('faults',):
+                self._change_faults(payload)
+            case ('vms', vm):
                 newest = self.store.vms.newest(vm)
                 known = cattrs.unstructure(newest) if newest else {}
-                changed = {**known, **request.json(), 'vm': vm}
+                changed = {**known, **payload, 'vm': vm}
                 record = cattrs.structure(changed, VmRecord)
                 self.store.vms.put(record, time.time())
-        return Answer(200, cattrs.unstructure(self.faults))
+        return Answer(200, attrs.asdict(self.faults))
+
+    def _change_faults(self, changes: dict[str, Any]) -> None:
+        self.faults = attrs.evolve(self.faults, **changes)
+        self.store.vms.lag_s = self.faults.list_lag_s
 
 
 def _initial_write(row: dict[str, Any]) -> Write:
     """Return a row of the settings; value_json holds what TOML can't."""
     text = row.get('value_json', 'null')
-    content = row.get('value', json.loads(text))
-    return Write(row['table'], row['key'], content)
-
-
-async def _read_request(
-    scope: dict[str, Any],
-    receive: serving.Receive,
-) -> Request:
-    segments = scope['raw_path'].decode('ascii').split('/')[1:]
-    query = scope['query_string'].decode('ascii')
-    return Request(
-        method=scope['method'],
-        path=tuple(unquote(segment) for segment in segments),
-        query=dict(parse_qsl(query, keep_blank_values=True)),
-        body=await serving.read_body(receive),
-    )
-
-
-def _row(row: Row) -> dict[str, Any]:
-    return {'key': row.key, 'value': row.value, 'version': row.version}
+    return Write(row['table'], row['key'], row.get('value', json.loads(text)))
 
 
 def _outcome(outcome: memory.Outcome) -> Answer:
-    if not outcome.applied:
-        return Answer(409, {'rows': cattrs.unstructure(outcome.rows)})
-    rows = [
-        {'table': row.table, 'key': row.key, 'version': row.version}
-        for row in outcome.rows
-    ]
-    return Answer(200, {'rows': rows})
-
-
-def _object(status: int, body: bytes) -> Answer:
-    etag = hashlib.sha256(body).hexdigest()
-    headers = ((b'etag', f'"{etag}"'.encode()),)
-    return Answer(status, body=body, headers=headers)
+    rows = cattrs.unstructure(outcome.rows)
+    status = 200 if outcome.applied else 409
+    return Answer(status, {'status': status, 'rows': rows})
 
 
-def _over(delay_s: float) -> Answer | None:
-    if not delay_s:
-        return None
-    seconds = str(math.ceil(delay_s)).encode()
-    headers = ((b'retry-after', seconds),)
-    return Answer(429, {'error': 'over the limit'}, headers=headers)
+def _etag(body: bytes) -> serving.Headers:
+    return ((b'etag', f'"{hashlib.sha256(body).hexdigest()}"'.encode()),)
 
 
 async def run(settings: dict[str, Any]) -> None:
     """Serve until a stop signal."""
     config = serving.server_config(settings['address'], settings['port'])
-    await serve(
-        PlatformApp(settings),
-        config,
-        shutdown_trigger=serving.wait_for_stop_signal,
-    )
-
-
-def main() -> None:
-    """Run the stand-in from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--settings', required=True)
-    arguments = parser.parse_args()
-    serving.log_errors_only()
-    trio.run(run, serving.load_settings(arguments.settings))
+    stop = serving.wait_for_stop_signal
+    await serve(PlatformApp(settings), config, shutdown_trigger=stop)
 
 
 if __name__ == '__main__':
-    main()
+    serving.main(run)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -1,11 +1,12 @@
-"""What both stand-ins share: settings, signals, answers, broken answers."""
+"""What both stand-ins share: settings, signals, requests and answers."""
 
+import argparse
 import json
-import logging
 import signal
 import tomllib
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import parse_qsl, unquote
 
 import attrs
 import trio
@@ -13,104 +14,60 @@
 from hypercorn.protocol.events import StreamClosed
 
 KEEP_ALIVE_S = 300
-STOP_GRACE_S = 5
-MAX_KEEP_ALIVE_REQUESTS = 10**12
+KEEP_ALIVE_REQUESTS = 10**12
 
-Header = tuple[bytes, bytes]
+Headers = tuple[tuple[bytes, bytes], ...]
+Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-class DisconnectedError(Exception):
-    """The client closed the connection before its request was whole."""
+@attrs.frozen
+class Answer:
+    """An answer in JSON, or in raw bytes if they are given."""
 
+    status: int
+    payload: Any = None
+    headers: Headers = ()
+    body: bytes | None = None
 
-def load_settings(path: str) -> dict[str, Any]:
-    """Read a TOML file."""
-    with open(path, 'rb') as toml:
-        return tomllib.load(toml)
+    async def send(self, send: Send) -> None:
+        """Send the whole answer."""
+        body = self.body or json.dumps(self.payload).encode()
+        await start_answer(send, self.status, len(body), self.headers)
+        await send({'type': 'http.response.body', 'body': body})
 
 
-def log_errors_only() -> None:
-    """Leave only errors in the log."""
-    logging.basicConfig(level=logging.ERROR)
-    logging.getLogger('hypercorn.error').setLevel(logging.ERROR)
+def parse_query(scope: Scope) -> dict[str, str]:
+    """Return the query's parameters."""
+    query = scope['query_string'].decode('ascii')
+    return dict(parse_qsl(query, keep_blank_values=True)) if query else {}
 
 
-def server_config(address: str, port: int) -> Config:
-    """Return Hypercorn's settings for one plain HTTP listener."""
-    config = Config()
-    config.bind = [f'{address}:{port}']
-    config.loglevel = 'ERROR'
-    config.backlog = 1024
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.keep_alive_max_requests = MAX_KEEP_ALIVE_REQUESTS
-    config.graceful_timeout = STOP_GRACE_S
-    config.include_server_header = False
-    return config
-
-
-async def wait_for_stop_signal() -> None:
-    """Return on SIGTERM or SIGINT."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-
-
-async def answer_lifespan(receive: Receive, send: Send) -> None:
-    """Complete the server's start-up and shutdown events."""
-    for _ in range(2):
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
+def parse_path(scope: Scope) -> tuple[str, ...]:
+    """Return the path's decoded segments, which may hold slashes."""
+    segments = scope['raw_path'].decode('ascii').split('/')[1:]
+    return tuple(unquote(segment) for segment in segments)
 
 
 async def read_body(receive: Receive) -> bytes:
-    """Return the whole body; raise DisconnectedError if it breaks off."""
-    chunks = [chunk async for chunk in body_chunks(receive)]
-    return b''.join(chunks)
-
-
-async def body_chunks(receive: Receive):
-    """Iterate over the body's chunks as they come."""
+    """Return the whole body; raise BrokenResourceError if it breaks off."""
+    body = b''
     more = True
     while more:
         message = await receive()
         if message['type'] == 'http.disconnect':
-            raise DisconnectedError
-        yield message['body']
+            raise trio.BrokenResourceError
+        body += message['body']
         more = message['more_body']
+    return body
 
 
-async def answer(
-    send: Send,
-    status: int,
-    payload: Any,
-    headers: Iterable[Header] = (),
-) -> None:
-    """Send a whole JSON answer."""
-    await answer_bytes(
-        send,
-        status,
-        json.dumps(payload).encode(),
-        [(b'content-type', b'application/json'), *headers],
-    )
-
-
-async def answer_bytes(
-    send: Send,
-    status: int,
-    body: bytes,
-    headers: Iterable[Header] = (),
-) -> None:
-    """Send a whole answer."""
-    length = (b'content-length', str(len(body)).encode())
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': [length, *headers],
-        },
-    )
-    await send({'type': 'http.response.body', 'body': body})
+async def start_answer(send: Send, status: int, length: int, headers: Headers):
+    """Send the head of an answer whose body has the length in bytes."""
+    size = (b'content-length', str(length).encode())
+    start = {'type': 'http.response.start', 'status': status}
+    await send({**start, 'headers': [size, *headers]})
 
 
 async def close_connection(send: Send) -> None:
@@ -124,6 +81,26 @@
     await stream.send(StreamClosed(stream_id=stream.stream_id))
 
 
-def change(faults: Any, payload: dict[str, Any]) -> Any:
-    """Return the faults with the given ones changed; unknown names raise."""
-    return attrs.evolve(faults, **payload)
+def server_config(address: str, port: int) -> Config:
+    """Return Hypercorn's settings for one plain HTTP listener."""
+    config = Config()
+    config.bind = [f'{address}:{port}']
+    config.loglevel = 'ERROR'
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    return config
+
+
+async def wait_for_stop_signal() -> None:
+    """Return on SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+
+
+def main(run: Callable[[dict[str, Any]], Awaitable[None]]) -> None:
+    """Run a stand-in with the settings that the command line names."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--settings', required=True, help='a TOML file')
+    with open(parser.parse_args().settings, 'rb') as toml:
+        settings = tomllib.load(toml)
+    trio.run(run, settings)
