--- a/standins/platform.py
+++ b/standins/platform.py
@@ -83,7 +83,7 @@
         self._reads = Meter()
         self._writes = Meter()
         writes = tuple(map(_initial_write, settings.get('rows', ())))
-        self.store.tables.commit(Transaction('initial', (), writes))
+        self.store.tables.commit(Transaction('standin-initial', (), writes))
 
     async def __call__(self, scope, receive, send) -> None:
         """Answer one request."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -152,7 +152,8 @@
     def _headers(self, run: int) -> serving.Headers:
         ran = (b'chestnutshift-ran', b'yes' if run else b'no')
         leaving = (b'chestnutshift-leaving', b'yes')
-        return (ran, leaving) if self.faults.leaving else (ran,)
+        always = ((b'content-type', b'application/json'), ran)
+        return (*always, leaving) if self.faults.leaving else always
 
     async def _serve(self, exchange: Exchange) -> None:
         queued = self._slots.statistics().tasks_waiting
@@ -190,9 +191,8 @@
 
     async def _run(self, exchange: Exchange) -> None:
         scope = exchange.scope
-        path = scope['raw_path'].decode('ascii')
         named = ((key, exchange.first(RUN_HEADERS[key])) for key in RUN_HEADERS)
-        target = {'method': scope['method'], 'path': path}
+        target = {'method': scope['method'], 'path': scope['raw_path'].decode()}
         self._runs[(*named, *target.items())] += 1
         self.run_count += 1
         exchange.run = self.run_count
