--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,20 @@
 
 clean:
 	rm -rf build .hypothesis
+
+binary: setup build/chestnutshift
+
+build/chestnutshift: requirements.txt tools/build_binary.py $(shell find chestnutshift -name '*.py')
+	$(BIN)/python -m tools.build_binary
+
+demo: binary
+	$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+
+bench: setup
+	$(BIN)/python -m bench.experiment --seed $(SEED)
+
+capacity: setup
+	$(BIN)/python -m bench.capacity --page docs/CAPACITY.md
+
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
--- a/chestnutshift/events/log.py
+++ b/chestnutshift/events/log.py
@@ -74,6 +74,7 @@
     def emit(
         self,
         kind: EventKind,
+        /,
         request: str = '',
         account: str = '',
         upstream: str = '',
--- a/chestnutshift/links/peer.py
+++ b/chestnutshift/links/peer.py
@@ -69,6 +69,7 @@
         self._sequence = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._incarnation = ''
+        self._was_up = False
 
     @property
     def name(self) -> str:
@@ -120,6 +121,9 @@
             try:
                 await self._connect_and_beat(heartbeat_s, silence_s, beat)
             except* _BROKEN:
+                if self._was_up:
+                    self._event_log.emit(events.LINK_DOWN, peer=self.name)
+                self._was_up = False
                 await trio.sleep(REDIAL_S)
 
     async def _connect_and_beat(
@@ -135,6 +139,7 @@
             with trio.fail_after(CONNECT_S):
                 await self._greet(stream, reader)
             self._stream = stream
+            self._was_up = True
             self._event_log.emit(events.LINK_UP, peer=self.name)
             try:
                 async with trio.open_nursery() as nursery:
@@ -143,7 +148,6 @@
             finally:
                 self._stream = None
                 self._fail_pending()
-                self._event_log.emit(events.LINK_DOWN, peer=self.name)
 
     async def _dial(self) -> trio.abc.Stream:
         stream = await trio.open_tcp_stream(
--- a/chestnutshift/management/client.py
+++ b/chestnutshift/management/client.py
@@ -51,7 +51,13 @@
                 )
             except httpx.HTTPError as error:
                 raise UnreachableError(f'{url}: {error!r}') from error
-        document = answer.json()
-        if answer.is_error:
-            raise RemoteError(document['code'], document['detail'])
-        return document
+        if answer.is_success:
+            return answer.json()
+        raise _remote_error(answer)
+
+
+def _remote_error(answer: httpx.Response) -> RemoteError:
+    if answer.headers.get('Content-Type') != 'application/json':
+        return RemoteError('operators.failed', f'HTTP {answer.status_code}')
+    document = answer.json()
+    return RemoteError(document['code'], document['detail'])
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from demo.plan import Plan, make_plan
+from demo.plan import BINARY, Plan, make_plan
 from demo.processes import Demonstration
 
 
@@ -18,10 +18,9 @@
     url = vm['url']
     settings = plan.settings_path(vm['name'])
     command = f'{" ".join(plan.binary)} --settings {settings}'
-    name = plan.deployment['deployment']
     return '\n'.join(
         (
-            f'The {name} deployment serves. Try:',
+            f'The {plan.name} deployment serves. Try:',
             f'  curl {url}/steering/entries',
             f'  curl -H "Authorization: Bearer {key}" {url}{path}',
             f'  # the key of {account}; the others are in build/demo.json',
@@ -36,14 +35,15 @@
 async def run(plan: Plan) -> None:
     """Run the demonstration until SIGINT or SIGTERM."""
     demonstration = Demonstration(plan)
-    try:
-        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as asked:
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as asked:
+        try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_start_and_tell, demonstration)
                 await anext(aiter(asked))
                 nursery.cancel_scope.cancel()
-    finally:
-        demonstration.stop()
+        finally:
+            # Still inside the receiver: a second Ctrl-C must not cut it short.
+            demonstration.stop()
 
 
 async def _start_and_tell(demonstration: Demonstration) -> None:
@@ -56,10 +56,15 @@
     """Run the demonstration from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--deployment', default='anadolu')
-    parser.add_argument('--base-port', type=int, default=18100)
+    parser.add_argument('--network', type=int, default=0)
     arguments = parser.parse_args()
     directory = pathlib.Path('build/demo')
-    plan = make_plan(arguments.deployment, arguments.base_port, directory)
+    plan = make_plan(
+        arguments.deployment,
+        directory,
+        network=arguments.network,
+        use_binary=BINARY.exists(),
+    )
     trio.run(run, plan)
 
 
--- a/demo/plan.py
+++ b/demo/plan.py
@@ -8,46 +8,47 @@
 import attrs
 
 VMS_PER_DOMAIN = 2
-EXAMPLES = pathlib.Path('examples')
-
-
-@attrs.frozen
-class Ports:
-    """The ports of the n-th thing in a demonstration, from a base port."""
-
-    base: int
-
-    def vm(self, index: int) -> tuple[int, int, int]:
-        """Return a VM's ports: callers, operators, peers."""
-        first = self.base + 3 * index
-        return first, first + 1, first + 2
-
-    def upstream(self, index: int) -> int:
-        """Return an upstream's port."""
-        return self.base + 100 + index
-
-    @property
-    def platform(self) -> int:
-        """The platform's port."""
-        return self.base + 99
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+BINARY = pathlib.Path('build/chestnutshift')
+CALLERS_PORT = 18080
+OPERATORS_PORT = 18081
+PEERS_PORT = 18082
+UPSTREAM_PORT = 18090
+PLATFORM_PORT = 18099
+# The last byte of the first upstream's address in a failure domain.
+FIRST_UPSTREAM = 10
 
 
 @attrs.define
 class Plan:
-    """Every file and process of one demonstration."""
+    """Every file and process of one demonstration.
+
+    Each failure domain has a loopback network of its own, below 127.network,
+    so that several demonstrations can run side by side.
+    """
 
     deployment: dict[str, Any]
-    ports: Ports
+    network: int
     directory: pathlib.Path
     binary: list[str]
     vms: list[dict[str, Any]] = attrs.field(factory=list)
     upstreams: list[dict[str, Any]] = attrs.field(factory=list)
     keys: dict[str, str] = attrs.field(factory=dict)
 
+    @property
+    def name(self) -> str:
+        """The deployment's name."""
+        return self.deployment['deployment']
+
+    @property
+    def platform_address(self) -> str:
+        """The address of the stand-in platform."""
+        return f'127.{self.network}.0.1'
+
     @property
     def platform_url(self) -> str:
         """Where the stand-in platform is."""
-        return f'http://127.0.0.1:{self.ports.platform}'
+        return f'http://{self.platform_address}:{PLATFORM_PORT}'
 
     @property
     def domains(self) -> list[tuple[str, str]]:
@@ -58,19 +59,34 @@
             for domain in region['failure_domains']
         ]
 
+    def address(self, domain_index: int, last: int) -> str:
+        """Return an address in the network of a failure domain."""
+        return f'127.{self.network}.{domain_index + 1}.{last}'
+
     def settings_path(self, name: str) -> pathlib.Path:
         """Return where the named process's settings are."""
         return self.directory / f'{name}.toml'
 
 
-def make_plan(name: str, base: int, directory: pathlib.Path) -> Plan:
-    """Return the plan of the named deployment."""
+def make_plan(
+    name: str,
+    directory: pathlib.Path,
+    *,
+    network: int = 0,
+    use_binary: bool = False,
+) -> Plan:
+    """Return the plan of the named deployment.
+
+    The VMs run from the built binary or from the source.
+    """
     text = (EXAMPLES / name / 'deployment.toml').read_text()
-    binary = pathlib.Path('build/chestnutshift')
-    command = [sys.executable, str(binary)]
-    if not binary.exists():
-        command = [sys.executable, '-m', 'chestnutshift']
-    plan = Plan(tomllib.loads(text), Ports(base), directory, command)
+    program = [str(BINARY)] if use_binary else ['-m', 'chestnutshift']
+    plan = Plan(
+        deployment=tomllib.loads(text),
+        network=network,
+        directory=directory.resolve(),
+        binary=[sys.executable, *program],
+    )
     _plan_vms(plan)
     _plan_upstreams(plan)
     return plan
@@ -78,40 +94,34 @@
 
 def _plan_vms(plan: Plan) -> None:
     for domain_index, (region, domain) in enumerate(plan.domains):
-        for number in range(VMS_PER_DOMAIN):
-            index = domain_index * VMS_PER_DOMAIN + number
-            callers, operators, peers = plan.ports.vm(index)
-            address = f'127.0.{domain_index + 1}.{number + 1}'
-            plan.vms.append(
-                {
-                    'name': f'{domain}-{number + 1}',
-                    'region': region,
-                    'failure_domain': domain,
-                    'address': address,
-                    'callers': callers,
-                    'operators': operators,
-                    'peers': peers,
-                    'url': f'http://{address}:{callers}',
-                }
-            )
+        for number in range(1, VMS_PER_DOMAIN + 1):
+            address = plan.address(domain_index, number)
+            vm = {
+                'name': f'{domain}-{number}',
+                'region': region,
+                'failure_domain': domain,
+                'address': address,
+                'url': f'http://{address}:{CALLERS_PORT}',
+            }
+            plan.vms.append(vm)
 
 
 def _plan_upstreams(plan: Plan) -> None:
-    index = 0
+    counts = [0 for _domain in plan.domains]
     for service in plan.deployment['services']:
         slots = service['slots']
         for number in range(service['upstreams']):
             domain_index = number % len(plan.domains)
             region, domain = plan.domains[domain_index]
-            plan.upstreams.append(
-                {
-                    'name': f'{service["name"]}-{number + 1}',
-                    'service': service['name'],
-                    'region': region,
-                    'failure_domain': domain,
-                    'address': f'127.0.{domain_index + 1}.9',
-                    'port': plan.ports.upstream(index),
-                    'slots': slots[number % len(slots)],
-                }
-            )
-            index += 1
+            last = FIRST_UPSTREAM + counts[domain_index]
+            counts[domain_index] += 1
+            upstream = {
+                'name': f'{service["name"]}-{number + 1}',
+                'service': service['name'],
+                'region': region,
+                'failure_domain': domain,
+                'address': plan.address(domain_index, last),
+                'port': UPSTREAM_PORT,
+                'slots': slots[number % len(slots)],
+            }
+            plan.upstreams.append(upstream)
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -7,7 +7,7 @@
 import httpx
 
 from chestnutshift.keys import credentials
-from demo.plan import EXAMPLES, Plan
+from demo.plan import CALLERS_PORT, EXAMPLES, Plan
 
 PRESETS = ('ordinary', 'peak', 'maintenance')
 
@@ -15,7 +15,7 @@
 def first_configuration(plan: Plan) -> dict[str, Any]:
     """Return configuration 1, with one key for each client account."""
     deployment = plan.deployment
-    examples = EXAMPLES / deployment['deployment']
+    examples = EXAMPLES / plan.name
     presets = {
         name: tomllib.loads((examples / f'{name}.toml').read_text())
         for name in PRESETS
@@ -25,7 +25,7 @@
     fields = ('name', 'path', 'open', 'idempotent')
     return {
         'number': 1,
-        'deployment': deployment['deployment'],
+        'deployment': plan.name,
         'services': [
             {field: service[field] for field in fields}
             for service in deployment['services']
@@ -46,7 +46,7 @@
             'role': 'entry',
             'failure_domain': vm['failure_domain'],
             'region': vm['region'],
-            'address': f'{vm["address"]}:{vm["callers"]}',
+            'address': f'{vm["address"]}:{CALLERS_PORT}',
         }
         _checked(client.put(f'/standin/vms/{vm["name"]}', json=record))
     for upstream in plan.upstreams:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -8,7 +8,7 @@
 import httpx
 import trio
 
-from demo.plan import Plan
+from demo.plan import OPERATORS_PORT, Plan
 from demo.platform import PRESETS, seed_platform
 from demo.settings import write_private, write_settings
 
@@ -75,8 +75,7 @@
             headers=headers,
         ) as client:
             return all(
-                _is_ready(client, f'http://{vm["address"]}:{vm["operators"]}')
-                for vm in self.plan.vms
+                _is_ready(client, _operators_url(vm)) for vm in self.plan.vms
             )
 
     def _write_document(self, platform_pid: int) -> None:
@@ -94,7 +93,7 @@
         fields = ('name', 'path', 'open', 'idempotent')
         command = ' '.join(self.operator(plan.vms[0]['name']))
         document = {
-            'deployment': plan.deployment['deployment'],
+            'deployment': plan.name,
             'entries': entries,
             'platform': {'url': plan.platform_url, 'pid': platform_pid},
             'services': [
@@ -117,6 +116,10 @@
         write_private(plan.directory.parent / 'demo.json', text)
 
 
+def _operators_url(vm: dict[str, str]) -> str:
+    return f'http://{vm["address"]}:{OPERATORS_PORT}'
+
+
 def _answers(client: httpx.Client, path: str) -> bool:
     try:
         return client.get(path).is_success
--- a/demo/settings.py
+++ b/demo/settings.py
@@ -6,7 +6,13 @@
 import secrets
 from typing import Any
 
-from demo.plan import Plan
+from demo.plan import (
+    CALLERS_PORT,
+    OPERATORS_PORT,
+    PEERS_PORT,
+    PLATFORM_PORT,
+    Plan,
+)
 
 
 def write_settings(plan: Plan) -> None:
@@ -28,7 +34,7 @@
             for upstream in chosen
         ]
         plan.settings_path(f'upstreams-{domain}').write_text('\n'.join(tables))
-    platform = {'address': '127.0.0.1', 'port': plan.ports.platform}
+    platform = {'address': plan.platform_address, 'port': PLATFORM_PORT}
     path = plan.settings_path('platform')
     path.write_text(_assignments(platform))
 
@@ -64,7 +70,7 @@
             'callers',
             {
                 'address': vm['address'],
-                'port': vm['callers'],
+                'port': CALLERS_PORT,
                 'url': vm['url'],
             },
         ),
@@ -72,7 +78,7 @@
             'operators',
             {
                 'address': vm['address'],
-                'port': vm['operators'],
+                'port': OPERATORS_PORT,
                 'secret_file': str(directory / 'operators.secret'),
             },
         ),
@@ -80,7 +86,7 @@
             'peers',
             {
                 'address': vm['address'],
-                'port': vm['peers'],
+                'port': PEERS_PORT,
                 'secret_file': str(directory / 'peers.secret'),
             },
         ),
@@ -94,4 +100,4 @@
 def _peer_table(peer: dict[str, Any]) -> str:
     fields = ('name', 'region', 'failure_domain', 'address', 'url')
     values = {field: peer[field] for field in fields}
-    return _table('[peers.vms]', {**values, 'port': peer['peers']})
+    return _table('[peers.vms]', {**values, 'port': PEERS_PORT})
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios played against real processes on this machine."""
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,75 @@
+"""Build build/chestnutshift: one file that runs on Python alone.
+
+A zip that Python imports from directly: nothing is unpacked, so it runs on a
+VM without a disk, and it starts no second process.
+"""
+
+import compileall
+import pathlib
+import py_compile
+import shutil
+import subprocess
+import sys
+import zipapp
+
+ROOT = pathlib.Path(__file__).parent.parent
+BUILD = ROOT / 'build'
+STAGE = BUILD / 'stage'
+TARGET = BUILD / 'chestnutshift'
+# Python can't load these from a zip; every library has a plain fallback.
+UNUSABLE = ('*.so', '*.pyi', '*.c', '*.h')
+ENTRY = """from chestnutshift.management.main import main
+
+main()
+"""
+
+
+def stage() -> None:
+    """Put the package and its libraries into an empty folder."""
+    shutil.rmtree(STAGE, ignore_errors=True)
+    command = [
+        sys.executable,
+        '-m',
+        'pip',
+        'install',
+        '--quiet',
+        '--disable-pip-version-check',
+        '--no-compile',
+        '--target',
+        str(STAGE),
+        '--requirement',
+        str(ROOT / 'requirements.txt'),
+    ]
+    subprocess.run(command, check=True)
+    shutil.rmtree(STAGE / 'bin', ignore_errors=True)
+    shutil.copytree(
+        ROOT / 'chestnutshift',
+        STAGE / 'chestnutshift',
+        ignore=shutil.ignore_patterns('__pycache__'),
+    )
+    for pattern in UNUSABLE:
+        for path in STAGE.rglob(pattern):
+            path.unlink()
+    (STAGE / '__main__.py').write_text(ENTRY)
+
+
+def build() -> None:
+    """Compile the folder and make one executable file of it."""
+    stage()
+    compileall.compile_dir(
+        STAGE,
+        quiet=2,
+        legacy=True,
+        stripdir=STAGE,
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+    zipapp.create_archive(
+        STAGE,
+        TARGET,
+        interpreter='/usr/bin/env python3',
+        compressed=True,
+    )
+
+
+if __name__ == '__main__':
+    build()
