--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -1,12 +1,25 @@
 """Admission of one VM: whether a request of an account may run now."""
 
+import itertools
 import math
+import random
 
 import attrs
 
 from chestnutshift.accounts import events
+from chestnutshift.accounts.borrower import Borrower
+from chestnutshift.accounts.demand import DemandEstimate
+from chestnutshift.accounts.lender import Lender
+from chestnutshift.accounts.loans import (
+    LOAN_MARGIN_S,
+    LoanGrant,
+    LoanRequest,
+    Peer,
+)
 from chestnutshift.accounts.seats import NO_RIGHT, SeatRight
 from chestnutshift.accounts.share import AccountShare
+from chestnutshift.accounts.targets import LoanPolicy, Targets, find_targets
+from chestnutshift.conf import defaults
 from chestnutshift.configuration.model import AccountLimit
 from chestnutshift.events.log import EventLog
 
@@ -32,59 +45,115 @@
     reason: str = ADMITTED
 
 
+@attrs.frozen
+class AccountSummary:
+    """One account at one VM, for status: tokens, and tokens per second."""
+
+    account: str
+    demand: float
+    rate: float
+    capacity: float
+    level: float
+    lent_rate: float
+    borrowed_rate: float
+
+
 @attrs.define
+class _Account:
+    """Everything that one VM keeps of one account."""
+
+    borrower: Borrower
+    limit: AccountLimit = AccountLimit(0, 0)
+    share: AccountShare = attrs.field(factory=AccountShare)
+    demand: DemandEstimate = attrs.field(factory=DemandEstimate)
+
+
 class Admission:
     """The accounts' shares at one VM incarnation.
 
     seat_count is the number of seats of the whole fleet, over which rate and
-    burst are divided equally.
+    burst are divided equally. Loans need the peers; without any the VM
+    admits from its seat's share alone.
     """
 
-    _vm: str
-    _seat_count: int
-    _log: EventLog | None = None
-    _limits: dict[str, AccountLimit] = attrs.field(factory=dict)
-    _shares: dict[str, AccountShare] = attrs.field(factory=dict)
-    _right: SeatRight = NO_RIGHT
-    _planned: float = math.inf
-    _awake_since: float = -math.inf
+    def __init__(
+        self,
+        vm: str,
+        seat_count: int,
+        rng: random.Random,
+        policy: LoanPolicy | None = None,
+        log: EventLog | None = None,
+    ) -> None:
+        """Start with no account, no seat and no peer."""
+        self._vm = vm
+        self._seat_count = seat_count
+        self._rng = rng
+        self._policy = policy or LoanPolicy()
+        self._log = log
+        self._lender = Lender(vm, self._policy)
+        self._asks = itertools.count(1)
+        self._accounts: dict[str, _Account] = {}
+        self._peers: tuple[Peer, ...] = ()
+        self._loan_s = defaults.LOAN_S
+        self._right = NO_RIGHT
+        self._planned = math.inf
+        self._awake_since = -math.inf
 
     @property
     def right(self) -> SeatRight:
         """When this VM may spend its seat's share."""
         return self._right
 
+    @property
+    def settle_s(self) -> float:
+        """How long loans may run on; the seat's row must say so."""
+        return self._loan_s + 2 * LOAN_MARGIN_S
+
     def admit(self, account: str, now: float) -> Decision:
         """Decide about one request of the account at now (seconds)."""
-        if account not in self._limits:
+        held = self._accounts.get(account)
+        if held is None or held.limit.rate <= 0:
             return Decision(
                 admitted=False,
                 retry_after_s=RETRY_MAX_S,
                 reason=UNKNOWN_ACCOUNT,
             )
         self._check_pause(now)
-        share = self._shares[account]
-        if share.spend(now):
+        held.demand.count()
+        if held.share.spend(now):
             return Decision(admitted=True)
-        return self._refuse(account, share)
+        return self._refuse(account, held.share)
 
-    def configure(self, limits: dict[str, AccountLimit], now: float) -> None:
+    def configure(
+        self,
+        limits: dict[str, AccountLimit],
+        now: float,
+        loan_s: float = defaults.LOAN_S,
+    ) -> None:
         """Use other limits from now on; tokens already there stay.
 
         A window that spans the change stays under the larger of the limits.
         """
-        self._limits = dict(limits)
-        # The share of a removed account stays known, with nothing to spend:
-        # loans given out of it may still run when the account comes back.
-        for account in sorted(self._shares.keys() | limits.keys()):
-            limit = limits.get(account, AccountLimit(0, 0))
-            share = self._shares.setdefault(account, AccountShare())
+        self._loan_s = loan_s
+        # A removed account stays known, with nothing to spend: loans given
+        # out of it may still run when the account comes back.
+        for name in sorted(self._accounts.keys() | limits.keys()):
+            held = self._accounts.get(name)
+            if held is None:
+                held = _Account(Borrower(self._vm, name, self._rng))
+                self._accounts[name] = held
+            held.limit = limits.get(name, AccountLimit(0, 0))
+            share = held.share
             share.refresh(now)
             share.right = self._right
-            share.base_rate = limit.rate / self._seat_count
-            share.base_burst = limit.burst / self._seat_count
+            share.base_rate = held.limit.rate / self._seat_count
+            share.base_burst = held.limit.burst / self._seat_count
             share.resize(now)
 
+    def connect(self, peers: tuple[Peer, ...]) -> None:
+        """Use these peers for loans from now on."""
+        self._peers = peers
+
     def renewed(self, right: SeatRight, now: float) -> None:
         """Use the right that the platform confirmed.
 
@@ -101,15 +170,74 @@
         self._set_right(NO_RIGHT, now)
         ends = [
             loan.expires
-            for share in self._shares.values()
-            for loan in share.lent.values()
+            for held in self._accounts.values()
+            for loan in held.share.lent.values()
         ]
         return max([0, *(end - now for end in ends)])
 
-    def tick(self, now: float) -> None:
-        """Note that this VM runs; call it at least every PAUSE_S / 2."""
+    def plan(self, now: float) -> tuple[LoanRequest, ...]:
+        """Return what to ask of peers; call it every few 10 ms.
+
+        A VM that does not call it for PAUSE_S counts as paused.
+        """
         self._check_pause(now)
         self._planned = now
+        requests: list[LoanRequest] = []
+        for held in self._accounts.values():
+            held.demand.update(now)
+            requests.extend(
+                held.borrower.plan(
+                    held.share,
+                    self._targets(held),
+                    self._peers,
+                    self._loan_s,
+                    self._asks,
+                    now,
+                ),
+            )
+        return tuple(requests)
+
+    def handle_request(
+        self,
+        peer: str,
+        request: LoanRequest,
+        now: float,
+    ) -> LoanGrant | None:
+        """Answer a peer's request; None where nothing is to be sent."""
+        self._check_pause(now)
+        held = self._accounts.get(request.account)
+        if held is None:
+            return None
+        life_s = min(self._loan_s, self._right.settle_s - LOAN_MARGIN_S)
+        return self._lender.answer(
+            request,
+            held.share,
+            self._targets(held),
+            life_s,
+            now,
+        )
+
+    def handle_grant(self, peer: str, grant: LoanGrant, now: float) -> bool:
+        """Use a peer's grant; tell whether it was still worth anything."""
+        held = self._accounts.get(grant.account)
+        if held is None or grant.taker != self._vm:
+            return False
+        return held.borrower.receive(peer, grant, held.share, now)
+
+    def summary(self, now: float) -> tuple[AccountSummary, ...]:
+        """Return every account's state, by name."""
+        return tuple(
+            _summarise(name, held, now)
+            for name, held in sorted(self._accounts.items())
+        )
+
+    def _targets(self, held: _Account) -> Targets:
+        return find_targets(
+            self._policy,
+            held.limit,
+            self._seat_count,
+            held.demand,
+        )
 
     def _check_pause(self, now: float) -> None:
         if now - self._planned <= PAUSE_S:
@@ -124,10 +252,10 @@
 
     def _set_right(self, right: SeatRight, now: float) -> None:
         self._right = right
-        for share in self._shares.values():
-            share.refresh(now)
-            share.right = right
-            share.resize(now)
+        for held in self._accounts.values():
+            held.share.refresh(now)
+            held.share.right = right
+            held.share.resize(now)
 
     def _refuse(self, account: str, share: AccountShare) -> Decision:
         reason = OVER_RATE if share.bucket.capacity > 0 else NO_SHARE
@@ -145,3 +273,17 @@
             retry_after_s=min(wait_s, RETRY_MAX_S),
             reason=reason,
         )
+
+
+def _summarise(name: str, held: _Account, now: float) -> AccountSummary:
+    share = held.share
+    share.refresh(now)
+    return AccountSummary(
+        account=name,
+        demand=held.demand.fast,
+        rate=share.bucket.rate,
+        capacity=share.bucket.capacity,
+        level=share.bucket.level,
+        lent_rate=share.lent_rate,
+        borrowed_rate=sum(loan.rate for loan in share.borrowed.values()),
+    )
--- /dev/null
+++ b/chestnutshift/accounts/borrower.py
@@ -0,0 +1,285 @@
+"""The taker's side of loans: which peers are asked for how much, and when."""
+
+import random
+from collections.abc import Iterator
+
+import attrs
+
+from chestnutshift.accounts.bucket import EPSILON
+from chestnutshift.accounts.loans import (
+    NEW_LOAN,
+    BorrowedLoan,
+    LoanGrant,
+    LoanRequest,
+    OpenAsk,
+    Peer,
+)
+from chestnutshift.accounts.share import AccountShare
+from chestnutshift.accounts.targets import Targets
+
+# A request without an answer for so long no longer counts, in seconds.
+ASK_TIMEOUT_S = 0.25
+
+# A peer that had nothing to lend is left alone for so long, in seconds.
+BACKOFF_FIRST_S = 0.1
+BACKOFF_MAX_S = 1.6
+
+# A loan is renewed once this part of its life is over.
+RENEW_AFTER = 0.5
+
+# A surplus over this part of the need is handed back before the renewal.
+SURPLUS = 0.5
+
+# A loan is kept at least this long before it is handed back, in seconds.
+KEEP_MIN_S = 0.3
+
+
+@attrs.define
+class Borrower:
+    """Borrow one account's shares for one VM incarnation."""
+
+    _vm: str
+    _account: str
+    _rng: random.Random
+    _asks: dict[int, OpenAsk] = attrs.field(factory=dict)
+    _delays: dict[str, float] = attrs.field(factory=dict)
+    _silent_until: dict[str, float] = attrs.field(factory=dict)
+
+    def plan(
+        self,
+        share: AccountShare,
+        targets: Targets,
+        peers: tuple[Peer, ...],
+        life_s: float,
+        numbers: Iterator[int],
+        now: float,
+    ) -> list[LoanRequest]:
+        """Return what is asked of peers now; reduces own loans first."""
+        share.refresh(now)
+        self._forget_asks(now, life_s)
+        requests = self._renew(share, targets, life_s, numbers, now)
+        requests.extend(self._ask(share, targets, peers, numbers, now))
+        return requests
+
+    def receive(
+        self,
+        peer: str,
+        grant: LoanGrant,
+        share: AccountShare,
+        now: float,
+    ) -> bool:
+        """Use a grant; tell whether it was still worth anything."""
+        ask = self._asks.pop(grant.ask, None)
+        if ask is None or ask.peer != peer:
+            return False
+        share.refresh(now)
+        expires = ask.asked + grant.life_s
+        if expires <= now:
+            return False
+        if ask.loan != NEW_LOAN:
+            return self._extend(grant, share, expires, now)
+        if grant.loan == NEW_LOAN:
+            self._note_refusal(peer, now)
+            return False
+        self._delays.pop(peer, None)
+        share.borrowed[grant.giver, grant.loan] = BorrowedLoan(
+            peer,
+            grant.giver,
+            grant.loan,
+            grant.rate,
+            grant.burst,
+            now,
+            expires,
+        )
+        share.resize(now)
+        share.bucket.add(min(grant.tokens, grant.burst))
+        return True
+
+    def _extend(
+        self,
+        grant: LoanGrant,
+        share: AccountShare,
+        expires: float,
+        now: float,
+    ) -> bool:
+        key = (grant.giver, grant.loan)
+        loan = share.borrowed.get(key)
+        if loan is None:
+            return False
+        share.borrowed[key] = attrs.evolve(
+            loan,
+            rate=min(loan.rate, grant.rate),
+            burst=min(loan.burst, grant.burst),
+            expires=max(loan.expires, expires),
+        )
+        share.resize(now)
+        return True
+
+    def _note_refusal(self, peer: str, now: float) -> None:
+        delay_s = self._delays.get(peer, BACKOFF_FIRST_S)
+        self._delays[peer] = min(BACKOFF_MAX_S, delay_s * 2)
+        self._silent_until[peer] = now + delay_s * (0.5 + self._rng.random())
+
+    def _forget_asks(self, now: float, life_s: float) -> None:
+        if not self._asks:
+            return
+        self._asks = {
+            number: ask
+            for number, ask in self._asks.items()
+            if now - ask.asked < life_s
+        }
+
+    def _renew(
+        self,
+        share: AccountShare,
+        targets: Targets,
+        life_s: float,
+        numbers: Iterator[int],
+        now: float,
+    ) -> list[LoanRequest]:
+        if not share.borrowed:
+            return []
+        asked = {
+            (ask.peer, ask.loan)
+            for ask in self._asks.values()
+            if now - ask.asked < ASK_TIMEOUT_S
+        }
+        requests = []
+        for key, loan in sorted(share.borrowed.items()):
+            if (loan.peer, loan.loan) in asked:
+                continue
+            spare_rate = share.bucket.rate - targets.rate
+            early = (
+                spare_rate > SURPLUS * targets.rate + share.base_rate
+                and now - loan.since > KEEP_MIN_S
+            )
+            due = loan.expires - now < life_s * (1 - RENEW_AFTER)
+            if early or due:
+                requests.append(
+                    self._keep(key, share, targets, next(numbers), now),
+                )
+        return requests
+
+    def _keep(
+        self,
+        key: tuple[str, int],
+        share: AccountShare,
+        targets: Targets,
+        number: int,
+        now: float,
+    ) -> LoanRequest:
+        loan = share.borrowed[key]
+        spare_rate = max(0, share.bucket.rate - targets.rate)
+        spare_burst = max(0, share.bucket.capacity - targets.high)
+        kept = attrs.evolve(
+            loan,
+            rate=max(0, loan.rate - spare_rate),
+            burst=max(0, loan.burst - spare_burst),
+        )
+        level = share.bucket.level
+        share.borrowed[key] = kept
+        if kept.rate <= EPSILON and kept.burst <= EPSILON:
+            share.borrowed.pop(key)
+        share.resize(now)
+        self._asks[number] = OpenAsk(
+            loan.peer,
+            self._account,
+            loan.loan,
+            0,
+            0,
+            now,
+        )
+        return LoanRequest(
+            peer=loan.peer,
+            giver=loan.giver,
+            taker=self._vm,
+            account=self._account,
+            ask=number,
+            loan=loan.loan,
+            rate=kept.rate,
+            burst=kept.burst,
+            tokens=level - share.bucket.level,
+        )
+
+    def _ask(
+        self,
+        share: AccountShare,
+        targets: Targets,
+        peers: tuple[Peer, ...],
+        numbers: Iterator[int],
+        now: float,
+    ) -> list[LoanRequest]:
+        open_asks = [
+            ask
+            for ask in self._asks.values()
+            if ask.loan == NEW_LOAN and now - ask.asked < ASK_TIMEOUT_S
+        ]
+        rate = targets.rate - share.bucket.rate
+        rate -= sum(ask.rate for ask in open_asks)
+        tokens = 0
+        if share.bucket.level < targets.low:
+            tokens = targets.high - share.bucket.level
+            tokens -= sum(ask.tokens for ask in open_asks)
+        if rate <= share.base_rate * 0.1:
+            rate = 0
+        if rate <= 0 and tokens <= 0:
+            return []
+        busy = {ask.peer for ask in open_asks}
+        requests = []
+        for peer in self._order(peers, busy, now):
+            if rate <= EPSILON and tokens <= EPSILON:
+                break
+            request = self._request(
+                peer,
+                next(numbers),
+                min(max(0, rate), share.base_rate),
+                max(0, tokens),
+                now,
+            )
+            rate -= request.rate
+            tokens -= share.base_burst * 0.25
+            requests.append(request)
+        return requests
+
+    def _order(
+        self,
+        peers: tuple[Peer, ...],
+        busy: set[str],
+        now: float,
+    ) -> list[Peer]:
+        free = [
+            peer
+            for peer in peers
+            if peer.name not in busy
+            and self._silent_until.get(peer.name, now) <= now
+        ]
+        self._rng.shuffle(free)
+        return sorted(free, key=lambda peer: not peer.near)
+
+    def _request(
+        self,
+        peer: Peer,
+        number: int,
+        rate: float,
+        tokens: float,
+        now: float,
+    ) -> LoanRequest:
+        self._asks[number] = OpenAsk(
+            peer.name,
+            self._account,
+            NEW_LOAN,
+            rate,
+            tokens,
+            now,
+        )
+        return LoanRequest(
+            peer=peer.name,
+            giver='',
+            taker=self._vm,
+            account=self._account,
+            ask=number,
+            loan=NEW_LOAN,
+            rate=rate,
+            burst=tokens,
+            tokens=tokens,
+        )
--- a/chestnutshift/accounts/keeper.py
+++ b/chestnutshift/accounts/keeper.py
@@ -119,7 +119,12 @@
                 fence=record.fence,
             )
         self._holds = True
-        self._right = SeatRight(started, starts, started + shares.floor_s)
+        self._right = SeatRight(
+            started,
+            starts,
+            started + shares.floor_s,
+            record.settle_s,
+        )
 
     async def _choose(self, row: SeatRow | None) -> SeatStep:
         if row is None:
--- a/chestnutshift/accounts/loans.py
+++ b/chestnutshift/accounts/loans.py
@@ -4,7 +4,7 @@
 `life_s`. The giver reduces its own share first, and counts the loan until
 `life_s` plus a margin after the moment of the grant; the taker counts it
 until `life_s` after the moment it asked. A lost message therefore loses
-tokens and never doubles them.
+tokens and never doubles them. Rates are tokens per second.
 """
 
 import attrs
@@ -20,12 +20,14 @@
 class LoanRequest:
     """Ask a peer for a loan, or renew, reduce or hand back one.
 
-    For a new loan rate, burst and tokens are what is asked for. For an
-    existing one rate and burst are what the taker keeps, and tokens what it
-    hands back. ask numbers the requests of one taker incarnation.
+    For a new loan giver is empty and rate, burst and tokens are what is
+    asked for. For an existing one giver is the incarnation that gave it,
+    rate and burst are what the taker keeps, and tokens what it hands back.
+    ask grows with each request of one taker incarnation.
     """
 
     peer: str
+    giver: str
     taker: str
     account: str
     ask: int
@@ -55,9 +57,10 @@
 
 @attrs.frozen
 class LentLoan:
-    """What the giver remembers of a loan."""
+    """What the giver remembers of a loan; ask is the newest one it saw."""
 
     taker: str
+    ask: int
     rate: float
     burst: float
     expires: float
@@ -72,16 +75,25 @@
     loan: int
     rate: float
     burst: float
-    expires: float
     since: float
-    life_s: float
+    expires: float
 
 
 @attrs.frozen
 class OpenAsk:
-    """A request that was sent and is not answered yet."""
+    """A request that was sent and may still be answered."""
 
     peer: str
     account: str
     loan: int
+    rate: float
+    tokens: float
     asked: float
+
+
+@attrs.frozen
+class Peer:
+    """Another VM that can be asked; near means in the same region."""
+
+    name: str
+    near: bool
--- a/chestnutshift/accounts/seats.py
+++ b/chestnutshift/accounts/seats.py
@@ -53,12 +53,14 @@
 class SeatRight:
     """When the holder of a seat may spend the seat's share, in seconds.
 
-    started is when the renewal that gave this right was started.
+    started is when the renewal that gave this right was started; settle_s
+    is how long, by the row, loans may go on after the holder.
     """
 
     started: float = -math.inf
     starts: float = math.inf
     ends: float = -math.inf
+    settle_s: float = 0
 
     def covers(self, moment: float) -> bool:
         """Tell whether the share may be spent at this moment."""
--- a/tests/accounts/test_admission.py
+++ b/tests/accounts/test_admission.py
@@ -1,6 +1,7 @@
 """Admission of one VM: its seat's share, its lease, its configuration."""
 
 import math
+import random
 
 from chestnutshift.accounts.admission import (
     NO_SHARE,
@@ -17,10 +18,10 @@
 
 
 def _admission(ends: float = 100) -> Admission:
-    admission = Admission('vm-1', SEATS)
+    admission = Admission('vm-1', SEATS, random.Random(1))
     admission.configure(LIMITS, 0)
     admission.renewed(SeatRight(0, 0, ends), 0)
-    admission.tick(0)
+    admission.plan(0)
     return admission
 
 
@@ -34,7 +35,7 @@
 def _run_until(admission: Admission, start: float, end: float) -> None:
     moment = start
     while moment <= end:
-        admission.tick(moment)
+        admission.plan(moment)
         moment += PAUSE_S / 2
 
 
--- a/tests/accounts/test_seats.py
+++ b/tests/accounts/test_seats.py
@@ -91,9 +91,9 @@
     """Each renewal extends the right from the moment it was started."""
     world = World()
     keeper = world.keeper('a')
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100, SETTLE_S)
     world.now = 3
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(3, 0, 103)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(3, 0, 103, SETTLE_S)
     assert world.table.row.record.fence == 1
 
 
@@ -105,7 +105,7 @@
     await keeper.step(SHARES, SETTLE_S)
     world.now = 3
     world.table.down = True
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100, SETTLE_S)
 
 
 @trio_test
@@ -122,6 +122,7 @@
         1,
         1 + SETTLE_S,
         101,
+        SETTLE_S,
     )
 
 
