Keep what was ranked of regions that have not changed

Cause: every new view forgot the order of all VMs for all buckets. Ruled out: a cheaper hash (a CRC keeps the same order between two VMs for all buckets). A ranking is now an object that the next view takes over if its VMs and their steps of headroom are equal.

--- a/chestnutshift/lookup/directory.py
+++ b/chestnutshift/lookup/directory.py
@@ -46,6 +46,7 @@
 
     def update(self, view: LookupView) -> None:
         """Answer from this view from now on."""
+        view.reuse_rankings(self.view)
         self.view = view
         self._unshifted = view.without_shifts
 
--- a/chestnutshift/lookup/view.py
+++ b/chestnutshift/lookup/view.py
@@ -1,47 +1,20 @@
 """What the VM that answers knows: entry VMs, table, drains and shifts."""
 
-import enum
-import hashlib
-import math
-
 import attrs
 
+from chestnutshift.lookup.ranking import (
+    BUCKETS,
+    NO_RANKING,
+    EntryState,
+    EntryVM,
+    Ranking,
+)
 from chestnutshift.lookup.table import ClientTable
 
-# Client blocks fall into buckets; a bucket is what a shift moves.
-BUCKETS = 1024
-# VMs of one region that one answer may name.
-RANKED_MAX = 4
-# Steps of headroom, so that small changes of load move no caller.
-HEADROOM_STEPS = 4
-HASH_BYTES = 8
-HASH_RANGE = 1 << (HASH_BYTES * 8)
-
-
-class EntryState(enum.Enum):
-    """What membership says of an entry VM."""
-
-    LIVE = 'live'
-    LEAVING = 'leaving'
-    DRAINED = 'drained'
-    SILENT = 'silent'
-
-
 # States in the order in which an answer without live VMs names them.
 FALLBACK_STATES = (EntryState.LEAVING, EntryState.DRAINED, EntryState.SILENT)
 
-
-@attrs.frozen
-class EntryVM:
-    """One entry VM: headroom is its free share, last_heard in seconds."""
-
-    name: str
-    url: str
-    region: str
-    failure_domain: str
-    state: EntryState = EntryState.LIVE
-    headroom: float = 1.0
-    last_heard: float = 0
+Group = tuple[str, EntryState]
 
 
 @attrs.frozen
@@ -57,15 +30,15 @@
         return source == self.source and bucket < self.fraction * BUCKETS
 
 
-def _group(view: 'LookupView') -> dict[tuple[str, EntryState], list[EntryVM]]:
-    groups: dict[tuple[str, EntryState], list[EntryVM]] = {}
+def _group(view: 'LookupView') -> dict[Group, Ranking]:
+    groups: dict[Group, list[EntryVM]] = {}
     for entry in view.entries:
         state = entry.state
         drained = entry.region in view.drained_regions
         if drained and state is EntryState.LIVE:
             state = EntryState.DRAINED
         groups.setdefault((entry.region, state), []).append(entry)
-    return groups
+    return {group: Ranking(tuple(groups[group])) for group in groups}
 
 
 def _private(default: object) -> object:
@@ -88,12 +61,9 @@
     default_order: tuple[str, ...] = ()
     drained_regions: frozenset[str] = frozenset()
     shifts: tuple[Shift, ...] = ()
-    _groups: dict[tuple[str, EntryState], list[EntryVM]] = _private(
+    _rankings: dict[Group, Ranking] = _private(
         attrs.Factory(_group, takes_self=True),
     )
-    _ranked: dict[tuple[str, EntryState, int], tuple[EntryVM, ...]] = _private(
-        attrs.Factory(dict),
-    )
     _completed: dict[tuple[str, ...], tuple[str, ...]] = _private(
         attrs.Factory(dict),
     )
@@ -103,14 +73,22 @@
         """The same view with every caller answered at home."""
         if not self.shifts:
             return self
-        return attrs.evolve(self, shifts=())
+        at_home = attrs.evolve(self, shifts=())
+        at_home.reuse_rankings(self)
+        return at_home
+
+    def reuse_rankings(self, previous: 'LookupView') -> None:
+        """Take over what was ranked of the regions that have not changed."""
+        for group, ranking in previous._rankings.items():
+            if self._rankings.get(group) == ranking:
+                self._rankings[group] = ranking
 
     def moving(self, region: str) -> bool:
         """Tell whether a drain or a shift concerns the region."""
         if any(region in {one.source, one.target} for one in self.shifts):
             return True
         return any(
-            (region, state) in self._groups
+            (region, state) in self._rankings
             for state in (EntryState.LEAVING, EntryState.DRAINED)
         )
 
@@ -136,12 +114,7 @@
         bucket: int,
     ) -> tuple[EntryVM, ...]:
         """Return the first VMs of a region and state for a bucket."""
-        place = (region, state, bucket)
-        found = self._ranked.get(place)
-        if found is None:
-            found = rank(self._groups.get((region, state), []), bucket)
-            self._ranked[place] = found
-        return found
+        return self._rankings.get((region, state), NO_RANKING).first(bucket)
 
     def shift_of(self, region: str, bucket: int) -> Shift | None:
         """Return the shift that moves this bucket of the region, if any."""
@@ -149,28 +122,3 @@
             if shift.covers(region, bucket):
                 return shift
         return None
-
-
-def rank(entries: list[EntryVM], bucket: int) -> tuple[EntryVM, ...]:
-    """Order VMs by weighted rendezvous hashing for one bucket.
-
-    The second VM is of another failure domain than the first where there
-    is one, so that an answer outlives the loss of a failure domain.
-    """
-    scored = sorted(entries, key=lambda entry: _score(entry, bucket))
-    if not scored:
-        return ()
-    first = scored[0]
-    for place, entry in enumerate(scored):
-        if entry.failure_domain != first.failure_domain:
-            scored.insert(1, scored.pop(place))
-            break
-    return tuple(scored[:RANKED_MAX])
-
-
-def _score(entry: EntryVM, bucket: int) -> float:
-    packed = f'{entry.name}|{bucket}'.encode()
-    digest = hashlib.blake2b(packed, digest_size=HASH_BYTES).digest()
-    uniform = (int.from_bytes(digest) + 1) / (HASH_RANGE + 1)
-    steps = math.ceil(entry.headroom * HEADROOM_STEPS)
-    return -math.log(uniform) / max(steps, 1)
--- a/tests/lookup/test_answers.py
+++ b/tests/lookup/test_answers.py
@@ -80,6 +80,16 @@
     assert 0 < names.count('east11') < even / 2
 
 
+def test_rankings_reused_by_next_view():
+    """Answers after an update equal those of a view made anew."""
+    before = make_view()
+    first_entries(before)
+    changed = {'entries': make_entries(east11=EntryState.SILENT)}
+    updated = make_view(**changed)
+    updated.reuse_rankings(before)
+    assert first_entries(updated) == first_entries(make_view(**changed))
+
+
 @STEADY
 @given(st.lists(STATES, min_size=12, max_size=12), st.booleans())
 def test_never_empty_and_silent_last(states, drained):
