--- /dev/null
+++ b/bench/capacity/account_slopes.py
@@ -0,0 +1,70 @@
+"""Slopes of the accounts' shares at one VM."""
+
+import functools
+import importlib
+
+from bench.capacity import probes
+from bench.capacity.fits import Point
+from bench.capacity.slopes import BYTES, SECONDS, slope
+from chestnutshift.configuration.model import AccountLimit
+
+ADMISSION = 'chestnutshift.accounts.admission'
+SEATS = 'chestnutshift.accounts.seats'
+NEEDS = (ADMISSION, SEATS)
+ACCOUNT_COUNTS = (1_000, 2_000, 4_000)
+REQUEST_COUNTS = (2_000, 4_000, 8_000)
+SEAT_COUNT = 12
+
+
+def make_admission(count: int):
+    """Return the admission of one VM that holds its seat."""
+    limits = {
+        f'account-{place}': AccountLimit(50, 100) for place in range(count)
+    }
+    admission = importlib.import_module(ADMISSION).Admission('vm', SEAT_COUNT)
+    admission.configure(limits, 0)
+    right = importlib.import_module(SEATS).SeatRight(0, 0, 1_000)
+    admission.tick(0)
+    admission.renewed(right, 0)
+    return admission
+
+
+@slope('share_memory', 'memory of the shares', 'account', BYTES, NEEDS)
+def measure_share_memory() -> list[Point]:
+    """Make the shares of accounts and read tracemalloc."""
+    return [
+        Point(
+            count,
+            probes.allocated_bytes(functools.partial(make_admission, count)),
+        )
+        for count in ACCOUNT_COUNTS
+    ]
+
+
+@slope('share_renewal', 'renewal of the shares', 'account', SECONDS, NEEDS)
+def measure_share_renewal() -> list[Point]:
+    """Renew the seat, which resizes the share of every account."""
+    return [Point(count, _time_renewal(count)) for count in ACCOUNT_COUNTS]
+
+
+def _time_renewal(count: int) -> float:
+    admission = make_admission(count)
+    right = importlib.import_module(SEATS).SeatRight(0, 0, 2_000)
+    return probes.cpu_seconds(functools.partial(admission.renewed, right, 0))
+
+
+@slope('admission', 'admission of requests', 'request', SECONDS, NEEDS)
+def measure_admission() -> list[Point]:
+    """Admit requests of many accounts."""
+    return [Point(count, _time_admission(count)) for count in REQUEST_COUNTS]
+
+
+def _time_admission(count: int) -> float:
+    admission = make_admission(ACCOUNT_COUNTS[0])
+    names = [f'account-{place % 1000}' for place in range(count)]
+
+    def work() -> None:
+        for name in names:
+            admission.admit(name, 1)
+
+    return probes.cpu_seconds(work)
--- /dev/null
+++ b/bench/capacity/clients.py
@@ -0,0 +1,54 @@
+"""Made-up client blocks and addresses, the same for each run."""
+
+import ipaddress
+import itertools
+import random
+
+from bench.capacity import targets
+from chestnutshift.lookup.prefixes import (
+    INTERFACE_BITS,
+    KEY_BITS,
+    Family,
+    Prefix,
+)
+from chestnutshift.lookup.table import ClientTable, TableBuilder
+
+SEED = 7
+# Parts of a thousand blocks by length: mostly /24 and /48, nested in others.
+IPV4_MIX = {24: 480, 23: 65, 22: 95, 21: 40, 20: 40, 19: 26, 18: 13, 16: 14}
+IPV6_MIX = {32: 13, 36: 9, 40: 17, 44: 22, 48: 118, 56: 48}
+MIXES = {Family.V4: IPV4_MIX, Family.V6: IPV6_MIX}
+WHOLE = sum(sum(mix.values()) for mix in MIXES.values())
+
+
+def make_table(count: int, number: int = 1) -> ClientTable:
+    """Return a table of about count blocks spread over all sites."""
+    generator = random.Random(SEED)
+    builder = TableBuilder()
+    for family, mix in MIXES.items():
+        for length, parts in mix.items():
+            wanted = count * parts // WHOLE
+            for network in generator.sample(range(1 << length), wanted):
+                builder.add(
+                    Prefix(family, length, network),
+                    network % targets.SITES,
+                )
+    return builder.build(number)
+
+
+def make_addresses(table: ClientTable, count: int) -> list[str]:
+    """Return addresses out of blocks all over the table, in random order."""
+    generator = random.Random(SEED)
+    stride = max(1, len(table) // count)
+    blocks = itertools.islice(table, 0, None, stride)
+    addresses = [_draw(prefix, generator) for prefix, _ in blocks]
+    generator.shuffle(addresses)
+    return addresses
+
+
+def _draw(prefix: Prefix, generator: random.Random) -> str:
+    spare = KEY_BITS[prefix.family] - prefix.length
+    key = prefix.first_key | generator.getrandbits(spare)
+    if prefix.family is Family.V4:
+        return str(ipaddress.IPv4Address(key))
+    return str(ipaddress.IPv6Address(key << INTERFACE_BITS))
--- /dev/null
+++ b/bench/capacity/link_slopes.py
@@ -0,0 +1,271 @@
+"""Slopes of the links between VMs, over loopback in one process."""
+
+import importlib
+import time
+
+import attrs
+import trio
+
+from bench.capacity.fits import Point
+from bench.capacity.slopes import BYTES, SECONDS, slope
+from chestnutshift.events.log import EventLog
+
+CODEC = 'chestnutshift.wire.codec'
+TYPES = 'chestnutshift.wire.generated.links.ttypes'
+HANDLERS = 'chestnutshift.links.handlers'
+PEER = 'chestnutshift.links.peer'
+SERVER = 'chestnutshift.links.server'
+SETTINGS = 'chestnutshift.conf.settings'
+NEEDS = (CODEC, TYPES)
+SECRET = bytes(32)
+CALL_S = 5.0
+LOOPBACK = '127.0.0.1'
+PEER_COUNTS = (4, 8, 16, 32)
+CHAIN_LENGTHS = (2, 4, 8)
+CHILD_COUNTS = (2, 4, 8, 16)
+BEATS = 100
+CHANGES = 100
+CHANGE_B = 160
+ROOMS = 4
+
+
+def _types():
+    return importlib.import_module(TYPES)
+
+
+def _encode(body) -> bytes:
+    frame = _types().Frame(sequence=100_000, clock=1 << 56, body=body)
+    return importlib.import_module(CODEC).encode(frame)
+
+
+def heartbeat_body():
+    """Return the message of one heartbeat with all its fields."""
+    services = [f'service-{place}' for place in range(ROOMS)]
+    heartbeat = _types().Heartbeat(
+        state='live',
+        configuration_number=1_000_000,
+        platform_reachable=True,
+        knowledge_age_s=0.25,
+        headroom=0.5,
+        withdrawal_count=100,
+        room=dict.fromkeys(services, 0.5),
+        free_slots=dict.fromkeys(services, 50),
+    )
+    return _types().Body(heartbeat=heartbeat)
+
+
+def short_heartbeat_body():
+    """Return the message of a heartbeat without the rooms of services."""
+    heartbeat = _types().Heartbeat(
+        state='live',
+        configuration_number=1_000_000,
+        platform_reachable=True,
+        knowledge_age_s=0.25,
+        headroom=0.5,
+        withdrawal_count=100,
+    )
+    return _types().Body(heartbeat=heartbeat)
+
+
+def change_frame() -> bytes:
+    """Return the bytes of a small change of the configuration."""
+    document = _types().ConfigurationDocument(
+        number=1_000_000,
+        document=bytes(CHANGE_B),
+    )
+    return _encode(_types().Body(configuration_document=document))
+
+
+@slope('heartbeat_size', 'one round of heartbeats', 'peer', BYTES, NEEDS)
+def measure_heartbeat_size() -> list[Point]:
+    """Encode a question and an answer for each peer."""
+    exchange = len(_encode(heartbeat_body())) * 2
+    return [Point(count, exchange * count) for count in PEER_COUNTS]
+
+
+@slope(
+    'short_heartbeat_size',
+    'one round of heartbeats without rooms',
+    'peer',
+    BYTES,
+    needs=NEEDS,
+)
+def measure_short_heartbeat_size() -> list[Point]:
+    """Encode a question and an answer for each peer."""
+    exchange = len(_encode(short_heartbeat_body())) * 2
+    return [Point(count, exchange * count) for count in PEER_COUNTS]
+
+
+@slope('change_size', 'changes of the configuration', 'change', BYTES, NEEDS)
+def measure_change_size() -> list[Point]:
+    """Encode changes, each about as large as one key's record."""
+    return [Point(count, len(change_frame()) * count) for count in PEER_COUNTS]
+
+
+@slope('loan_size', 'a batch of loans', 'account', BYTES, NEEDS)
+def measure_loan_size() -> list[Point]:
+    """Encode a request for each account of a batch."""
+    request = _types().RateLoanRequest(
+        account='account-1000',
+        tokens=5.5,
+        rate=5.5,
+        duration_s=2,
+        payload=bytes(16),
+    )
+    frame = _encode(_types().Body(rate_loan_request=request))
+    return [Point(count, len(frame) * count) for count in PEER_COUNTS]
+
+
+@attrs.define
+class _Node:
+    """One end of a link that passes frames on to its children."""
+
+    children: list[trio.abc.Stream] = attrs.field(factory=list)
+    arrived: trio.Event = attrs.field(factory=trio.Event)
+
+    async def relay(self, stream: trio.abc.Stream) -> None:
+        """Decode each frame, encode it again for the children."""
+        codec = importlib.import_module(CODEC)
+        reader = codec.FrameReader(stream)
+        while True:
+            frame = await reader.read()
+            for child in self.children:
+                await child.send_all(codec.encode(frame))
+            self.arrived.set()
+
+
+async def _link(nursery: trio.Nursery, node: _Node) -> trio.abc.Stream:
+    listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+    port = listeners[0].socket.getsockname()[1]
+    stream = await trio.open_tcp_stream(LOOPBACK, port)
+    accepted = await listeners[0].accept()
+    await listeners[0].aclose()
+    nursery.start_soon(node.relay, accepted)
+    return stream
+
+
+async def _time_arrival(nodes: list[_Node], root: trio.abc.Stream) -> float:
+    frame = change_frame()
+    started = time.perf_counter()
+    for _ in range(CHANGES):
+        await root.send_all(frame)
+        for node in nodes:
+            await node.arrived.wait()
+            node.arrived = trio.Event()
+    return (time.perf_counter() - started) / CHANGES
+
+
+async def _time_chain(length: int) -> float:
+    nodes = [_Node() for _ in range(length)]
+    async with trio.open_nursery() as nursery:
+        streams = [await _link(nursery, node) for node in nodes]
+        for node, child in zip(nodes, streams[1:], strict=False):
+            node.children.append(child)
+        spent = await _time_arrival(nodes, streams[0])
+        nursery.cancel_scope.cancel()
+    return spent
+
+
+async def _time_children(count: int) -> float:
+    parent = _Node()
+    nodes = [_Node() for _ in range(count)]
+    async with trio.open_nursery() as nursery:
+        root = await _link(nursery, parent)
+        for node in nodes:
+            parent.children.append(await _link(nursery, node))
+        spent = await _time_arrival([parent, *nodes], root)
+        nursery.cancel_scope.cancel()
+    return spent
+
+
+@slope('hop_time', 'a change down a chain of relays', 'hop', SECONDS, NEEDS)
+def measure_hop_time() -> list[Point]:
+    """Pass changes down chains; wall time, all nodes in one process."""
+    return [
+        Point(length, trio.run(_time_chain, length)) for length in CHAIN_LENGTHS
+    ]
+
+
+@slope('child_time', 'a change to all children', 'child', SECONDS, NEEDS)
+def measure_child_time() -> list[Point]:
+    """Pass changes to children; wall time, all nodes in one process."""
+    return [
+        Point(count, trio.run(_time_children, count)) for count in CHILD_COUNTS
+    ]
+
+
+async def _free_port() -> int:
+    listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    return port
+
+
+def _make_server():
+    handlers = importlib.import_module(HANDLERS).Handlers()
+
+    @handlers.register('heartbeat')
+    async def answer(_peer: str, _message: object):
+        return heartbeat_body()
+
+    server = importlib.import_module(SERVER).LinkServer
+    return server('server', 'one', SECRET, handlers, EventLog('server'))
+
+
+def _make_link(port: int):
+    peer = importlib.import_module(PEER)
+    address = importlib.import_module(SETTINGS).PeerAddress(
+        name='server',
+        address=LOOPBACK,
+        port=port,
+        failure_domain='domain-1',
+        region='region-1',
+        url='',
+    )
+    identity = peer.Identity('dialler', 'one', SECRET)
+    return peer.PeerLink(address, identity, EventLog('dialler'))
+
+
+@attrs.define
+class _Rounds:
+    """Count the beats of all links, and the processor time they take."""
+
+    wanted: int
+    count: int = 0
+    done: trio.Event = attrs.field(factory=trio.Event)
+    started: float = 0
+
+    async def beat(self, link) -> None:
+        """Ask one peer, and wait forever once all are done."""
+        if self.count == 0:
+            self.started = time.process_time()
+        self.count += 1
+        await link.call(heartbeat_body(), CALL_S)
+        if self.count >= self.wanted:
+            self.done.set()
+
+
+async def _time_beats(count: int) -> float:
+    port = await _free_port()
+    rounds = _Rounds(BEATS * count)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_make_server().serve, LOOPBACK, port, CALL_S)
+        for _ in range(count):
+            link = _make_link(port)
+            nursery.start_soon(link.run, 0, CALL_S, rounds.beat)
+        await rounds.done.wait()
+        spent = time.process_time() - rounds.started
+        nursery.cancel_scope.cancel()
+    return spent / BEATS
+
+
+@slope(
+    'heartbeat_time',
+    'one round of heartbeats',
+    'peer',
+    SECONDS,
+    needs=(*NEEDS, HANDLERS, PEER, SERVER, SETTINGS),
+)
+def measure_heartbeat_time() -> list[Point]:
+    """Ask and answer over loopback; processor time of both sides."""
+    return [Point(count, trio.run(_time_beats, count)) for count in PEER_COUNTS]
--- /dev/null
+++ b/bench/capacity/lookup_slopes.py
@@ -0,0 +1,259 @@
+"""Slopes of the look-up: table, answers, deltas."""
+
+import functools
+
+import attrs
+
+from bench.capacity import clients, probes, targets
+from bench.capacity.fits import Point
+from bench.capacity.slopes import BYTES, SECONDS, slope
+from chestnutshift.configuration.model import Preset
+from chestnutshift.events.log import EventLog
+from chestnutshift.lookup.answers import Question
+from chestnutshift.lookup.deltas import BlockChange, Delta
+from chestnutshift.lookup.directory import LookupDirectory
+from chestnutshift.lookup.outstanding import OutstandingAnswers
+from chestnutshift.lookup.prefixes import Family, Prefix
+from chestnutshift.lookup.table import load_table
+from chestnutshift.lookup.ranking import BUCKETS, EntryVM, rank
+from chestnutshift.lookup.view import LookupView
+
+BLOCK_COUNTS = (100_000, 200_000, 400_000)
+VM_COUNTS = (200, 400, 800)
+REGION_VM_COUNTS = (50, 100, 200, 350)
+CHANGE_COUNTS = (1, 10, 100, 1_000)
+ADDRESSES = 20_000
+ANSWERS = 20_000
+ANSWER_COUNTS = (5_000, 10_000, 20_000)
+DELTAS = 200
+RANKED_BUCKETS = 64
+PRESET = Preset(accounts={})
+
+
+@functools.cache
+def dumped_table(count: int) -> bytes:
+    """Return the bytes of a table of about count blocks."""
+    return clients.make_table(count).dump()
+
+
+def make_view(count: int, table) -> LookupView:
+    """Return a view of count VMs in the target's regions and domains."""
+    names = [f'region-{place}' for place in range(targets.REGIONS)]
+    entries = tuple(
+        EntryVM(
+            name=f'vm-{place}',
+            url=f'http://10.{place >> 8}.{place & 255}.1:8080',
+            region=names[place % targets.REGIONS],
+            failure_domain=f'domain-{place % targets.FAILURE_DOMAINS}',
+        )
+        for place in range(count)
+    )
+    orders = tuple(
+        _rotate(names, place % targets.REGIONS)
+        for place in range(targets.SITES)
+    )
+    return LookupView(entries, table, orders, orders[0])
+
+
+def _rotate(names: list[str], start: int) -> tuple[str, ...]:
+    return (*names[start:], *names[:start])
+
+
+def make_directory(count: int, table) -> LookupDirectory:
+    """Return the look-up state of one VM that knows count VMs."""
+    outstanding = OutstandingAnswers(0, PRESET.lookup.lifetime_s)
+    return LookupDirectory(
+        make_view(count, table),
+        outstanding,
+        EventLog('vm'),
+    )
+
+
+@slope('table_memory', 'memory of the table', 'client block', BYTES)
+def measure_table_memory() -> list[Point]:
+    """Load tables and read tracemalloc."""
+    return [
+        Point(
+            count,
+            probes.allocated_bytes(
+                functools.partial(load_table, dumped_table(count)),
+            ),
+        )
+        for count in BLOCK_COUNTS
+    ]
+
+
+@slope('table_size', 'bytes of the whole table', 'client block', BYTES)
+def measure_table_size() -> list[Point]:
+    """Dump tables."""
+    return [Point(count, len(dumped_table(count))) for count in BLOCK_COUNTS]
+
+
+@slope('table_build', 'build of the table', 'client block', SECONDS)
+def measure_table_build() -> list[Point]:
+    """Build tables from blocks, with the making of the blocks."""
+    return [
+        Point(
+            count,
+            probes.cpu_seconds(
+                functools.partial(clients.make_table, count),
+                repeats=2,
+            ),
+        )
+        for count in BLOCK_COUNTS
+    ]
+
+
+@slope('table_load', 'load and check of the table', 'client block', SECONDS)
+def measure_table_load() -> list[Point]:
+    """Load tables from bytes."""
+    return [
+        Point(
+            count,
+            probes.cpu_seconds(
+                functools.partial(load_table, dumped_table(count)),
+            ),
+        )
+        for count in BLOCK_COUNTS
+    ]
+
+
+def _apply_deltas(count: int) -> float:
+    table = load_table(dumped_table(count))
+    deltas = [
+        Delta(
+            number,
+            number + 1,
+            (BlockChange(Prefix(Family.V4, 24, number * 2), number),),
+        )
+        for number in range(1, DELTAS + 1)
+    ]
+
+    def work() -> None:
+        for delta in deltas:
+            table.apply(delta)
+
+    return probes.cpu_seconds(work, repeats=1) / DELTAS
+
+
+@slope('table_change', 'one change of the table', 'client block', SECONDS)
+def measure_table_change() -> list[Point]:
+    """Insert blocks near the start of the longest array, one a delta."""
+    return [Point(count, _apply_deltas(count)) for count in BLOCK_COUNTS]
+
+
+@slope('delta_size', 'a delta of the table', 'changed block', BYTES)
+def measure_delta_size() -> list[Point]:
+    """Dump deltas of IPv6 blocks."""
+    prefix = Prefix(Family.V6, 48, 1)
+    return [
+        Point(count, len(Delta(1, 2, (BlockChange(prefix, 1),) * count).dump()))
+        for count in CHANGE_COUNTS
+    ]
+
+
+def time_locate(table) -> float:
+    """Return the seconds of one look-up in the table."""
+    addresses = clients.make_addresses(table, ADDRESSES)
+
+    def work() -> None:
+        for address in addresses:
+            table.locate(address)
+
+    return probes.cpu_seconds(work) / len(addresses)
+
+
+@slope('locate', 'one look-up in the table', 'client block', SECONDS)
+def measure_locate() -> list[Point]:
+    """Locate addresses out of blocks all over the table."""
+    return [
+        Point(count, time_locate(load_table(dumped_table(count))))
+        for count in BLOCK_COUNTS
+    ]
+
+
+def _time_answers(directory: LookupDirectory, count: int) -> float:
+    addresses = clients.make_addresses(directory.table, count)
+    questions = [Question(address) for address in addresses]
+
+    def work() -> None:
+        for place, question in enumerate(questions):
+            directory.answer(question, PRESET, place / ANSWERS)
+
+    return probes.cpu_seconds(work, repeats=3)
+
+
+def time_answer(directory: LookupDirectory) -> float:
+    """Return the seconds of one counted answer, with ranks remembered."""
+    return _time_answers(directory, ANSWERS) / ANSWERS
+
+
+@slope('answer', 'answers of the directory', 'answer', SECONDS)
+def measure_answer() -> list[Point]:
+    """Choose and count answers, all buckets ranked before."""
+    table = load_table(dumped_table(BLOCK_COUNTS[0]))
+    directory = make_directory(VM_COUNTS[0], table)
+    return [
+        Point(count, _time_answers(directory, count)) for count in ANSWER_COUNTS
+    ]
+
+
+@slope('view_memory', 'memory of the entry VMs', 'known VM', BYTES)
+def measure_view_memory() -> list[Point]:
+    """Make views and read tracemalloc."""
+    table = clients.make_table(1000)
+    return [
+        Point(
+            count,
+            probes.allocated_bytes(
+                functools.partial(make_view, count, table),
+            ),
+        )
+        for count in VM_COUNTS
+    ]
+
+
+@slope('rank', 'ranks of a region after a change', 'VM of it', SECONDS)
+def measure_rank() -> list[Point]:
+    """Rank the VMs of one region for every bucket."""
+    return [Point(count, _time_ranks(count)) for count in REGION_VM_COUNTS]
+
+
+def _time_ranks(count: int) -> float:
+    entries = tuple(
+        EntryVM(f'vm-{place}', 'http://vm', 'region', f'domain-{place % 2}')
+        for place in range(count)
+    )
+
+    def work() -> None:
+        for bucket in range(RANKED_BUCKETS):
+            rank(entries, bucket)
+
+    return probes.cpu_seconds(work, repeats=3) * BUCKETS / RANKED_BUCKETS
+
+
+@slope('outstanding_memory', 'memory of the counts', 'named VM', BYTES)
+def measure_outstanding_memory() -> list[Point]:
+    """Record answers that name each VM in every second of a lifetime."""
+    table = clients.make_table(1000)
+    return [
+        Point(count, _memory_of_counts(make_directory(count, table)))
+        for count in VM_COUNTS
+    ]
+
+
+def _memory_of_counts(directory: LookupDirectory) -> int:
+    sample = directory.answer(Question('10.0.0.1'), PRESET, 0)
+    answers = [
+        attrs.evolve(sample, entries=(entry,), expires_at=second)
+        for entry in directory.view.entries
+        for second in range(int(PRESET.lookup.lifetime_s))
+    ]
+
+    def make() -> OutstandingAnswers:
+        outstanding = OutstandingAnswers(0, PRESET.lookup.lifetime_s)
+        for answer in answers:
+            outstanding.record(answer)
+        return outstanding
+
+    return probes.allocated_bytes(make)
--- /dev/null
+++ b/bench/capacity/slopes.py
@@ -0,0 +1,111 @@
+"""The measurements, by name; decorators fill the registry."""
+
+import importlib
+import json
+import logging
+import pathlib
+from collections.abc import Callable
+
+import attrs
+
+from bench.capacity.fits import Fit, Point, fit_line
+from chestnutshift.registry import Registry
+
+SECONDS = 's'
+BYTES = 'B'
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Slope:
+    """One measurement: what it measures, per unit of what, and its function.
+
+    needs names modules of the product; without them there is no measurement.
+    """
+
+    name: str
+    title: str
+    per: str
+    unit: str
+    measure: Callable[[], list[Point]]
+    needs: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Measured:
+    """One slope with its points and the line through them."""
+
+    slope: Slope
+    points: list[Point]
+    fit: Fit
+
+
+SLOPES: Registry[Slope] = Registry('slope')
+
+
+def slope(
+    name: str,
+    title: str,
+    per: str,
+    unit: str,
+    needs: tuple[str, ...] = (),
+) -> Callable[[Callable[[], list[Point]]], Slope]:
+    """Return a decorator that registers a measuring function."""
+
+    def decorator(measure: Callable[[], list[Point]]) -> Slope:
+        entry = Slope(name, title, per, unit, measure, needs)
+        return SLOPES.register(name)(entry)
+
+    return decorator
+
+
+def measure_all() -> dict[str, Measured]:
+    """Run every measurement whose modules exist; log each result."""
+    measured = {}
+    for name in SLOPES:
+        entry = SLOPES.get(name)
+        missing = [module for module in entry.needs if not _exists(module)]
+        if missing:
+            logger.warning('%s: not measured, no %s', name, missing)
+            continue
+        points = entry.measure()
+        fit = fit_line(points)
+        logger.info(
+            '%s: %.4g %s per %s, residual %.1f%%',
+            name,
+            fit.slope,
+            entry.unit,
+            entry.per,
+            fit.residual * 100,
+        )
+        measured[name] = Measured(entry, points, fit)
+    return measured
+
+
+def write_slopes(
+    measured: dict[str, Measured],
+    full: dict[str, float],
+    path: pathlib.Path,
+) -> None:
+    """Write every point and line as JSON."""
+    document = {
+        name: {
+            'per': one.slope.per,
+            'unit': one.slope.unit,
+            'points': [attrs.astuple(point) for point in one.points],
+            **attrs.asdict(one.fit),
+        }
+        for name, one in measured.items()
+    }
+    path.parent.mkdir(parents=True, exist_ok=True)
+    text = json.dumps({'slopes': document, 'full_table': full}, indent=1)
+    path.write_text(f'{text}\n')
+
+
+def _exists(module: str) -> bool:
+    try:
+        importlib.import_module(module)
+    except ImportError:
+        return False
+    return True
