Run a non-idempotent request at most once, by records and by tickets

Cause: a caller's repeat, or a retry of ours, must never run twice. Change: a record is created by a conditional write before the first byte goes upstream; only the holder of a claim changes it; readers derive what they tell and never write, so a lost holder leaves unknown and never not run. Ended claims are written down in groups by a task of their own. During an outage of the store tickets run at the VM that minted them only. Seen to fail first: a repeat that came in before its ticket expired, and was judged after the ticket was forgotten, ran again (test_forgotten_ticket_does_not_run).

--- /dev/null
+++ b/chestnutshift/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Run a non-idempotent request at most once: records, tickets, outcomes."""
--- /dev/null
+++ b/chestnutshift/idempotency/claiming.py
@@ -0,0 +1,116 @@
+"""Write a claim to the platform's table before its request is sent."""
+
+import random
+
+import attrs
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.idempotency import events
+from chestnutshift.idempotency.claims import Claim
+from chestnutshift.idempotency.exceptions import StoreUnreachableError
+from chestnutshift.idempotency.moments import Moment
+from chestnutshift.idempotency.records import TABLE, Record, make_id
+from chestnutshift.idempotency.verdicts import (
+    HolderIsGone,
+    NotRun,
+    StillRunning,
+    Verdict,
+    judge,
+)
+from chestnutshift.platform.backends.base import Platform
+from chestnutshift.platform.exceptions import (
+    ConflictError,
+    OutcomeUnknownError,
+    OverLimitError,
+    PlatformUnavailableError,
+    RequestRejectedError,
+)
+from chestnutshift.platform.records import Row, Transaction
+
+CLAIM_ROUNDS = 3
+COMMIT_TRIES = 2
+
+SURELY_NOT_APPLIED = (
+    PlatformUnavailableError,
+    OverLimitError,
+    RequestRejectedError,
+)
+
+
+@attrs.define
+class Claimer:
+    """Create the rows of claims and read those of others."""
+
+    platform: Platform
+    rng: random.Random
+    event_log: EventLog
+    holder_is_gone: HolderIsGone
+
+    async def write(self, claim: Claim, moment: Moment) -> Claim | Verdict:
+        """Return the claim once its row is ours, else what the row tells.
+
+        Raises StoreUnreachableError and KeyReusedError. Unless the claim is
+        then marked uncertain, its row was surely not written.
+        """
+        for _ in range(CLAIM_ROUNDS):
+            row = await self._commit(claim)
+            if row.value is None:
+                claim.version = row.version
+                continue
+            stored = Record.from_row(row.value)
+            if stored.claim == claim.record.claim:
+                claim.hold(row.version)
+                return claim
+            stored.check_digest(claim.request.digest)
+            verdict = self.judge(stored, moment)
+            if not isinstance(verdict, NotRun):
+                return verdict
+            claim.supersede(stored, row.version)
+        return StillRunning()
+
+    async def read(self, table_key: str) -> Record | None:
+        """Return a record; raise StoreUnreachableError."""
+        try:
+            row = await self.platform.read(TABLE, table_key)
+        except SURELY_NOT_APPLIED as error:
+            raise _unreachable(error) from error
+        return None if row is None else Record.from_row(row.value)
+
+    def judge(self, record: Record | None, moment: Moment) -> Verdict:
+        """Return what the record tells a reader."""
+        return judge(record, moment.wall_s, self.holder_is_gone)
+
+    async def _commit(self, claim: Claim) -> Row:
+        """Return the row as it is after the attempt to write the claim."""
+        transaction = Transaction(
+            operation_id=make_id(self.rng),
+            conditions=(claim.condition,),
+            writes=(claim.write,),
+        )
+        for _ in range(COMMIT_TRIES):
+            was_uncertain = claim.is_uncertain
+            # Stays so if the answer is lost or this task is cancelled.
+            claim.is_uncertain = True
+            try:
+                rows = await self.platform.commit(transaction)
+            except ConflictError as error:
+                claim.is_uncertain = False
+                return error.rows[0]
+            except OutcomeUnknownError:
+                continue
+            except SURELY_NOT_APPLIED as error:
+                # This try applied nothing; an earlier one may have.
+                claim.is_uncertain = was_uncertain
+                raise _unreachable(error) from error
+            return rows[0]
+        claim.emit(self.event_log, events.CLAIM_UNCERTAIN)
+        raise StoreUnreachableError(
+            'not run: the store did not say whether it took the record',
+        )
+
+
+def _unreachable(error: Exception) -> StoreUnreachableError:
+    refusal = StoreUnreachableError('not run: the store is out of reach')
+    if isinstance(error, OverLimitError):
+        refusal.retry_after_s = error.retry_after_s
+    return refusal
--- /dev/null
+++ b/chestnutshift/idempotency/fingerprint.py
@@ -0,0 +1,31 @@
+"""Digest a request, to tell a repeat from another request with its key.
+
+A body of up to BODY_HELD_B bytes is held back until it is whole and is part
+of the digest. A longer body streams to the upstream as it arrives; of it
+only the length and the caller's Content-Digest header (RFC 9530), if there
+is one, are part of the digest.
+"""
+
+import hashlib
+
+BODY_HELD_B = 65_536
+_HEAD_NAMES = (b'content-type', b'content-encoding', b'content-length')
+_SEPARATOR = b'\x00'
+
+
+def digest_request(
+    method: str,
+    target: bytes,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes | None,
+) -> str:
+    """Return the SHA-256 digest in hexadecimal; no body means it streams."""
+    named = {name.lower(): text for name, text in headers}
+    parts = [method.encode(), target]
+    parts += [named.get(name, b'').strip() for name in _HEAD_NAMES[:2]]
+    if body is None:
+        parts.append(named.get(_HEAD_NAMES[2], b''))
+        parts.append(named.get(b'content-digest', b''))
+    else:
+        parts.append(hashlib.sha256(body).digest())
+    return hashlib.sha256(_SEPARATOR.join(parts)).hexdigest()
--- /dev/null
+++ b/chestnutshift/idempotency/header.py
@@ -0,0 +1,51 @@
+"""Read the Idempotency-Key header.
+
+The header is a structured-field string (RFC 9651), as the IETF's draft of
+Idempotency-Key says: `Idempotency-Key: "8e03978e"`. The bare form without
+quotes is accepted as well and means the same key.
+"""
+
+import re
+
+from chestnutshift.idempotency.exceptions import (
+    MalformedIdempotencyKeyError,
+    MissingIdempotencyKeyError,
+)
+
+HEADER_NAME = b'idempotency-key'
+KEY_LENGTH_MAX = 192
+_BARE = re.compile(rb'[A-Za-z0-9._~:+/=-]+')
+_QUOTED = re.compile(rb'"((?:[!#-\[\]-~]|\\["\\])+)"')
+_ESCAPED = re.compile(rb'\\(["\\])')
+
+
+def read_idempotency_key(headers: list[tuple[bytes, bytes]]) -> str:
+    """Return the key; it has only visible ASCII characters.
+
+    Raises MissingIdempotencyKeyError and MalformedIdempotencyKeyError.
+    """
+    found = [text for name, text in headers if name.lower() == HEADER_NAME]
+    if not found:
+        raise MissingIdempotencyKeyError(
+            'not run: this service needs an Idempotency-Key header',
+        )
+    if len(found) > 1:
+        raise MalformedIdempotencyKeyError(
+            'not run: send exactly one Idempotency-Key header',
+        )
+    key = _parse(found[0].strip(b' \t'))
+    if not key or len(key) > KEY_LENGTH_MAX:
+        raise MalformedIdempotencyKeyError(
+            'not run: an Idempotency-Key is a quoted string of 1 to '
+            f'{KEY_LENGTH_MAX} visible ASCII characters',
+        )
+    return key.decode('ascii')
+
+
+def _parse(text: bytes) -> bytes:
+    if _BARE.fullmatch(text):
+        return text
+    quoted = _QUOTED.fullmatch(text)
+    if quoted is None:
+        return b''
+    return _ESCAPED.sub(rb'\1', quoted.group(1))
--- /dev/null
+++ b/chestnutshift/idempotency/ledger.py
@@ -0,0 +1,241 @@
+"""Begin, end and look up operations that run at most once."""
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.idempotency import events
+from chestnutshift.idempotency.claiming import Claimer
+from chestnutshift.idempotency.claims import (
+    Claim,
+    KeyedRequest,
+    NotRunProof,
+    Phase,
+    make_claim,
+)
+from chestnutshift.idempotency.exceptions import (
+    StoreUnreachableError,
+    TicketElsewhereError,
+)
+from chestnutshift.idempotency.memory import ClaimMemory
+from chestnutshift.idempotency.moments import Moment
+from chestnutshift.idempotency.outcomes import Outcome
+from chestnutshift.idempotency.records import Holder, State
+from chestnutshift.idempotency.settling import STORE_ERRORS, Settler
+from chestnutshift.idempotency.tickets import (
+    SECRET_B,
+    Ticket,
+    TicketOffice,
+    read_ticket,
+)
+from chestnutshift.idempotency.verdicts import (
+    HolderIsGone,
+    NotRun,
+    NotSeen,
+    OutcomeUnknown,
+    Verdict,
+)
+from chestnutshift.platform.backends.base import Platform
+
+
+class Ledger:
+    """The operations of one incarnation of a VM.
+
+    Its owner runs `settler.run` in a task of its own, which writes ended
+    claims down. Ending a claim is not awaited: a caller's answer need not
+    wait for the store, and a cancelled request can still be ended.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        holder: Holder,
+        rng: random.Random,
+        event_log: EventLog,
+        holder_is_gone: HolderIsGone,
+    ) -> None:
+        """Start without claims; `rng` must be a source of secrets."""
+        self._holder = holder
+        self._rng = rng
+        self._event_log = event_log
+        self._claimer = Claimer(platform, rng, event_log, holder_is_gone)
+        self._office = TicketOffice(holder, rng.randbytes(SECRET_B))
+        self._settler = Settler(platform, rng, event_log, self._settled)
+        self._memory = ClaimMemory()
+
+    @property
+    def settler(self) -> Settler:
+        """What writes ended claims down."""
+        return self._settler
+
+    def mint(self, account: str, moment: Moment) -> str:
+        """Return a ticket; raise TooManyRecordsError."""
+        self._memory.check_room(moment.now)
+        self._event_log.emit(events.TICKET_MINTED, account=account)
+        return self._office.mint(account, moment.now)
+
+    async def begin(
+        self,
+        request: KeyedRequest,
+        moment: Moment,
+    ) -> Claim | Verdict:
+        """Return a claim to run the request, or what to tell the caller.
+
+        `moment` is when the request came in. Raises an IdempotencyError if
+        the request must be refused, not run.
+        """
+        ticket = read_ticket(request.key)
+        if ticket is not None:
+            return await self._begin_ticket(ticket, request, moment)
+        while True:
+            known = self._memory.get(request.table_key)
+            if known is None:
+                return await self._claim(request, moment)
+            verdict = known.verdict(request.digest)
+            if not isinstance(verdict, NotRun):
+                return verdict
+            await self._settle_claim(known)
+
+    def finish(self, claim: Claim, outcome: Outcome) -> None:
+        """End the claim with the upstream's whole answer."""
+        claim.close(State.DONE, outcome)
+        self._close(claim)
+
+    def not_run(
+        self,
+        claim: Claim,
+        proof: NotRunProof = NotRunProof.NOT_SENT,
+    ) -> None:
+        """End the claim as not run, so that a repeat may run."""
+        claim.close_not_run(proof)
+        self._close(claim)
+
+    def abandon(self, claim: Claim) -> None:
+        """End the claim if it is open: as unknown if it was sent.
+
+        To be called at the end of every request, whatever happened.
+        """
+        if claim.is_open:
+            claim.abandon()
+            self._close(claim)
+
+    async def resolve(self, account: str, key: str, moment: Moment) -> Verdict:
+        """Return the outcome of an operation.
+
+        Raises StoreUnreachableError, and of tickets TicketElsewhereError,
+        TicketExpiredError and TicketForgedError.
+        NotRun and NotSeen tell of the past only: a request that is still on
+        its way may run later.
+        """
+        table_key = f'{account}/{key}'
+        known = self._memory.get(table_key)
+        if known is not None:
+            return known.verdict(known.request.digest)
+        ticket = read_ticket(key)
+        if ticket is not None and ticket.holder == self._holder:
+            ticket_time = self._memory.ticket_time(moment.now)
+            self._office.check(ticket, account, ticket_time)
+            return NotSeen()
+        record = await self._claimer.read(table_key)
+        if record is None and ticket is not None:
+            return self._judge_untraced(ticket)
+        return self._claimer.judge(record, moment)
+
+    async def _begin_ticket(
+        self,
+        ticket: Ticket,
+        request: KeyedRequest,
+        moment: Moment,
+    ) -> Claim | Verdict:
+        if ticket.holder != self._holder:
+            return await self._judge_foreign(ticket, request, moment)
+        ticket_time = self._memory.ticket_time(moment.now)
+        self._office.check(ticket, request.account, ticket_time)
+        previous = self._memory.get(request.table_key)
+        claim = make_claim(request, self._holder, self._rng, moment)
+        if previous is None:
+            self._memory.check_room(moment.now)
+        else:
+            verdict = previous.verdict(request.digest)
+            if not isinstance(verdict, NotRun):
+                return verdict
+            self._settler.forget(previous)
+            claim.supersede(previous.record, previous.version)
+        claim.expires = ticket.expires
+        claim.hold(claim.version)
+        self._memory.put(claim)
+        claim.emit(self._event_log, events.CLAIMED)
+        return claim
+
+    async def _judge_foreign(
+        self,
+        ticket: Ticket,
+        request: KeyedRequest,
+        moment: Moment,
+    ) -> Verdict:
+        """Answer for a ticket of another VM or an earlier incarnation."""
+        self._judge_untraced(ticket)
+        record = await self._claimer.read(request.table_key)
+        if record is not None:
+            record.check_digest(request.digest)
+        verdict = self._claimer.judge(record, moment)
+        if isinstance(verdict, (NotRun, NotSeen)):
+            # Its minter may have run it later, without a trace that lasts.
+            return OutcomeUnknown()
+        return verdict
+
+    def _judge_untraced(self, ticket: Ticket) -> Verdict:
+        """Answer for another holder's ticket that has no record.
+
+        Raises TicketElsewhereError while its minter may still be asked.
+        """
+        is_own_vm = ticket.holder.vm == self._holder.vm
+        if is_own_vm or self._claimer.holder_is_gone(ticket.holder):
+            return OutcomeUnknown()
+        raise TicketElsewhereError(ticket.holder.vm)
+
+    async def _claim(
+        self,
+        request: KeyedRequest,
+        moment: Moment,
+    ) -> Claim | Verdict:
+        self._memory.check_room(moment.now)
+        claim = make_claim(request, self._holder, self._rng, moment)
+        self._memory.put(claim)
+        with self._ending_unless_held(claim):
+            outcome = await self._claimer.write(claim, moment)
+        kind = events.CLAIMED if outcome is claim else events.REPEATED
+        claim.emit(self._event_log, kind)
+        return outcome
+
+    @contextmanager
+    def _ending_unless_held(self, claim: Claim) -> Iterator[None]:
+        """End a claim that did not become this VM's for sure.
+
+        Also when the task is cancelled: what may be written must be ended.
+        """
+        try:
+            yield
+        finally:
+            if claim.phase is Phase.CLAIMING and claim.is_uncertain:
+                self.abandon(claim)
+            elif claim.phase is Phase.CLAIMING:
+                self._memory.drop(claim)
+
+    async def _settle_claim(self, claim: Claim) -> None:
+        try:
+            await self._settler.settle_claim(claim)
+        except STORE_ERRORS as error:
+            raise StoreUnreachableError(
+                'not run: the store is out of reach',
+            ) from error
+
+    def _close(self, claim: Claim) -> None:
+        claim.emit(self._event_log, events.CLOSED)
+        self._settler.add(claim)
+
+    def _settled(self, claim: Claim) -> None:
+        # A used ticket is remembered until it expires.
+        if claim.expires is None:
+            self._memory.drop(claim)
--- /dev/null
+++ b/chestnutshift/idempotency/outcomes.py
@@ -0,0 +1,72 @@
+"""What is kept of an upstream's answer for repeats of its request."""
+
+import hashlib
+
+import attrs
+
+BODY_KEPT_B = 2048
+HEADERS_KEPT_B = 1024
+KEPT_HEADERS = frozenset(
+    ('content-type', 'content-language', 'etag', 'location'),
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.frozen
+class Outcome:
+    """An upstream's answer, as far as it is kept.
+
+    `body` is None if the answer was longer than BODY_KEPT_B; the length
+    in bytes and the SHA-256 digest are kept in any case.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+    length_b: int
+    digest: str
+
+
+class AnswerRecorder:
+    """Collect an answer's outcome while the answer passes by."""
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        """Start with the head of the answer."""
+        self._status = status
+        self._headers = _kept_headers(headers)
+        self._body: bytes | None = b''
+        self._length_b = 0
+        self._hash = hashlib.sha256()
+
+    def add(self, chunk: bytes) -> None:
+        """Take note of the next bytes of the body."""
+        self._length_b += len(chunk)
+        self._hash.update(chunk)
+        if self._length_b > BODY_KEPT_B:
+            self._body = None
+        else:
+            self._body += chunk
+
+    def outcome(self) -> Outcome:
+        """Return the outcome; call it once the answer is whole."""
+        return Outcome(
+            status=self._status,
+            headers=self._headers,
+            body=self._body,
+            length_b=self._length_b,
+            digest=self._hash.hexdigest(),
+        )
+
+
+def _kept_headers(headers: Headers) -> tuple[tuple[str, str], ...]:
+    kept = []
+    left_b = HEADERS_KEPT_B
+    for name, text in headers:
+        lowered = name.decode('latin-1').lower()
+        if lowered not in KEPT_HEADERS:
+            continue
+        left_b -= len(text)
+        if left_b >= 0:
+            kept.append((lowered, text.decode('latin-1')))
+    return tuple(kept)
--- /dev/null
+++ b/chestnutshift/idempotency/tickets.py
@@ -0,0 +1,87 @@
+"""Tickets: idempotency keys that need no shared store.
+
+A ticket is minted by one incarnation of a VM and can run there only. That
+incarnation remembers the tickets used until they expire, so a ticket runs
+at most once without anything being shared with other VMs.
+"""
+
+import hashlib
+import hmac
+
+import attrs
+
+from chestnutshift.idempotency.exceptions import (
+    TicketExpiredError,
+    TicketForgedError,
+)
+from chestnutshift.idempotency.records import Holder
+
+TICKET_LIFETIME_S = 600.0
+SECRET_B = 32
+_PREFIX = 'cst1'
+_SEPARATOR = '~'
+_FIELDS = 6
+_MAC_LENGTH = 32
+
+
+@attrs.frozen
+class Ticket:
+    """A ticket as it reads; only its minter can tell whether it is real.
+
+    `expires` is whole seconds of the minter's own clock.
+    """
+
+    text: str
+    holder: Holder
+    expires: int
+    mac: str
+
+
+def read_ticket(key: str) -> Ticket | None:
+    """Return the ticket that an idempotency key is, or None."""
+    fields = key.split(_SEPARATOR)
+    if len(fields) != _FIELDS or fields[0] != _PREFIX:
+        return None
+    vm, incarnation, _, expires, mac = fields[1:]
+    if not expires.isdecimal():
+        return None
+    return Ticket(key, Holder(vm, incarnation), int(expires), mac)
+
+
+@attrs.define
+class TicketOffice:
+    """Mint and check the tickets of one incarnation."""
+
+    _holder: Holder
+    _secret: bytes = attrs.field(repr=False)
+    _minted: int = 0
+
+    def mint(self, account: str, now: float) -> str:
+        """Return a new ticket for the account, good for TICKET_LIFETIME_S."""
+        self._minted += 1
+        fields = (
+            _PREFIX,
+            self._holder.vm,
+            self._holder.incarnation,
+            str(self._minted),
+            str(int(now + TICKET_LIFETIME_S)),
+        )
+        text = _SEPARATOR.join(fields)
+        return f'{text}{_SEPARATOR}{self._mac(account, text)}'
+
+    def check(self, ticket: Ticket, account: str, now: float) -> None:
+        """Raise TicketForgedError or TicketExpiredError."""
+        text, _, _ = ticket.text.rpartition(_SEPARATOR)
+        if not hmac.compare_digest(self._mac(account, text), ticket.mac):
+            raise TicketForgedError(
+                'not run: this VM minted no such ticket for this account',
+            )
+        if now > ticket.expires:
+            raise TicketExpiredError(
+                'not run now; whether the ticket was used is forgotten',
+            )
+
+    def _mac(self, account: str, text: str) -> str:
+        message = f'{account}\n{text}'.encode()
+        code = hmac.new(self._secret, message, hashlib.sha256)
+        return code.hexdigest()[:_MAC_LENGTH]
--- /dev/null
+++ b/tests/idempotency/__init__.py
@@ -0,0 +1,71 @@
+"""Tests of the idempotency package, with what they share."""
+
+import random
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.idempotency.claims import KeyedRequest
+from chestnutshift.idempotency.ledger import Ledger
+from chestnutshift.idempotency.moments import Moment
+from chestnutshift.idempotency.outcomes import AnswerRecorder, Outcome
+from chestnutshift.idempotency.records import Holder
+from chestnutshift.idempotency.verdicts import HolderIsGone
+from chestnutshift.invariants.registry import ENFORCEMENT
+from chestnutshift.platform.backends.memory import MemoryPlatform, Store
+
+START = Moment(now=1000, wall_s=1_700_000_000)
+TIMEOUT_S = 30.0
+
+raises = unittest.TestCase().assertRaises
+
+
+@contextmanager
+def enforced() -> Iterator[None]:
+    """Let violated invariants raise inside the block."""
+    ENFORCEMENT.raises = True
+    try:
+        yield
+    finally:
+        ENFORCEMENT.raises = False
+
+
+def nobody_gone(holder: Holder) -> bool:
+    """Say that every holder is alive."""
+    return False
+
+
+def make_ledger(
+    platform: MemoryPlatform,
+    vm: str = 'm1',
+    incarnation: str = 'i1',
+    holder_is_gone: HolderIsGone = nobody_gone,
+) -> Ledger:
+    """Return a ledger of one VM with repeatable random numbers."""
+    rng = random.Random(f'{vm}/{incarnation}')
+    holder = Holder(vm, incarnation)
+    return Ledger(platform, holder, rng, EventLog(vm), holder_is_gone)
+
+
+def make_request(
+    key: str = 'k1',
+    digest: str = 'd1',
+    account: str = 'konya',
+) -> KeyedRequest:
+    """Return a request with a key."""
+    return KeyedRequest(account, key, digest, TIMEOUT_S)
+
+
+def make_outcome(body: bytes = b'booked') -> Outcome:
+    """Return the outcome of an answer with this body."""
+    headers = [(b'Location', b'/bookings/7'), (b'Date', b'today')]
+    recorder = AnswerRecorder(201, headers)
+    recorder.add(body)
+    return recorder.outcome()
+
+
+def make_platforms(count: int) -> list[MemoryPlatform]:
+    """Return several VMs' accesses to one store."""
+    store = Store()
+    return [MemoryPlatform(store) for _ in range(count)]
--- /dev/null
+++ b/tests/idempotency/test_ledger.py
@@ -0,0 +1,222 @@
+"""A repeat never runs twice, whatever the store and the holder do."""
+
+import trio
+from trio.testing import trio_test
+
+from chestnutshift.idempotency import exceptions
+from chestnutshift.idempotency.claims import Claim, NotRunProof
+from chestnutshift.idempotency.verdicts import (
+    HOLDER_MARGIN_S,
+    NotRun,
+    NotSeen,
+    OutcomeUnknown,
+    Replay,
+    StillRunning,
+)
+from chestnutshift.invariants.registry import InvariantViolationError
+from tests.idempotency import (
+    START,
+    TIMEOUT_S,
+    enforced,
+    make_ledger,
+    make_outcome,
+    make_platforms,
+    make_request,
+    raises,
+)
+
+REQUEST = make_request()
+
+
+@trio_test
+async def test_repeats_hear_running_then_outcome():
+    """At the same VM and at another one, before and after the end."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms())
+    claim = await here.begin(REQUEST, START)
+    assert isinstance(claim, Claim)
+    for ledger in (here, there):
+        assert await ledger.begin(REQUEST, START) == StillRunning()
+        with raises(exceptions.KeyReusedError):
+            await ledger.begin(make_request(digest='other'), START)
+    claim.before_send(START)
+    here.finish(claim, make_outcome())
+    assert await here.begin(REQUEST, START) == Replay(make_outcome())
+    await here.settler.settle()
+    for ledger in (here, there):
+        assert await ledger.begin(REQUEST, START) == Replay(make_outcome())
+        assert await ledger.resolve('konya', 'k1', START) == Replay(
+            make_outcome(),
+        )
+
+
+@trio_test
+async def test_accounts_do_not_share_keys():
+    """The same key of another account is another operation."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms())
+    await here.begin(REQUEST, START)
+    other = make_request(account='bursa')
+    assert isinstance(await there.begin(other, START), Claim)
+
+
+@trio_test
+async def test_one_of_many_repeats_runs():
+    """Of repeats that arrive together at two VMs, one gets the claim."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms(0.03))
+    begun = []
+
+    async def begin(ledger):
+        begun.append(await ledger.begin(REQUEST, START))
+
+    async with trio.open_nursery() as nursery:
+        for ledger in (here, there) * 3:
+            nursery.start_soon(begin, ledger)
+    assert sum(isinstance(each, Claim) for each in begun) == 1
+    assert begun.count(StillRunning()) == 5
+
+
+@trio_test
+async def test_not_run_is_claimed_again():
+    """After proof that nothing ran, a repeat runs under a higher fence."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms())
+    claim = await here.begin(REQUEST, START)
+    here.not_run(claim)
+    await here.settler.settle()
+    assert await there.resolve('konya', 'k1', START) == NotRun()
+    second = await there.begin(REQUEST, START)
+    assert second.record.fence == 2
+    there.not_run(second)
+    # The unwritten end is written before the next claim.
+    third = await there.begin(REQUEST, START)
+    assert third.record.fence == 3
+
+
+@trio_test
+async def test_lost_holder_leaves_unknown():
+    """A repeat hears `unknown`, never `not run`, of a lost holder."""
+    gone = set()
+    here, there = (
+        make_ledger(each, vm, holder_is_gone=gone.__contains__)
+        for each, vm in _two_vms()
+    )
+    claim = await here.begin(REQUEST, START)
+    late = START.later(TIMEOUT_S + HOLDER_MARGIN_S)
+    assert await there.begin(REQUEST, late) == StillRunning()
+    late = late.later(1)
+    assert await there.begin(REQUEST, late) == OutcomeUnknown()
+    gone.add(claim.record.holder)
+    assert await there.begin(REQUEST, START) == OutcomeUnknown()
+    # The holder was only paused: what it tells in the end is the truth.
+    here.finish(claim, make_outcome())
+    await here.settler.settle()
+    assert await there.begin(REQUEST, START) == Replay(make_outcome())
+
+
+@trio_test
+async def test_paused_holder_sends_nothing_late():
+    """A holder that wakes up after its limit sends nothing."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    claim = await ledger.begin(REQUEST, START)
+    late = START.later(TIMEOUT_S + 1)
+    with raises(exceptions.ClaimExpiredError):
+        claim.before_send(late)
+    # A suspended VM's own clock may have stood still.
+    suspended = type(START)(START.now, late.wall_s)
+    with raises(exceptions.ClaimExpiredError):
+        claim.before_send(suspended)
+    ledger.abandon(claim)
+    assert await ledger.resolve('konya', 'k1', late) == NotRun()
+
+
+@trio_test
+async def test_outage_refuses_and_leaves_nothing():
+    """Without the store nothing is claimed, and a repeat runs later."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    platform.outage = True
+    with raises(exceptions.StoreUnreachableError) as caught:
+        await ledger.begin(REQUEST, START)
+    assert caught.exception.retry_after_s
+    platform.outage = False
+    assert await ledger.resolve('konya', 'k1', START) == NotSeen()
+    assert isinstance(await ledger.begin(REQUEST, START), Claim)
+
+
+@trio_test
+async def test_lost_answer_is_resolved_by_operation():
+    """One lost answer to the claim costs one more round trip."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    platform.lose_answers = 1
+    assert isinstance(await ledger.begin(REQUEST, START), Claim)
+
+
+@trio_test
+async def test_claim_written_unknown_is_ended_not_run():
+    """A claim whose answers are all lost is refused, then written as such."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms())
+    here._claimer.platform.lose_answers = 2
+    with raises(exceptions.StoreUnreachableError):
+        await here.begin(REQUEST, START)
+    assert await there.begin(REQUEST, START) == StillRunning()
+    await here.settler.settle()
+    assert isinstance(await there.begin(REQUEST, START), Claim)
+
+
+@trio_test
+async def test_cancelled_claim_is_ended_not_run():
+    """A caller that leaves during the claim doesn't block its repeat."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    platform.latency_s = 1
+    with trio.move_on_after(0):
+        await ledger.begin(REQUEST, START)
+    platform.latency_s = 0
+    assert isinstance(await ledger.begin(REQUEST, START), Claim)
+
+
+@trio_test
+async def test_end_during_outage_is_written_later():
+    """The run loop writes ended claims once the store is back."""
+    here, there = (make_ledger(each, vm) for each, vm in _two_vms())
+    claim = await here.begin(REQUEST, START)
+    claim.before_send(START)
+    here._claimer.platform.outage = True
+    here.finish(claim, make_outcome())
+    with trio.move_on_after(0.01):
+        await here.settler.run()
+    assert len(here.settler) == 1
+    here._claimer.platform.outage = False
+    with trio.move_on_after(0.01):
+        await here.settler.run()
+    assert len(here.settler) == 0
+    assert await there.begin(REQUEST, START) == Replay(make_outcome())
+
+
+@trio_test
+async def test_claim_is_sent_once():
+    """A second sending needs proof that the first ran nothing."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    claim = await ledger.begin(REQUEST, START)
+    claim.before_send(START)
+    with enforced(), raises(InvariantViolationError):
+        claim.before_send(START)
+    with raises(exceptions.ClaimExpiredError):
+        claim.before_send(START)
+    with enforced(), raises(InvariantViolationError):
+        claim.retry(NotRunProof.NOT_SENT)
+    claim.retry(NotRunProof.UPSTREAM_SAID_SO)
+    claim.before_send(START)
+    with enforced(), raises(InvariantViolationError):
+        ledger.not_run(claim)
+    # Without enforcement an unproved `not run` is recorded as unknown.
+    ledger.not_run(claim)
+    assert await ledger.begin(REQUEST, START) == OutcomeUnknown()
+
+
+def _two_vms(latency_s: float = 0):
+    platforms = make_platforms(2)
+    for platform in platforms:
+        platform.latency_s = latency_s
+    return zip(platforms, ('m1', 'm2'), strict=True)
--- /dev/null
+++ b/tests/idempotency/test_tickets.py
@@ -0,0 +1,157 @@
+"""A ticket runs at most once, and only where it was minted."""
+
+from nose2.tools import params
+from trio.testing import trio_test
+
+from chestnutshift.idempotency import exceptions
+from chestnutshift.idempotency.claims import Claim
+from chestnutshift.idempotency.memory import EXPIRY_PERIOD_S
+from chestnutshift.idempotency.tickets import TICKET_LIFETIME_S, read_ticket
+from chestnutshift.idempotency.verdicts import (
+    NotSeen,
+    OutcomeUnknown,
+    Replay,
+    StillRunning,
+)
+from tests.idempotency import (
+    START,
+    make_ledger,
+    make_outcome,
+    make_platforms,
+    make_request,
+    raises,
+)
+
+EXPIRED = START.later(TICKET_LIFETIME_S + 1)
+
+
+def make_isolated(vm: str = 'm1', incarnation: str = 'i1'):
+    """Return a ledger that can't reach the store, and its platform."""
+    platform = make_platforms(1)[0]
+    platform.outage = True
+    return make_ledger(platform, vm, incarnation), platform
+
+
+@trio_test
+async def test_ticket_runs_once_without_store():
+    """Repeats hear of the first run, and other content is refused."""
+    ledger, platform = make_isolated()
+    request = make_request(ledger.mint('konya', START))
+    assert await ledger.resolve('konya', request.key, START) == NotSeen()
+    claim = await ledger.begin(request, START)
+    assert isinstance(claim, Claim)
+    assert await ledger.begin(request, START) == StillRunning()
+    claim.before_send(START)
+    ledger.finish(claim, make_outcome())
+    assert await ledger.begin(request, START) == Replay(make_outcome())
+    with raises(exceptions.KeyReusedError):
+        await ledger.begin(make_request(request.key, 'other'), START)
+    platform.outage = False
+    await ledger.settler.settle()
+    # Written down, and still remembered.
+    assert await ledger.begin(request, START) == Replay(make_outcome())
+    other = make_ledger(platform, 'm2')
+    known = await other.resolve('konya', request.key, START)
+    assert known == Replay(make_outcome())
+
+
+@trio_test
+async def test_ticket_not_run_may_run_again():
+    """Proof that nothing ran leaves the ticket usable, at a higher fence."""
+    ledger, platform = make_isolated()
+    request = make_request(ledger.mint('konya', START))
+    ledger.not_run(await ledger.begin(request, START))
+    claim = await ledger.begin(request, START)
+    assert claim.record.fence == 2
+    claim.before_send(START)
+    ledger.finish(claim, make_outcome())
+    platform.outage = False
+    await ledger.settler.settle()
+    other = make_ledger(platform, 'm2')
+    known = await other.resolve('konya', request.key, START)
+    assert known == Replay(make_outcome())
+
+
+@trio_test
+async def test_ticket_is_refused_elsewhere():
+    """Another VM names the one to go to; a forged ticket is refused."""
+    ledger = make_isolated()[0]
+    ticket = ledger.mint('konya', START)
+    with raises(exceptions.TicketElsewhereError) as caught:
+        await make_isolated('m2')[0].begin(make_request(ticket), START)
+    assert caught.exception.vm == 'm1'
+    connected = make_ledger(make_platforms(1)[0], 'm2')
+    with raises(exceptions.TicketElsewhereError):
+        await connected.resolve('konya', ticket, START)
+    stolen = make_request(ticket, account='bursa')
+    with raises(exceptions.TicketForgedError):
+        await ledger.begin(stolen, START)
+    forged = make_request(f'{ticket[:-1]}x')
+    with raises(exceptions.TicketForgedError):
+        await ledger.begin(forged, START)
+
+
+@trio_test
+async def test_later_incarnation_tells_unknown():
+    """A restarted VM can't know whether the ticket was used."""
+    ledger, platform = make_isolated()
+    request = make_request(ledger.mint('konya', START))
+    restarted = make_ledger(platform, incarnation='i2')
+    with raises(exceptions.StoreUnreachableError):
+        await restarted.begin(request, START)
+    platform.outage = False
+    assert await restarted.begin(request, START) == OutcomeUnknown()
+    known = await restarted.resolve('konya', request.key, START)
+    assert known == OutcomeUnknown()
+
+
+@trio_test
+async def test_expired_ticket_does_not_run():
+    """Nothing runs on a ticket that its VM may have forgotten."""
+    ledger = make_isolated()[0]
+    request = make_request(ledger.mint('konya', START))
+    claim = await ledger.begin(request, START)
+    with raises(exceptions.TicketExpiredError):
+        await ledger.begin(request, EXPIRED)
+    # Remembered while open, forgotten after its end.
+    ledger.mint('konya', EXPIRED)
+    assert ledger._memory.get(request.table_key) is claim
+    ledger.abandon(claim)
+    ledger.mint('konya', EXPIRED.later(EXPIRY_PERIOD_S))
+    assert ledger._memory.get(request.table_key) is None
+
+
+@trio_test
+async def test_forgotten_ticket_does_not_run():
+    """A repeat that came in long ago finds its ticket forgotten."""
+    ledger = make_isolated()[0]
+    request = make_request(ledger.mint('konya', START))
+    claim = await ledger.begin(request, START)
+    claim.before_send(START)
+    ledger.finish(claim, make_outcome())
+    ledger.mint('konya', EXPIRED)
+    with raises(exceptions.TicketExpiredError):
+        await ledger.begin(request, START)
+
+
+@trio_test
+async def test_memory_is_bounded():
+    """Used tickets and unwritten outcomes don't grow without end."""
+    ledger = make_isolated()[0]
+    ledger._memory.limit = 3
+    ledger.settler.limit = 2
+    for _ in range(3):
+        request = make_request(ledger.mint('konya', START))
+        claim = await ledger.begin(request, START)
+        claim.before_send(START)
+        ledger.finish(claim, make_outcome())
+    with raises(exceptions.TooManyRecordsError):
+        ledger.mint('konya', START)
+    assert len(ledger.settler) == 2
+    assert await ledger.begin(request, START) == Replay(make_outcome())
+
+
+@params('', 'k1', 'cst1~a~b', 'cst1~vm~i~1~soon~mac', 'cst2~vm~i~1~5~mac')
+def test_other_keys_are_no_tickets(key):
+    """Callers' own keys are not taken for tickets."""
+    assert read_ticket(key) is None
