Add the choice of upstreams, divided slots and retry budgets

Slots of an upstream are divided over the positions of its failure domain's VMs and lent by one-slot loans that the borrower counts from its request and the lender from its grant plus the longest run.

--- /dev/null
+++ b/chestnutshift/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, backoff and the deadlines that bound them."""
--- /dev/null
+++ b/chestnutshift/upstreams/division.py
@@ -0,0 +1,117 @@
+"""How the slots of upstreams are divided over the VMs' positions."""
+
+import math
+import zlib
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from chestnutshift.upstreams.exceptions import UnknownUpstreamError
+
+KEPT_FRACTION = 0.25
+
+
+@attrs.frozen
+class UpstreamSlots:
+    """How many requests one upstream runs at a time."""
+
+    name: str
+    service: str
+    slots: int
+
+
+@attrs.frozen
+class Seat:
+    """A VM's place among the VMs of its failure domain.
+
+    incarnation grows with every process that takes the place; a process
+    that took it from another one gives the time as joined_at.
+    """
+
+    vm: str
+    region: str
+    position: int
+    positions: int
+    incarnation: int = 0
+    joined_at: float = -math.inf
+
+
+def floor_of(upstream: UpstreamSlots, position: int, positions: int) -> int:
+    """Return the slots that a position owns; all positions add up to all.
+
+    The remainder goes to positions that the name picks, so that VMs agree
+    without knowing each other's list of upstreams.
+    """
+    share, rest = divmod(upstream.slots, positions)
+    turn = (position + zlib.crc32(upstream.name.encode())) % positions
+    return share + int(turn < rest)
+
+
+def kept_of(floor: int) -> int:
+    """Return how many slots of a floor are never lent."""
+    return min(floor, max(1, math.ceil(floor * KEPT_FRACTION)))
+
+
+@attrs.define(eq=False)
+class Entry:
+    """An upstream, the slots of it that this VM owns, and those in use."""
+
+    upstream: UpstreamSlots
+    floor: int
+    busy: int = 0
+
+
+class Division:
+    """The upstreams of a failure domain and what this VM owns of each."""
+
+    def __init__(self, seat: Seat, upstreams: Iterable[UpstreamSlots]) -> None:
+        """Divide the upstreams of the seat's failure domain."""
+        self._seat = seat
+        self._positions = {seat.position}
+        self._entries: dict[str, Entry] = {}
+        self._services: dict[str, list[Entry]] = {}
+        self.update(upstreams)
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the names of the services."""
+        return iter(self._services)
+
+    def update(self, upstreams: Iterable[UpstreamSlots]) -> None:
+        """Take a changed list of upstreams, keeping what is in use."""
+        known = self._entries
+        self._entries = {}
+        self._services = {}
+        for upstream in upstreams:
+            # Leases point at their entry, so a known one is kept.
+            entry = known.get(upstream.name) or Entry(upstream, 0)
+            entry.upstream = upstream
+            entry.floor = self._floor(upstream)
+            self._entries[upstream.name] = entry
+            self._services.setdefault(upstream.service, []).append(entry)
+
+    def hold_position(self, position: int) -> None:
+        """Own a vacant position's floor too; its lease must be this VM's."""
+        self._positions.add(position)
+        self.update([entry.upstream for entry in self._entries.values()])
+
+    def drop_position(self, position: int) -> None:
+        """Own a position's floor no more, so that another VM may take it."""
+        self._positions.discard(position)
+        self.update([entry.upstream for entry in self._entries.values()])
+
+    def entry(self, upstream: str) -> Entry:
+        """Return an upstream's entry; raise UnknownUpstreamError."""
+        entry = self._entries.get(upstream)
+        if entry is None:
+            raise UnknownUpstreamError(f'no upstream {upstream!r} here')
+        return entry
+
+    def of_service(self, service: str) -> list[Entry]:
+        """Return the entries of a service's upstreams."""
+        return self._services.get(service, [])
+
+    def _floor(self, upstream: UpstreamSlots) -> int:
+        return sum(
+            floor_of(upstream, position, self._seat.positions)
+            for position in self._positions
+        )
--- /dev/null
+++ b/chestnutshift/upstreams/exchange.py
@@ -0,0 +1,136 @@
+"""The messages by which the VMs of a failure domain lend slots."""
+
+import math
+from collections.abc import Mapping, Sequence
+
+from chestnutshift.upstreams.division import kept_of
+from chestnutshift.upstreams.loans import (
+    Holdings,
+    HoldingsRequest,
+    LentSlot,
+    Message,
+    Outgoing,
+    SlotGrant,
+    SlotRequest,
+    SlotReturn,
+)
+from chestnutshift.upstreams.slots import SlotTable
+
+BORROW_LOAD = 0.75
+LENDER_FREE_SLOTS = 1
+
+
+class SlotExchange:
+    """Borrow for one VM's slot table, and lend from it."""
+
+    def __init__(self, table: SlotTable) -> None:
+        """Act for the table."""
+        self._table = table
+
+    def plan(
+        self,
+        now: float,
+        waiting: Mapping[str, int],
+        peers: Sequence[str],
+    ) -> list[Outgoing]:
+        """Return the messages due now, given each service's queue length.
+
+        peers are the reachable VMs of the failure domain; call this every
+        few tens of milliseconds and when a queue begins to fill.
+        """
+        table = self._table
+        table.waiting = waiting
+        messages = table.borrower.returns(now)
+        if not peers:
+            return messages
+        if not table.is_settled(now):
+            question = HoldingsRequest(table.seat.vm, table.seat.incarnation)
+            messages.extend(Outgoing(peer, question) for peer in peers)
+        for service in table.division:
+            # Each peer is asked for its part of what is wanted.
+            part = math.ceil(self._wanted(service, now) / len(peers))
+            messages.extend(self._ask(service, part, peers, now))
+        return messages
+
+    def handle_message(self, message: Message, now: float) -> list[Outgoing]:
+        """Take a peer's message and return the answers to it."""
+        match message:
+            case SlotRequest():
+                return [self.handle_request(message, now)]
+            case SlotGrant():
+                self.handle_grant(message, now)
+            case SlotReturn():
+                self._table.lender.take_back(message)
+            case HoldingsRequest():
+                return [self._holdings(message)]
+            case Holdings():
+                self._table.settle(message, now)
+        return []
+
+    def handle_request(self, request: SlotRequest, now: float) -> Outgoing:
+        """Lend what is free to a peer in need and recall what it lent."""
+        self._table.borrower.recall(request.borrower, now)
+        slots: list[LentSlot] = []
+        while len(slots) < request.wanted:
+            name = self._lendable(request.service, now)
+            if name is None:
+                break
+            slots.append(self._table.lender.lend(name, now))
+        grant = SlotGrant(
+            lender=self._table.seat.vm,
+            incarnation=self._table.seat.incarnation,
+            request=request.number,
+            slots=tuple(slots),
+        )
+        return Outgoing(request.borrower, grant)
+
+    def handle_grant(self, grant: SlotGrant, now: float) -> int:
+        """Take a loan and return how many slots it brought."""
+        return self._table.borrower.accept(grant, now)
+
+    def _wanted(self, service: str, now: float) -> int:
+        """Return the slots to borrow: none below BORROW_LOAD."""
+        waiting = self._table.waiting.get(service, 0)
+        capacity, busy = self._table.service_load(service, now)
+        if not waiting and busy < capacity * BORROW_LOAD:
+            return 0
+        return max(0, waiting + math.ceil(busy / BORROW_LOAD) - capacity)
+
+    def _ask(
+        self,
+        service: str,
+        wanted: int,
+        peers: Sequence[str],
+        now: float,
+    ) -> list[Outgoing]:
+        if not wanted:
+            return []
+        borrower = self._table.borrower
+        asked = [borrower.ask(service, wanted, peer, now) for peer in peers]
+        return [message for message in asked if message]
+
+    def _holdings(self, question: HoldingsRequest) -> Outgoing:
+        answer = Holdings(
+            borrower=self._table.seat.vm,
+            position=self._table.seat.position,
+            incarnation=question.incarnation,
+            upstreams=self._table.borrower.holdings(question),
+        )
+        return Outgoing(question.lender, answer)
+
+    def _lendable(self, service: str, now: float) -> str | None:
+        """Return the upstream with the most free slots above the kept."""
+        table = self._table
+        if table.waiting.get(service, 0) or not table.is_settled(now):
+            return None
+        capacity, busy = table.service_load(service, now)
+        if capacity - busy <= LENDER_FREE_SLOTS:
+            return None
+        best_name = None
+        most = 0
+        for entry in table.division.of_service(service):
+            own = table.own(entry, now)
+            free = min(own - entry.busy, own - kept_of(entry.floor))
+            if free > most and entry.upstream.name not in table.closed:
+                best_name, most = entry.upstream.name, free
+        return best_name
--- /dev/null
+++ b/chestnutshift/upstreams/queueing.py
@@ -0,0 +1,164 @@
+"""The bounded queue of one service's requests at one VM.
+
+A request that cannot start and end before its deadline is refused at once,
+as not run, with the time after which the backlog will have been served.
+"""
+
+import math
+from collections import deque
+
+import attrs
+
+from chestnutshift.retries.backoff import retry_after_s
+from chestnutshift.upstreams.exceptions import (
+    DeadlineTooNearError,
+    QueueFullError,
+)
+
+QUEUE_LENGTH_MAX = 64
+DURATION_WEIGHT = 0.05
+DURATION_START_S = 0.05
+
+
+@attrs.frozen(eq=False)
+class Waiting:
+    """A request that waits for a slot; deadline_at is local time."""
+
+    request: str
+    account: str
+    deadline_at: float
+
+
+class ServiceQueue:
+    """Requests in order of arrival within an account, accounts in turn."""
+
+    def __init__(
+        self,
+        service: str,
+        length_max: int = QUEUE_LENGTH_MAX,
+    ) -> None:
+        """Start empty."""
+        self._service = service
+        self._length_max = length_max
+        self._accounts: dict[str, deque[Waiting]] = {}
+        self._length = 0
+        self._duration_s = DURATION_START_S
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return self._length
+
+    @property
+    def duration_s(self) -> float:
+        """The moving average of how long a request holds its slot."""
+        return self._duration_s
+
+    def record_duration(self, duration_s: float) -> None:
+        """Take the time that a request held its slot into the average."""
+        self._duration_s += DURATION_WEIGHT * (duration_s - self._duration_s)
+
+    def offer(
+        self,
+        waiting: Waiting,
+        slots: int,
+        now: float,
+    ) -> Waiting | None:
+        """Queue a request and return the one that it pushed out, if any.
+
+        slots counts those that the VM may use for the service. Raises
+        DeadlineTooNearError or QueueFullError for a request to refuse now;
+        a request that is pushed out is to be refused as with QueueFullError.
+        """
+        rate = slots / self._duration_s
+        ahead = self._ahead_of(waiting.account)
+        start_at = now + ahead / rate if rate > 0 else math.inf
+        if not self._ends_in_time(waiting, start_at):
+            raise DeadlineTooNearError(
+                f'{self._service}: {ahead} requests at {rate:.1f}/s',
+                self.retry_after_s(slots),
+            )
+        pushed_out = self._make_room(waiting.account, slots)
+        self._accounts.setdefault(waiting.account, deque()).append(waiting)
+        self._length += 1
+        return pushed_out
+
+    def take(self, now: float) -> Waiting | None:
+        """Remove and return the next request that can end in time.
+
+        Requests whose deadline is too near are left for expired().
+        """
+        for account, requests in tuple(self._accounts.items()):
+            waiting = self._first_in_time(requests, now)
+            if waiting is None:
+                continue
+            # The account goes behind the others.
+            self._accounts.pop(account)
+            self._accounts[account] = requests
+            self._remove(waiting)
+            return waiting
+        return None
+
+    def expired(self, now: float) -> list[Waiting]:
+        """Remove and return the requests that can no longer end in time."""
+        late = [
+            waiting
+            for requests in self._accounts.values()
+            for waiting in requests
+            if not self._ends_in_time(waiting, now)
+        ]
+        for waiting in late:
+            self._remove(waiting)
+        return late
+
+    def withdraw(self, waiting: Waiting) -> bool:
+        """Remove a request whose caller left; False if it is not queued."""
+        if waiting not in self._accounts.get(waiting.account, ()):
+            return False
+        self._remove(waiting)
+        return True
+
+    def retry_after_s(self, slots: int) -> float:
+        """Return after how many seconds a refused caller should come back."""
+        return retry_after_s(self._length + 1, slots / self._duration_s)
+
+    def _ends_in_time(self, waiting: Waiting, start_at: float) -> bool:
+        return start_at + self._duration_s <= waiting.deadline_at
+
+    def _first_in_time(
+        self,
+        requests: deque[Waiting],
+        now: float,
+    ) -> Waiting | None:
+        for waiting in requests:
+            if self._ends_in_time(waiting, now):
+                return waiting
+        return None
+
+    def _ahead_of(self, account: str) -> int:
+        """Count the requests that are served before the account's next."""
+        own = len(self._accounts.get(account, ()))
+        return sum(
+            own if name == account else min(len(requests), own + 1)
+            for name, requests in self._accounts.items()
+        )
+
+    def _make_room(self, account: str, slots: int) -> Waiting | None:
+        """Push out the newest request of the account that has the most."""
+        if self._length < self._length_max:
+            return None
+        largest = max(self._accounts.values(), key=len)
+        if len(largest) <= len(self._accounts.get(account, ())) + 1:
+            raise QueueFullError(
+                f'{self._service}: {self._length} requests wait',
+                self.retry_after_s(slots),
+            )
+        pushed_out = largest[-1]
+        self._remove(pushed_out)
+        return pushed_out
+
+    def _remove(self, waiting: Waiting) -> None:
+        requests = self._accounts[waiting.account]
+        requests.remove(waiting)
+        self._length -= 1
+        if not requests:
+            self._accounts.pop(waiting.account)
--- /dev/null
+++ b/chestnutshift/upstreams/slots.py
@@ -0,0 +1,165 @@
+"""The slots of a failure domain's upstreams that one VM may use now."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chestnutshift.conf import defaults
+from chestnutshift.invariants.registry import REGION_LOAD, verify
+from chestnutshift.upstreams.division import (
+    Division,
+    Entry,
+    Seat,
+    UpstreamSlots,
+    kept_of,
+)
+from chestnutshift.upstreams.loans import (
+    Borrower,
+    Holdings,
+    Lender,
+    Loan,
+    LoanTerms,
+)
+from chestnutshift.upstreams.model import Candidate
+
+FOREIGN_FREE_SLOTS = 1
+
+
+@attrs.frozen(eq=False)
+class SlotLease:
+    """The right to send one request to an upstream, until start_by."""
+
+    entry: Entry
+    loan: Loan | None = None
+
+    @property
+    def upstream(self) -> str:
+        """The name of the upstream."""
+        return self.entry.upstream.name
+
+    def may_start(self, now: float) -> bool:
+        """Tell whether the request may still be sent; ask just before."""
+        return self.loan is None or now < self.loan.start_by
+
+
+class SlotTable:
+    """The slots that one VM may use now.
+
+    Raises UnknownUpstreamError for upstreams of other failure domains.
+    """
+
+    def __init__(
+        self,
+        seat: Seat,
+        upstreams: Iterable[UpstreamSlots],
+        terms: LoanTerms | None = None,
+        region_ceiling: float = defaults.REGION_CEILING,
+    ) -> None:
+        """Divide the upstreams of the seat's failure domain."""
+        self.seat = seat
+        self.terms = terms or LoanTerms()
+        self.division = Division(seat, upstreams)
+        self.lender = Lender(self.terms, seat.incarnation)
+        self.borrower = Borrower(seat.vm, self.terms)
+        # Upstreams that take no new work, whose slots are not lent.
+        self.closed: frozenset[str] = frozenset()
+        # The length of each service's queue at this VM.
+        self.waiting: Mapping[str, int] = {}
+        self._ceiling = region_ceiling
+        self._unheard = set(range(seat.positions)) - {seat.position}
+
+    def fill(self, candidates: Iterable[Candidate], now: float) -> None:
+        """Write what this VM may use and uses into the candidates."""
+        for candidate in candidates:
+            candidate.slots = self.capacity(candidate.name, now)
+            candidate.in_flight = self.in_use(candidate.name)
+
+    def capacity(self, upstream: str, now: float) -> int:
+        """Return how many requests this VM may have at the upstream."""
+        own = self.own(self.division.entry(upstream), now)
+        return own + self.borrower.count(upstream, now)
+
+    def in_use(self, upstream: str) -> int:
+        """Return how many requests this VM has at the upstream."""
+        entry = self.division.entry(upstream)
+        return entry.busy + self.borrower.busy(upstream)
+
+    def acquire(self, upstream: str, now: float) -> SlotLease | None:
+        """Take a slot for one request, None when none is free."""
+        entry = self.division.entry(upstream)
+        own = self.own(entry, now)
+        if entry.busy < own:
+            entry.busy += 1
+            verify(REGION_LOAD, holds=entry.busy <= own, detail=upstream)
+            return SlotLease(entry)
+        loan = self.borrower.find(upstream, now)
+        if loan is None:
+            return None
+        loan.busy = True
+        return SlotLease(entry, loan)
+
+    def release(self, lease: SlotLease, now: float) -> None:
+        """Give a slot back when its request is over at the upstream."""
+        if lease.loan is None:
+            lease.entry.busy -= 1
+            return
+        lease.loan.busy = False
+        lease.loan.idle_since = now
+
+    def admit_foreign(
+        self,
+        service: str,
+        from_region: str,
+        now: float,
+    ) -> bool:
+        """Tell whether work of another failure domain may come in now.
+
+        Local work goes first: nothing comes in while it waits. Work of the
+        same region leaves FOREIGN_FREE_SLOTS free, work of other regions
+        all above the ceiling on the region's used slots.
+        """
+        if self.waiting.get(service, 0):
+            return False
+        capacity, busy = self.service_load(service, now)
+        if from_region == self.seat.region:
+            return busy < capacity - FOREIGN_FREE_SLOTS
+        admitted = busy + 1 <= capacity * self._ceiling
+        verify(
+            REGION_LOAD,
+            holds=not admitted or busy < capacity,
+            detail=service,
+        )
+        return admitted
+
+    def service_load(self, service: str, now: float) -> tuple[int, int]:
+        """Return this VM's slots at the service and how many are in use."""
+        capacity = 0
+        busy = 0
+        for entry in self.division.of_service(service):
+            name = entry.upstream.name
+            if name not in self.closed:
+                capacity += self.capacity(name, now)
+                busy += self.in_use(name)
+        return capacity, busy
+
+    def own(self, entry: Entry, now: float) -> int:
+        """Return the owned slots that this VM may use itself."""
+        if not self.is_settled(now):
+            return kept_of(entry.floor)
+        lent = self.lender.lent(entry.upstream.name, now)
+        return max(0, entry.floor - lent)
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether every loan of earlier incarnations is known or over."""
+        if not self._unheard:
+            return True
+        return now >= self.seat.joined_at + self.terms.hold_s
+
+    def settle(self, answer: Holdings, now: float) -> None:
+        """Take what a peer holds from earlier incarnations of this VM."""
+        if answer.incarnation != self.seat.incarnation:
+            return
+        if answer.position not in self._unheard:
+            return
+        self._unheard.discard(answer.position)
+        self.lender.adopt(answer.upstreams, now)
--- /dev/null
+++ b/tests/upstreams/test_choice.py
@@ -0,0 +1,122 @@
+"""The choice of an upstream goes by what the VM observed."""
+
+import random
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutshift.configuration.model import UpstreamsPreset
+from chestnutshift.upstreams.choice import POLICIES
+from chestnutshift.upstreams.model import Candidate, UpstreamState
+from tests.enforcement import enforced
+
+PRESET = UpstreamsPreset()
+TAKING = {UpstreamState.LIVE, UpstreamState.SUSPECT}
+
+
+def upstream(name: str, **changes: object) -> Candidate:
+    """Return a live upstream with a fast answer just observed."""
+    plain = Candidate(
+        name=name,
+        failure_domain='marmara-1',
+        region='marmara',
+        slots=8,
+        latency_s=0.02,
+        observed_at=100,
+    )
+    return attrs.evolve(plain, **changes)
+
+
+def chosen_names(policy: str, candidates: list[Candidate]) -> set[str]:
+    """Return the names chosen in many draws at time 100."""
+    rng = random.Random(1)
+    choose = POLICIES.get(policy)(PRESET).choose
+    found = [choose(candidates, 100, rng) for _ in range(200)]
+    return {candidate.name for candidate in found if candidate}
+
+
+def test_observed_avoids_the_slow():
+    """A slow upstream gets nothing while a fast one has room."""
+    pair = [upstream('slow', latency_s=0.5), upstream('fast', in_flight=4)]
+    assert chosen_names('observed', pair) == {'fast'}
+
+
+def test_observed_avoids_the_failing():
+    """An upstream that fails at once does not look fast."""
+    failing = upstream('failing', latency_s=0.002, error_rate=0.95)
+    assert chosen_names('observed', [failing, upstream('sound')]) == {'sound'}
+
+
+def test_low_report_draws_no_traffic():
+    """A report below what the VM itself has there is not believed."""
+    lying = upstream('lying', in_flight=5, reported_at=100, reported_load=0)
+    honest = upstream('honest', in_flight=2, reported_at=100, reported_load=0.3)
+    assert chosen_names('observed', [lying, honest]) == {'honest'}
+
+
+def test_fresh_high_report_is_heeded():
+    """A report of load that others caused turns the choice."""
+    busy = upstream('busy', reported_at=99, reported_load=0.9)
+    assert chosen_names('observed', [busy, upstream('idle')]) == {'idle'}
+
+
+def test_old_report_is_not_believed():
+    """Past its age a report changes nothing."""
+    old = upstream('old', reported_at=96, reported_load=0.9)
+    assert chosen_names('observed', [old, upstream('new')]) == {'old', 'new'}
+
+
+def test_old_slowness_fades():
+    """An upstream that was slow long ago is tried again."""
+    pair = [
+        upstream('slow', latency_s=0.2, observed_at=0),
+        upstream('fast', in_flight=4),
+    ]
+    assert 'slow' in chosen_names('observed', pair)
+
+
+def test_cold_upstream_gets_its_share():
+    """A warm-up limits the slots that may be used."""
+    cold = upstream('cold', warm=0.25, in_flight=2)
+    assert not cold.takes_work(100, trials=True)
+
+
+def test_suspect_gets_one_trial():
+    """A suspect upstream gets a request when its trial is due, and one."""
+    suspect = upstream('suspect', state=UpstreamState.SUSPECT, trial_at=100)
+    assert chosen_names('observed', [suspect, upstream('live')]) == {'suspect'}
+    suspect.in_flight = 1
+    assert chosen_names('observed', [suspect, upstream('live')]) == {'live'}
+
+
+def test_trials_can_be_declined():
+    """A request that must not fail goes to no suspect upstream."""
+    suspect = upstream('suspect', state=UpstreamState.SUSPECT)
+    policy = POLICIES.get('observed')(PRESET)
+    rng = random.Random(1)
+    assert policy.choose([suspect], 100, rng, trials=False) is None
+
+
+@given(seed=st.integers(0, 2**32), policy=st.sampled_from(tuple(POLICIES)))
+@settings(derandomize=True, deadline=None, database=None)
+def test_no_policy_breaks_the_limits(seed, policy):
+    """Nothing goes to a leaving upstream or above the usable slots."""
+    rng = random.Random(seed)
+    candidates = [
+        upstream(
+            str(number),
+            slots=rng.randint(0, 9),
+            in_flight=rng.randint(0, 9),
+            state=rng.choice(tuple(UpstreamState)),
+            warm=rng.random(),
+        )
+        for number in range(rng.randint(0, 8))
+    ]
+    with enforced():
+        choice = POLICIES.get(policy)(PRESET).choose(candidates, 100, rng)
+    takers = [one for one in candidates if one.takes_work(100, trials=True)]
+    assert (choice is None) == (not takers)
+    if choice:
+        assert choice.state in TAKING
+        assert choice.in_flight < choice.usable_slots
