--- a/chestnutshift/retries/budget.py
+++ b/chestnutshift/retries/budget.py
@@ -15,7 +15,10 @@
     updated_at: float
 
     def refill(self, reserve: float, now: float) -> None:
-        """Add the slow refill that lets a quiet service retry at all."""
+        """Add the slow refill that lets a quiet service retry at all.
+
+        No more than the reserve is kept.
+        """
         elapsed_s = max(0.0, now - self.updated_at)  # noqa: WPS358
         self.tokens = min(
             reserve,
@@ -50,8 +53,7 @@
     def record_attempt(self, service: str, account: str, now: float) -> None:
         """Count a first attempt, which pays for a fraction of a retry."""
         for bucket in self._buckets(service, account, now):
-            paid = bucket.tokens + self._preset.ratio
-            bucket.tokens = min(self._preset.reserve, paid)
+            bucket.tokens += self._preset.ratio
 
     def allow(self, service: str, account: str, now: float) -> bool:
         """Spend one retry of both budgets; False leaves them untouched."""
--- a/tests/retries/test_retries.py
+++ b/tests/retries/test_retries.py
@@ -79,6 +79,14 @@
     assert sum(granted) == 10
 
 
+def test_attempts_save_up_to_the_reserve():
+    """A long sound time does not allow a storm of retries after it."""
+    budget = RetryBudget(PRESET)
+    for _ in range(1000):
+        budget.record_attempt('listings', 'a', 0)
+    assert sum(budget.allow('listings', 'a', 0) for _ in range(50)) == 10
+
+
 def test_reserve_fills_with_time():
     """A quiet service may retry again after a while."""
     budget = RetryBudget(PRESET)
--- a/tests/upstreams/test_choice.py
+++ b/tests/upstreams/test_choice.py
@@ -67,6 +67,23 @@
     assert chosen_names('observed', [old, upstream('new')]) == {'old', 'new'}
 
 
+def test_older_report_changes_nothing():
+    """A report that arrives after a newer one is dropped."""
+    candidate = upstream('any')
+    candidate.record_report(0.9, 100)
+    candidate.record_report(0.1, 99)
+    assert candidate.reported_at == 100
+
+
+def test_answers_are_observed():
+    """Answers move latency and error rate and are the newest knowledge."""
+    candidate = upstream('any')
+    candidate.record_answer(1, 105, ok=False)
+    assert candidate.latency_s > upstream('other').latency_s
+    assert candidate.error_rate > 0
+    assert candidate.observed_at == 105
+
+
 def test_old_slowness_fades():
     """An upstream that was slow long ago is tried again."""
     pair = [
--- a/tests/upstreams/test_slots.py
+++ b/tests/upstreams/test_slots.py
@@ -77,10 +77,11 @@
     domain.plan('a', {'listings': 20})
     domain.settle_mail()
     borrowed = fill_up(domain, 'a')
-    domain.now += TERMS.hold_s - 0.1
+    # Requests start within 2 s and run for up to 5 s.
+    domain.now += 7
     rest = fill_up(domain, 'b')
     assert rest == 18 - own - borrowed
-    domain.now += 0.2
+    domain.now += 1
     assert fill_up(domain, 'b') == borrowed
 
 
@@ -133,6 +134,85 @@
     assert own + borrowed + kept + fill_up(domain, 'b') == 18
 
 
+def test_return_to_an_earlier_process():
+    """What an earlier incarnation lent does not free a new one's loan."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    fill_up(domain, 'a')
+    domain.plan('a', {'listings': 20})
+    domain.settle_mail()
+    domain.restart('b')
+    domain.plan('b', {})
+    domain.settle_mail()
+    lent = domain.vms['b'].table.capacity('listings-1', 0)
+    domain.now += 1
+    domain.plan('a', {})
+    domain.settle_mail()
+    assert domain.vms['b'].table.capacity('listings-1', 1) == lent
+
+
+def test_grant_of_an_earlier_process():
+    """A grant on its way while its sender restarts is not used."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    own = fill_up(domain, 'a')
+    domain.plan('a', {'listings': 20})
+    domain.deliver(0)
+    domain.restart('b')
+    domain.plan('b', {})
+    domain.deliver(1)
+    domain.settle_mail()
+    assert own + fill_up(domain, 'a') + fill_up(domain, 'b') <= 18
+
+
+def test_holdings_for_an_earlier_process():
+    """An answer to a process that is gone does not settle the new one."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    domain.restart('b')
+    domain.plan('b', {})
+    domain.deliver(0)
+    domain.restart('b')
+    domain.settle_mail()
+    assert not domain.vms['b'].table.is_settled(domain.now)
+
+
+def test_need_recalls_what_was_lent():
+    """A lender in need gets its idle slots back without the loan's term."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    own = fill_up(domain, 'a')
+    domain.plan('a', {'listings': 20})
+    domain.settle_mail()
+    fill_up(domain, 'b')
+    domain.plan('b', {'listings': 20})
+    domain.settle_mail()
+    domain.plan('a', {})
+    domain.settle_mail()
+    fill_up(domain, 'b')
+    assert len(domain.vms['b'].running) == 18 - own
+
+
+def test_lender_keeps_a_free_slot():
+    """A VM lends no slot in use, nor its last free one."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    total = fill_up(domain, 'a')
+    floor = fill_up(domain, 'b')
+    last = domain.vms['b'].running[-1]
+    domain.finish('b', last)
+    domain.plan('a', {'listings': 20})
+    domain.settle_mail()
+    assert fill_up(domain, 'a') == 0
+    assert total + floor == 18
+
+
+def test_no_slot_in_use_is_lent():
+    """A VM lends of the upstream where it has free slots."""
+    domain = Domain(random.Random(1)).start(NAMES)
+    fill_up(domain, 'a')
+    fill_up(domain, 'b', LISTINGS[:1])
+    domain.plan('a', {'listings': 20})
+    domain.settle_mail()
+    fill_up(domain, 'a')
+    assert [domain.load(name) <= 9 for name in LISTINGS] == [True, True]
+
+
 def test_restarted_vm_alone_waits_for_the_term():
     """Without its peer a restarted VM uses its floor after the term."""
     domain = Domain(random.Random(1)).start(NAMES)
@@ -189,7 +269,7 @@
 
 def random_step(domain: Domain, rng: random.Random) -> None:
     """Do one thing that can happen in a failure domain."""
-    domain.now += rng.choice((0, 0, 0.01, 0.1, 1, 1, 3))
+    domain.now += rng.choice((0, 0, 0, 0, 0.01, 0.01, 0.1, 0.1, 0.5, 2))
     name = rng.choice(tuple(domain.vms))
     vm = domain.vms[name]
     percent = rng.randrange(100)
@@ -197,7 +277,7 @@
         vm.frozen = not vm.frozen
     elif percent < 4:
         domain.restart(name)
-    elif percent < 20 and domain.mail:
+    elif percent < 35 and domain.mail:
         pass_mail(domain, rng)
     elif not vm.frozen:
         work(domain, name, rng)
@@ -216,14 +296,21 @@
     """Plan, take, send or finish requests at one VM."""
     percent = rng.randrange(100)
     if percent < 30:
-        services = ('listings', 'documents')
-        domain.plan(name, {service: rng.randint(0, 6) for service in services})
+        wanted = rng.choice((0, 2, 10))
+        domain.plan(name, {'listings': wanted, 'documents': wanted})
     elif percent < 60:
+        fill_up(domain, name, [upstream.name for upstream in UPSTREAMS])
+    elif percent < 70:
         domain.take(name, rng.choice(UPSTREAMS).name)
     elif percent < 80:
         send_all(domain, name)
+    finish_some(domain, name, rng)
+
+
+def finish_some(domain: Domain, name: str, rng: random.Random) -> None:
+    """End what is at its deadline, and a few others."""
     for running in tuple(domain.vms[name].running):
-        if domain.now >= running.deadline_at or not rng.randrange(10):
+        if domain.now >= running.deadline_at or not rng.randrange(20):
             domain.finish(name, running)
 
 
