Add health, warm-up, connection pace and probe plan of upstreams

News that an upstream leaves holds until a new process is seen. Warm-up counts only time with work. Each rule was taken out once on a scratch copy; three had no failing test (repeated news, a probe still running, a trial before its time) and got one.

--- /dev/null
+++ b/chestnutshift/upstreams/probes.py
@@ -0,0 +1,49 @@
+"""When to ask each upstream's health endpoint."""
+
+import random
+from collections.abc import Iterable
+
+from chestnutshift.upstreams.health import HealthTable
+from chestnutshift.upstreams.model import UpstreamState
+
+PROBE_S = 1.0
+PROBE_GONE_S = 2.0
+PROBES_AT_ONCE = 2
+
+
+class ProbePlan:
+    """The order of probes; few at a time, because each takes milliseconds."""
+
+    def __init__(self, health: HealthTable, rng: random.Random) -> None:
+        """Plan by the states in the table; rng spreads the first probes."""
+        self._health = health
+        self._rng = rng
+        self._next_at: dict[str, float] = {}
+        self._running: set[str] = set()
+
+    def due(self, upstreams: Iterable[str], now: float) -> list[str]:
+        """Return the upstreams to probe now and count them as running."""
+        waiting = [
+            (self._due_at(name, now), name)
+            for name in upstreams
+            if name not in self._running
+        ]
+        late = sorted(entry for entry in waiting if entry[0] <= now)
+        room = PROBES_AT_ONCE - len(self._running)
+        chosen = [name for _, name in late[: max(0, room)]]
+        self._running.update(chosen)
+        return chosen
+
+    def record_end(self, upstream: str, now: float) -> None:
+        """Plan the next probe after one ended, answered or not."""
+        self._running.discard(upstream)
+        state = self._health.get(upstream).state
+        wait_s = PROBE_S
+        if state is UpstreamState.GONE:
+            wait_s = PROBE_GONE_S
+        self._next_at[upstream] = now + wait_s
+
+    def _due_at(self, upstream: str, now: float) -> float:
+        if upstream not in self._next_at:
+            self._next_at[upstream] = now + PROBE_S * self._rng.random()
+        return self._next_at[upstream]
--- /dev/null
+++ b/chestnutshift/upstreams/warmup.py
@@ -0,0 +1,77 @@
+"""Ramp up the work of a cold upstream, and pace its new connections."""
+
+import math
+
+import attrs
+
+from chestnutshift.configuration.model import UpstreamsPreset
+
+FRACTION_MIN = 0.1
+WORK_GAP_S = 1.0
+IDLE_COLD_S = 300.0
+
+
+@attrs.define
+class WarmUp:
+    """How warm one upstream is.
+
+    Only time with work warms it: a gap between two requests counts for
+    WORK_GAP_S at most, and after IDLE_COLD_S without work it is cold again.
+    """
+
+    warm_up_s: float
+    _worked_s: float = math.inf
+    _last_work_at: float = -math.inf
+
+    def fraction(self, now: float) -> float:
+        """Return the fraction of the slots that may be used."""
+        if self._is_idle(now):
+            return FRACTION_MIN
+        if self._worked_s >= self.warm_up_s:
+            return 1
+        return max(FRACTION_MIN, self._worked_s / self.warm_up_s)
+
+    def restart(self, now: float) -> None:
+        """Begin again, because the upstream is a new process."""
+        self._worked_s = 0
+        self._last_work_at = now
+
+    def record_work(self, now: float) -> None:
+        """Count a whole answer of the upstream."""
+        if self._is_idle(now):
+            self.restart(now)
+            return
+        self._worked_s += min(WORK_GAP_S, now - self._last_work_at)
+        self._last_work_at = now
+
+    def _is_idle(self, now: float) -> bool:
+        seen = self._last_work_at > -math.inf
+        return seen and now - self._last_work_at >= IDLE_COLD_S
+
+
+class ConnectionPacer:
+    """When this VM may open its next connection to one upstream.
+
+    The pace and the limit hold for the upstream as a whole, so each VM of
+    its failure domain takes its part of them.
+    """
+
+    def __init__(self, preset: UpstreamsPreset, vms: int) -> None:
+        """Divide the preset's pace and limit by the number of VMs."""
+        self._pace_s = preset.connection_pace_s * vms
+        self._limit = preset.connections_max // vms
+        self._open = 0
+        self._next_at = -math.inf
+
+    def reserve(self, now: float) -> float | None:
+        """Return the time to open a connection at, None at the limit."""
+        if self._open >= self._limit:
+            return None
+        self._open += 1
+        start_at = max(now, self._next_at)
+        self._next_at = start_at + self._pace_s
+        return start_at
+
+    def release(self) -> None:
+        """Count a connection that closed or was never opened."""
+        self._open -= 1
--- a/tests/upstreams/test_choice.py
+++ b/tests/upstreams/test_choice.py
@@ -103,6 +103,9 @@
     """A suspect upstream gets a request when its trial is due, and one."""
     suspect = upstream('suspect', state=UpstreamState.SUSPECT, trial_at=100)
     assert chosen_names('observed', [suspect, upstream('live')]) == {'suspect'}
+    suspect.trial_at = 101
+    assert chosen_names('observed', [suspect, upstream('live')]) == {'live'}
+    suspect.trial_at = 100
     suspect.in_flight = 1
     assert chosen_names('observed', [suspect, upstream('live')]) == {'live'}
 
--- /dev/null
+++ b/tests/upstreams/test_health.py
@@ -0,0 +1,199 @@
+"""An upstream's state follows observations; leaving is not taken back."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutshift.configuration.model import UpstreamsPreset
+from chestnutshift.invariants.registry import InvariantViolationError
+from chestnutshift.upstreams.choice import POLICIES
+from chestnutshift.upstreams.health import (
+    HealthTable,
+    LeavingNews,
+    NewsSource,
+)
+from chestnutshift.upstreams.model import Candidate, UpstreamState
+from chestnutshift.upstreams.probes import PROBES_AT_ONCE, ProbePlan
+from tests.enforcement import enforced
+
+NAME = 'listings-1'
+BY_HEADER = LeavingNews(NAME, NewsSource.ANSWER)
+
+
+def table_after_failures(count: int) -> HealthTable:
+    """Return a table in which the upstream failed at time 0."""
+    table = HealthTable()
+    for _ in range(count):
+        table.record_failure(NAME, 'timeout', 0)
+    return table
+
+
+def state_of(table: HealthTable) -> UpstreamState:
+    """Return the upstream's state."""
+    return table.get(NAME).state
+
+
+def test_failures_in_a_row_make_suspect():
+    """One answer between failures keeps an upstream live."""
+    assert state_of(table_after_failures(2)) is UpstreamState.LIVE
+    assert state_of(table_after_failures(3)) is UpstreamState.SUSPECT
+    table = table_after_failures(2)
+    table.record_success(NAME, 0)
+    table.record_failure(NAME, 'timeout', 0)
+    assert state_of(table) is UpstreamState.LIVE
+
+
+def test_trials_back_off():
+    """Each failed trial doubles the wait for the next one, up to a bound."""
+    table = table_after_failures(3)
+    waits = []
+    now = 0
+    for _ in range(10):
+        waits.append(table.get(NAME).trial_at - now)
+        now = table.get(NAME).trial_at
+        table.record_failure(NAME, 'timeout', now)
+    assert waits[:3] == [0.5, 1, 2]
+    assert waits[-1] == 30
+
+
+def test_answered_trial_makes_live():
+    """A suspect upstream that answers takes work again."""
+    table = table_after_failures(3)
+    table.record_success(NAME, 1)
+    assert state_of(table) is UpstreamState.LIVE
+
+
+def test_answer_after_refusals_is_a_restart():
+    """An upstream that refused connections comes back as a new process."""
+    table = HealthTable()
+    table.record_failure(NAME, 'refused', 0, refused=True)
+    assert state_of(table) is UpstreamState.SUSPECT
+    change = table.record_success(NAME, 1)
+    assert change.event.name == 'upstream_restarted'
+
+
+def test_leaving_holds_against_list_and_health():
+    """A list and a health endpoint that lag do not take leaving back."""
+    table = HealthTable()
+    table.record_process(NAME, 'p1', 0)
+    table.record_leaving(BY_HEADER, 1)
+    table.record_list([NAME], [], 2)
+    table.record_process(NAME, 'p1', 2)
+    table.record_success(NAME, 2)
+    assert state_of(table) is UpstreamState.LEAVING
+    assert table.closed() == {NAME}
+
+
+def test_repeated_news_keeps_its_time():
+    """News that comes by several ways counts from the first one."""
+    table = HealthTable()
+    table.record_leaving(BY_HEADER, 10)
+    assert table.record_leaving(BY_HEADER, 20) is None
+    assert table.get(NAME).leaving_since == 10
+
+
+def test_new_process_takes_work():
+    """Only a new process ends leaving, and an old list does not undo it."""
+    table = HealthTable()
+    table.record_process(NAME, 'p1', 0)
+    table.record_list([], [NAME], 1)
+    table.record_process(NAME, 'p2', 2)
+    table.record_list([], [NAME], 3)
+    assert state_of(table) is UpstreamState.LIVE
+    table.record_list([NAME], [], 4)
+    table.record_list([], [NAME], 5)
+    assert state_of(table) is UpstreamState.LEAVING
+
+
+def test_peer_news_of_a_replaced_process():
+    """News about the process before is not news of this one."""
+    table = HealthTable()
+    table.record_process(NAME, 'p1', 0)
+    table.record_process(NAME, 'p2', 1)
+    news = LeavingNews(NAME, NewsSource.PEER, process='p1')
+    assert table.record_leaving(news, 2) is None
+
+
+def test_gone_upstream_comes_back():
+    """A gone upstream that answers health checks is a new process."""
+    table = HealthTable()
+    table.record_leaving(BY_HEADER, 0)
+    table.record_failure(NAME, 'refused', 1, refused=True)
+    assert state_of(table) is UpstreamState.GONE
+    table.record_process(NAME, '', 2)
+    assert state_of(table) is UpstreamState.LIVE
+
+
+def test_new_work_for_a_leaving_upstream_is_seen():
+    """The program notices itself sending to an upstream that leaves."""
+    table = HealthTable()
+    table.record_leaving(BY_HEADER, 10)
+    with enforced():
+        table.record_sent(NAME, 11.9)
+        try:
+            table.record_sent(NAME, 12.1)
+        except InvariantViolationError:
+            return
+    raise AssertionError('the violation was not seen')
+
+
+@given(seed=st.integers(0, 2**32))
+@settings(derandomize=True, deadline=None, database=None)
+def test_leaving_upstream_gets_no_work(seed):
+    """After the news nothing is chosen until the process is a new one."""
+    rng = random.Random(seed)
+    table = HealthTable()
+    table.record_process(NAME, 'p1', 0)
+    table.record_leaving(LeavingNews(NAME, rng.choice(tuple(NewsSource))), 0)
+    candidate = Candidate(NAME, 'marmara-1', 'marmara', 9)
+    policy = POLICIES.get('observed')(UpstreamsPreset())
+    for now in range(100):
+        mislead(table, rng, now)
+        table.fill([candidate])
+        assert policy.choose([candidate], now, rng) is None
+    table.record_process(NAME, 'p2', 100)
+    table.fill([candidate])
+    assert policy.choose([candidate], 100, rng) is candidate
+
+
+def mislead(table: HealthTable, rng: random.Random, now: float) -> None:
+    """Report something that may be out of date or wrong."""
+    reports = (
+        lambda: table.record_list([NAME], [], now),
+        lambda: table.record_process(NAME, 'p1', now),
+        lambda: table.record_success(NAME, now),
+        lambda: table.record_failure(NAME, 'timeout', now),
+    )
+    rng.choice(reports)()
+
+
+def test_probes_are_few_and_regular():
+    """No more than PROBES_AT_ONCE run, and each comes back in turn."""
+    plan = ProbePlan(HealthTable(), random.Random(1))
+    names = [f'listings-{number}' for number in range(9)]
+    probed: dict[str, int] = {}
+    for tick in range(1000):
+        now = tick / 100
+        due = plan.due(names, now)
+        assert len(due) <= PROBES_AT_ONCE
+        for name in due:
+            probed[name] = probed.get(name, 0) + 1
+            plan.record_end(name, now + 0.006)
+    assert min(probed.values()) >= 9
+    assert max(probed.values()) <= 11
+
+
+def test_running_probe_is_not_repeated():
+    """An upstream whose probe has not ended is not probed again."""
+    plan = ProbePlan(HealthTable(), random.Random(1))
+    assert plan.due([NAME], 0) + plan.due([NAME], 1) == [NAME]
+    assert plan.due([NAME], 5) == []
+
+
+def test_hung_probes_hold_up_no_more():
+    """Probes that do not end keep others from piling up."""
+    plan = ProbePlan(HealthTable(), random.Random(1))
+    names = [f'listings-{number}' for number in range(9)]
+    started = [name for now in range(5) for name in plan.due(names, now)]
+    assert len(started) == PROBES_AT_ONCE
