--- a/chestnutshift/upstreams/__init__.py
+++ b/chestnutshift/upstreams/__init__.py
@@ -1,1 +1,1 @@
-"""Upstreams: which there are, and the connections to them."""
+"""Which upstream runs a request, within the slots that this VM may use."""
