--- a/chestnutshift/wire/links.thrift
+++ b/chestnutshift/wire/links.thrift
@@ -19,6 +19,12 @@
   3: optional string proof
 }
 
+struct ServiceLoad {
+  1: optional string service_
+  2: optional i32 slots
+  3: optional i32 in_use
+}
+
 struct Heartbeat {
   1: optional string state
   2: optional i64 configuration_number
@@ -26,8 +32,8 @@
   4: optional double knowledge_age_s
   5: optional double headroom
   6: optional i32 withdrawal_count
-  7: optional map<string, double> room
-  8: optional map<string, i32> free_slots
+  7: optional list<ServiceLoad> loads
+  8: optional list<string> leaving_upstreams
 }
 
 struct ConfigurationRequest {
@@ -43,25 +49,76 @@
   1: optional set<string> digests
 }
 
-struct RateLoanRequest {
-  1: optional string account
-  2: optional double tokens
-  3: optional double rate
-  4: optional double duration_s
-  5: optional binary payload
+struct RateRequest {
+  1: optional string peer
+  2: optional string giver
+  3: optional string taker
+  4: optional string account
+  5: optional i64 ask
+  6: optional i64 loan
+  7: optional double rate
+  8: optional double burst
+  9: optional double tokens
 }
 
-struct RateLoanGrant {
-  1: optional i64 sequence
-  2: optional binary payload
+struct RateGrant {
+  1: optional string giver
+  2: optional string taker
+  3: optional string account
+  4: optional i64 ask
+  5: optional i64 loan
+  6: optional double rate
+  7: optional double burst
+  8: optional double tokens
+  9: optional double life_s
+}
+
+struct RateRequests {
+  1: optional list<RateRequest> requests
+}
+
+struct RateGrants {
+  1: optional list<RateGrant> grants
+}
+
+struct SlotRequest {
+  1: optional string borrower
+  2: optional i64 number
+  3: optional string service_
+  4: optional i32 wanted
+}
+
+struct LentSlot {
+  1: optional i64 number
+  2: optional string upstream
+}
+
+struct SlotGrant {
+  1: optional string lender
+  2: optional i64 incarnation
+  3: optional i64 request
+  4: optional list<LentSlot> slots
+}
+
+struct SlotReturn {
+  1: optional string borrower
+  2: optional i64 incarnation
+  3: optional list<i64> numbers
+}
+
+struct HoldingsRequest {
+  1: optional string lender
+  2: optional i64 incarnation
 }
 
-struct SlotLoanRequest {
-  1: optional binary payload
+struct Holdings {
+  1: optional string borrower
+  2: optional i32 position
+  3: optional i64 incarnation
+  4: optional list<string> upstreams
 }
 
-struct SlotLoanGrant {
-  1: optional binary payload
+struct Nothing {
 }
 
 struct EventQuery {
@@ -97,15 +154,19 @@
   5: ConfigurationRequest configuration_request
   6: ConfigurationDocument configuration_document
   7: Withdrawals withdrawals
-  8: RateLoanRequest rate_loan_request
-  9: RateLoanGrant rate_loan_grant
-  10: SlotLoanRequest slot_loan_request
-  11: SlotLoanGrant slot_loan_grant
+  8: RateRequests rate_requests
+  9: RateGrants rate_grants
+  10: SlotRequest slot_request
+  11: SlotGrant slot_grant
   12: EventQuery event_query
   13: EventBatch event_batch
   14: StatusQuery status_query
   15: StatusReport status_report
   16: Refusal refusal
+  17: SlotReturn slot_return
+  18: HoldingsRequest holdings_request
+  19: Holdings holdings
+  20: Nothing nothing
 }
 
 struct Frame {
--- /dev/null
+++ b/chestnutshift/wire/mapping.py
@@ -0,0 +1,98 @@
+"""Turn the decision modules' messages into Thrift structs and back.
+
+A struct has the name and the fields of its message class, so the mapping is
+by field name; nested messages and lists are mapped in turn.
+"""
+
+from typing import Any, TypeVar
+
+import attrs
+
+from chestnutshift.accounts.loans import LoanGrant, LoanRequest
+from chestnutshift.exceptions import CodedError
+from chestnutshift.upstreams import loans as slot_loans
+from chestnutshift.wire.generated.links import ttypes
+
+Message = TypeVar('Message')
+
+_STRUCTS: dict[type, type] = {
+    LoanRequest: ttypes.RateRequest,
+    LoanGrant: ttypes.RateGrant,
+    slot_loans.SlotRequest: ttypes.SlotRequest,
+    slot_loans.LentSlot: ttypes.LentSlot,
+    slot_loans.SlotGrant: ttypes.SlotGrant,
+    slot_loans.SlotReturn: ttypes.SlotReturn,
+    slot_loans.HoldingsRequest: ttypes.HoldingsRequest,
+    slot_loans.Holdings: ttypes.Holdings,
+}
+_MESSAGES = {struct: message for message, struct in _STRUCTS.items()}
+# The field of Body that carries a message, for those sent by themselves.
+BODY_FIELDS: dict[type, str] = {
+    slot_loans.SlotRequest: 'slot_request',
+    slot_loans.SlotGrant: 'slot_grant',
+    slot_loans.SlotReturn: 'slot_return',
+    slot_loans.HoldingsRequest: 'holdings_request',
+    slot_loans.Holdings: 'holdings',
+}
+
+
+# Words that Thrift reserves get an underscore.
+_RESERVED = frozenset(('service',))
+
+
+class IncompleteMessageError(CodedError):
+    """A message from another VM lacks a field."""
+
+    code = 'wire.incomplete'
+
+
+def _wire_name(name: str) -> str:
+    return f'{name}_' if name in _RESERVED else name
+
+
+def to_struct(message: object) -> Any:
+    """Return the Thrift struct of a message, or a plain value as it is."""
+    if isinstance(message, tuple):
+        return [to_struct(part) for part in message]
+    struct = _STRUCTS.get(type(message))
+    if struct is None:
+        return message
+    fields = attrs.fields(type(message))
+    return struct(
+        **{
+            _wire_name(field.name): to_struct(getattr(message, field.name))
+            for field in fields
+        },
+    )
+
+
+def from_struct(struct: object) -> Any:
+    """Return the message of a struct; raise IncompleteMessageError."""
+    if isinstance(struct, list):
+        return tuple(from_struct(part) for part in struct)
+    message = _MESSAGES.get(type(struct))
+    if message is None:
+        return struct
+    found = {
+        field.name: from_struct(getattr(struct, _wire_name(field.name)))
+        for field in attrs.fields(message)
+    }
+    missing = [name for name, part in found.items() if part is None]
+    if missing:
+        raise IncompleteMessageError(f'{message.__name__} lacks {missing}')
+    return message(**found)
+
+
+def to_body(message: object) -> ttypes.Body:
+    """Return a message as the body of a frame."""
+    field = BODY_FIELDS[type(message)]
+    return ttypes.Body(**{field: to_struct(message)})
+
+
+def from_body(body: ttypes.Body) -> object | None:
+    """Return the message that a body carries by itself, or None."""
+    for field in BODY_FIELDS.values():
+        struct = getattr(body, field)
+        if struct is not None:
+            return from_struct(struct)
+    return None
