--- a/chestnutshift/accounts/keeper.py
+++ b/chestnutshift/accounts/keeper.py
@@ -66,12 +66,18 @@
     _watch: RowWatch = attrs.field(factory=RowWatch)
     _right: SeatRight = NO_RIGHT
     _holds: bool = False
+    _fence: int = 0
 
     @property
     def right(self) -> SeatRight:
         """The right that the last confirmed renewal gave."""
         return self._right
 
+    @property
+    def fence(self) -> int:
+        """The fence of the seat while it is held; it grows with each taker."""
+        return self._fence
+
     async def step(self, shares: SharesPreset, settle_s: float) -> SeatRight:
         """Take or renew the seat once, and return the right that holds.
 
@@ -119,6 +125,7 @@
                 fence=record.fence,
             )
         self._holds = True
+        self._fence = record.fence
         self._right = SeatRight(
             started,
             starts,
--- a/chestnutshift/callers/steering.py
+++ b/chestnutshift/callers/steering.py
@@ -1,60 +1,84 @@
-"""The steering pages: which entry VM a caller should use."""
+"""The steering pages: look-ups, tickets, and what became of a request."""
 
-import attrs
 import trio
-from quart import Response, jsonify
+from quart import Response, jsonify, request
 from quart_trio import QuartTrio
 
-from chestnutshift.vms.membership import VmPhase
+from chestnutshift.exceptions import CodedError
+from chestnutshift.forwarding.claims import (
+    describe_verdict,
+    present_moment,
+    replay_headers,
+)
+from chestnutshift.forwarding.intake import Intake
+from chestnutshift.forwarding.problems import Problem, Ran, problem_of
+from chestnutshift.forwarding.requests import CallerRequest, read_request
+from chestnutshift.idempotency.tickets import TICKET_LIFETIME_S
+from chestnutshift.idempotency.verdicts import Replay
+from chestnutshift.lookup.answers import Question
+from chestnutshift.lookup.documents import describe_answer
 from chestnutshift.vms.state import VmState
 
 
-@attrs.frozen
-class EntryVm:
-    """One entry VM as a look-up names it."""
+def _problem_response(problem: Problem, request_id: str) -> Response:
+    response = Response(problem.body(request_id), status=problem.status)
+    for name, text in problem.headers(request_id):
+        response.headers[name.decode()] = text.decode()
+    return response
 
-    vm: str
-    region: str
-    failure_domain: str
-    url: str
 
-
-def find_entries(state: VmState, now: float) -> list[EntryVm]:
-    """Return the entry VMs in the order that a caller should try them."""
-    own = state.settings.vm
-    entries = [EntryVm(own.name, own.region, own.failure_domain, state.url)]
-    for peer in state.membership.heard(now):
-        report = peer.report
-        if report is None or report.phase != VmPhase.LIVE:
-            continue
-        address = peer.address
-        entries.append(
-            EntryVm(
-                address.name,
-                address.region,
-                address.failure_domain,
-                address.url,
-            ),
-        )
-    if state.phase is not VmPhase.LIVE and len(entries) > 1:
-        return entries[1:]
-    return entries
-
-
-def make_steering(state: VmState) -> QuartTrio:
+def make_steering(state: VmState, intake: Intake) -> QuartTrio:
     """Return the Quart application of the steering pages."""
     app = QuartTrio('chestnutshift')
 
+    def asked() -> CallerRequest:
+        return read_request(request.scope)
+
+    @app.errorhandler(CodedError)
+    async def coded(error: CodedError) -> Response:
+        problem = problem_of(error, Ran.NOT_RUN)
+        return _problem_response(problem, asked().request_id)
+
     @app.get('/steering/entries')
     async def entries() -> Response:
+        client = request.scope.get('client') or ('127.0.0.1', 0)
+        question = Question(
+            address=client[0],
+            block=request.args.get('block', ''),
+            region=request.args.get('region', ''),
+        )
         preset = state.holder.current.preset
-        lifetime_s = preset.lookup.lifetime_s
-        named = find_entries(state, trio.current_time())
-        response = jsonify(
-            lifetime_s=lifetime_s,
-            entries=[attrs.asdict(entry) for entry in named],
+        now = trio.current_time()
+        answer = state.lookups.answer(question, preset, now)
+        response = jsonify(describe_answer(answer))
+        lifetime_s = int(answer.lifetime_s)
+        response.headers['Cache-Control'] = f'max-age={lifetime_s}'
+        return response
+
+    @app.post('/steering/tickets')
+    async def ticket() -> Response:
+        moment = present_moment()
+        identity = intake.identify_caller(asked(), moment.now)
+        minted = state.ledger.mint(identity.account, moment)
+        return jsonify(
+            ticket=minted,
+            vm=state.name,
+            url=state.url,
+            lifetime_s=TICKET_LIFETIME_S,
         )
-        response.headers['Cache-Control'] = f'max-age={int(lifetime_s)}'
+
+    @app.get('/steering/requests/<path:key>')
+    async def outcome(key: str) -> Response:
+        moment = present_moment()
+        identity = intake.identify_caller(asked(), moment.now)
+        verdict = await state.ledger.resolve(identity.account, key, moment)
+        if not isinstance(verdict, Replay):
+            problem = describe_verdict(verdict)
+            return _problem_response(problem, asked().request_id)
+        recorded = verdict.outcome
+        response = Response(recorded.body or b'', status=recorded.status)
+        for name, text in replay_headers(recorded):
+            response.headers[name.decode()] = text.decode()
         return response
 
     @app.get('/steering/health')
--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -1,17 +1,20 @@
-"""The ASGI application on the callers' port."""
-
-import http
-import random
+"""The ASGI application that serves callers' requests."""
 
 import attrs
 import trio
 
-from chestnutshift.configuration.holder import ConfigurationHolder
-from chestnutshift.configuration.model import Configuration, Service
 from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding import events
 from chestnutshift.forwarding.attempt import Attempt
+from chestnutshift.forwarding.claims import (
+    ClaimedWork,
+    describe_verdict,
+    present_moment,
+    replay_headers,
+)
+from chestnutshift.forwarding.intake import Accepted, Intake
+from chestnutshift.forwarding.placing import Job, Placer
 from chestnutshift.forwarding.problems import (
     Problem,
     Ran,
@@ -20,48 +23,41 @@
 )
 from chestnutshift.forwarding.requests import (
     CallerGoneError,
-    CallerRequest,
     Receive,
     RequestBody,
     Send,
-    body_too_large,
-    find_service,
     read_request,
 )
-from chestnutshift.keys import credentials
-from chestnutshift.keys.authentication import Identity, KeyRing
-from chestnutshift.upstreams.connections import (
-    ExchangeBrokenError,
-    NotConnectedError,
-)
-from chestnutshift.upstreams.directory import (
-    Upstream,
-    UpstreamDirectory,
-    pick,
-)
-
-ANONYMOUS = Identity(account='', digest='')
+from chestnutshift.idempotency.claims import Claim, KeyedRequest
+from chestnutshift.idempotency.fingerprint import BODY_HELD_B, digest_request
+from chestnutshift.idempotency.header import read_idempotency_key
+from chestnutshift.idempotency.ledger import Ledger
+from chestnutshift.idempotency.outcomes import Outcome
+from chestnutshift.idempotency.verdicts import Replay, Verdict
+from chestnutshift.keys.watch import Watch
 
 
 @attrs.define
 class Forwarder:
     """Answer callers' requests with the answers of upstreams."""
 
-    failure_domain: str
-    holder: ConfigurationHolder
-    key_ring: KeyRing
-    directory: UpstreamDirectory
-    event_log: EventLog
-    rng: random.Random
+    _intake: Intake
+    _ledger: Ledger
+    _placer: Placer
+    _watch: Watch
+    _event_log: EventLog
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request; every ending is a whole answer or an abort."""
         request = read_request(scope)
         attempt = Attempt(request, send)
         try:
-            await self._serve(request, attempt, receive)
+            await self._serve(attempt, receive)
         except CallerGoneError:
-            self.event_log.emit(events.CALLER_GONE, request=request.request_id)
+            self._event_log.emit(
+                events.CALLER_GONE,
+                request=request.request_id,
+            )
         except CodedError as error:
             await self._refuse(attempt, error)
 
@@ -69,14 +65,14 @@
         request_id = attempt.request.request_id
         if attempt.started:
             # Returning without the end of the body aborts the connection.
-            self.event_log.emit(
+            self._event_log.emit(
                 events.ANSWER_ABORTED,
                 request=request_id,
                 code=error.code,
             )
             return
         problem = problem_of(error, attempt.ran)
-        self.event_log.emit(
+        self._event_log.emit(
             events.REQUEST_REFUSED,
             request=request_id,
             code=problem.code,
@@ -84,171 +80,111 @@
         )
         await attempt.answer_problem(problem)
 
-    async def _serve(
-        self,
-        request: CallerRequest,
-        attempt: Attempt,
-        receive: Receive,
-    ) -> None:
+    async def _serve(self, attempt: Attempt, receive: Receive) -> None:
         now = trio.current_time()
-        configuration = self.holder.current
-        service = find_service(configuration, request.path)
-        identity = self._identify(request, service, now)
-        preset = configuration.preset
-        timeout_s = request.timeout_s(preset.deadline_s)
-        self._check_length(request, configuration)
-        self._check_idempotency(request, service)
-        body = RequestBody(receive, preset.body_limit_b)
-        with trio.move_on_after(timeout_s) as scope:
-            await self._forward_while_wanted(
-                attempt,
-                service,
-                identity,
-                body,
-                now + timeout_s,
-            )
+        accepted = self._intake.accept(attempt.request, now)
+        # From here on the request goes without the caller's key.
+        attempt.request = accepted.request
+        body = RequestBody(receive, accepted.preset.body_limit_b)
+        scope = trio.CancelScope(deadline=accepted.deadline)
+        with self._watch.subscribe(accepted.identity.digest, scope) as watched:
+            with scope:
+                await self._run(accepted, attempt, body)
+        if watched.cause is not None:
+            raise watched.cause
         if scope.cancelled_caught:
             raise RefusalError(_too_late(attempt.ran))
+        self._event_log.emit(
+            events.REQUEST_ANSWERED,
+            request=attempt.request.request_id,
+            account=accepted.account,
+            status=attempt.status,
+        )
 
-    async def _forward_while_wanted(
+    async def _run(
         self,
+        accepted: Accepted,
         attempt: Attempt,
-        service: Service,
-        identity: Identity,
         body: RequestBody,
-        deadline: float,
     ) -> None:
-        """Forward, and cancel the upstream's work if the caller closes."""
+        await body.hold(BODY_HELD_B)
+        if not accepted.needs_claim:
+            job = Job(accepted, attempt, body, ClaimedWork())
+            await self._run_while_wanted(job)
+            return
+        outcome = await self._begin(accepted, body)
+        if not isinstance(outcome, Claim):
+            await _answer_verdict(attempt, outcome)
+            return
+        claimed = ClaimedWork(self._ledger, outcome)
+        try:
+            # A caller that closes does not stop an operation half-way: its
+            # repeat gets the outcome.
+            await self._placer.run(Job(accepted, attempt, body, claimed))
+        finally:
+            claimed.end()
+
+    async def _begin(
+        self,
+        accepted: Accepted,
+        body: RequestBody,
+    ) -> Claim | Verdict:
+        request = accepted.request
+        moment = present_moment()
+        digest = digest_request(
+            request.method,
+            request.target,
+            request.headers,
+            body.whole,
+        )
+        keyed = KeyedRequest(
+            account=accepted.account,
+            key=read_idempotency_key(request.headers),
+            digest=digest,
+            timeout_s=accepted.deadline - moment.now,
+        )
+        return await self._ledger.begin(keyed, moment)
+
+    async def _run_while_wanted(self, job: Job) -> None:
+        """Run, and cancel the upstream's work if the caller closes."""
         failure: CodedError | None = None
-        whole = await body.first()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, body, nursery)
+            nursery.start_soon(_cancel_when_gone, job.body, nursery)
             try:
-                await self._forward(
-                    attempt,
-                    service,
-                    identity,
-                    (body, whole),
-                    deadline,
-                )
+                await self._placer.run(job)
             except CodedError as error:
                 failure = error
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
-        if not attempt.finished:
+        if not job.attempt.finished:
             raise CallerGoneError('the caller closed before its answer')
 
-    async def _forward(
-        self,
-        attempt: Attempt,
-        service: Service,
-        identity: Identity,
-        body: tuple[RequestBody, bytes | None],
-        deadline: float,
-    ) -> None:
-        tried: frozenset[str] = frozenset()
-        while not attempt.finished:
-            upstream = self._pick(service, tried)
-            try:
-                await attempt.run(upstream, identity.account, body, deadline)
-            except (NotConnectedError, ExchangeBrokenError) as error:
-                self._note_failure(attempt, identity, upstream, error)
-                if attempt.ran is not Ran.NOT_RUN:
-                    raise RefusalError(_broken(error)) from error
-                tried |= {upstream.name}
-        self.event_log.emit(
-            events.REQUEST_ANSWERED,
-            request=attempt.request.request_id,
-            account=identity.account,
-            upstream=upstream.name,
-            status=attempt.status,
-        )
-
-    def _pick(self, service: Service, tried: frozenset[str]) -> Upstream:
-        serving = self.directory.serving(service.name, self.failure_domain)
-        upstream = pick(serving, tried, self.rng)
-        if upstream is None:
-            raise RefusalError(_no_slot(service))
-        return upstream
-
-    def _note_failure(
-        self,
-        attempt: Attempt,
-        identity: Identity,
-        upstream: Upstream,
-        error: CodedError,
-    ) -> None:
-        self.event_log.emit(
-            events.ATTEMPT_FAILED,
-            request=attempt.request.request_id,
-            account=identity.account,
-            upstream=upstream.name,
-            code=error.code,
-            ran=attempt.ran,
-        )
-
-    def _identify(
-        self,
-        request: CallerRequest,
-        service: Service,
-        now: float,
-    ) -> Identity:
-        if service.open:
-            return ANONYMOUS
-        key = credentials.read_key(request.headers)
-        return self.key_ring.authenticate(key, now)
-
-    def _check_length(
-        self,
-        request: CallerRequest,
-        configuration: Configuration,
-    ) -> None:
-        limit_b = configuration.preset.body_limit_b
-        announced = request.header(b'content-length') or b'0'
-        if announced.isdigit() and int(announced) > limit_b:
-            raise RefusalError(body_too_large(limit_b))
-
-    def _check_idempotency(
-        self,
-        request: CallerRequest,
-        service: Service,
-    ) -> None:
-        if service.idempotent or request.is_safe:
-            return
-        detail = 'changes to a non-idempotent service are not offered yet'
-        status = http.HTTPStatus.NOT_IMPLEMENTED
-        raise RefusalError(
-            Problem(status, 'idempotency.not_offered', detail),
-        )
-
 
 async def _cancel_when_gone(body: RequestBody, nursery: trio.Nursery) -> None:
     await body.wait_gone()
     nursery.cancel_scope.cancel()
 
 
-def _no_slot(service: Service) -> Problem:
-    return Problem(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        'upstreams.no_slot',
-        f'no upstream of {service.name} has a free slot',
-        retry_after_s=1,
-    )
+async def _answer_verdict(attempt: Attempt, verdict: Verdict) -> None:
+    if not isinstance(verdict, Replay):
+        raise RefusalError(describe_verdict(verdict))
+    await answer_outcome(attempt, verdict.outcome)
 
 
-def _broken(error: CodedError) -> Problem:
-    return Problem(
-        http.HTTPStatus.BAD_GATEWAY,
-        error.code,
-        'the upstream broke off; the request may have run',
-        Ran.UNKNOWN,
+async def answer_outcome(attempt: Attempt, outcome: Outcome) -> None:
+    """Answer with what is recorded of an operation that ran."""
+    attempt.status = outcome.status
+    await attempt.answer_whole(
+        outcome.status,
+        replay_headers(outcome),
+        outcome.body or b'',
     )
 
 
 def _too_late(ran: Ran) -> Problem:
     return Problem(
-        http.HTTPStatus.GATEWAY_TIMEOUT,
+        504,
         'request.deadline_passed',
         'the deadline passed before the answer began',
         ran,
--- /dev/null
+++ b/chestnutshift/forwarding/intake.py
@@ -0,0 +1,142 @@
+"""Everything that is decided about a request before it gets a place."""
+
+import attrs
+
+from chestnutshift.accounts.admission import Admission
+from chestnutshift.configuration.holder import ConfigurationHolder
+from chestnutshift.configuration.model import Preset, Service
+from chestnutshift.exceptions import CodedError
+from chestnutshift.forwarding.crossing import Crossing, CrossingGuard
+from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.forwarding.requests import (
+    CallerRequest,
+    body_too_large,
+    find_service,
+)
+from chestnutshift.invariants.registry import KEYED_REQUEST, verify
+from chestnutshift.keys import credentials
+from chestnutshift.keys.authentication import Identity, KeyRing
+from chestnutshift.keys.hiding import KeyDetector, hide_key
+
+ANONYMOUS = Identity(account='', digest='')
+
+
+class OverRateError(CodedError):
+    """The account has used its rate and burst."""
+
+    code = 'accounts.over_rate'
+    status = 429
+
+    def __init__(self, detail: str, retry_after_s: float) -> None:
+        """Keep the seconds after which a token will be there."""
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
+
+
+@attrs.frozen
+class Accepted:
+    """A request that may run, for whom, and until when."""
+
+    request: CallerRequest
+    service: Service
+    preset: Preset
+    identity: Identity
+    deadline: float
+    crossing: Crossing | None = None
+
+    @property
+    def account(self) -> str:
+        """The account that the request runs for, empty on open routes."""
+        return self.identity.account
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether the request must not run twice."""
+        if self.service.idempotent or self.request.is_safe:
+            return False
+        return self.crossing is None
+
+
+@attrs.frozen
+class Intake:
+    """Decide whether a request may run."""
+
+    _holder: ConfigurationHolder
+    _key_ring: KeyRing
+    _admission: Admission
+    _guard: CrossingGuard
+
+    def accept(self, request: CallerRequest, now: float) -> Accepted:
+        """Return the request without its key.
+
+        Raises a coded error for a request to refuse; it has not run.
+        """
+        configuration = self._holder.current
+        service = find_service(configuration, request.path)
+        preset = configuration.preset
+        timeout_s = request.timeout_s(preset.deadline_s)
+        _check_length(request, preset.body_limit_b)
+        crossing = self._guard.read(request)
+        if crossing is None:
+            identity, request = self._identify(request, service, now)
+            self._admit(identity, now)
+        else:
+            identity = Identity(crossing.account, '')
+        return Accepted(
+            request=request,
+            service=service,
+            preset=preset,
+            identity=identity,
+            deadline=now + timeout_s,
+            crossing=crossing,
+        )
+
+    def identify_caller(self, request: CallerRequest, now: float) -> Identity:
+        """Return who asks about its own requests; raises as `accept`."""
+        key = credentials.read_key(request.headers)
+        return self._key_ring.authenticate(key, now)
+
+    def _identify(
+        self,
+        request: CallerRequest,
+        service: Service,
+        now: float,
+    ) -> tuple[Identity, CallerRequest]:
+        key = credentials.read_key(request.headers)
+        identity = ANONYMOUS
+        if not service.open:
+            identity = self._key_ring.authenticate(key, now)
+            verify(
+                KEYED_REQUEST,
+                holds=bool(identity.account),
+                detail=request.request_id,
+            )
+        if key is not None:
+            request = _without_key(request, key)
+        return identity, request
+
+    def _admit(self, identity: Identity, now: float) -> None:
+        if identity is ANONYMOUS:
+            return
+        decision = self._admission.admit(identity.account, now)
+        if not decision.admitted:
+            raise OverRateError(
+                f'not run: {identity.account}: {decision.reason}',
+                decision.retry_after_s,
+            )
+
+
+def _without_key(request: CallerRequest, key: str) -> CallerRequest:
+    path, mark, query = request.target.partition(b'?')
+    hidden = hide_key(KeyDetector(key), path, query, request.headers)
+    target = path + mark + hidden.query if hidden.query else path
+    return attrs.evolve(request, target=target, headers=hidden.headers)
+
+
+def _check_length(request: CallerRequest, limit_b: int) -> None:
+    announced = request.header(b'content-length') or b'0'
+    if not announced.isdigit():
+        problem = Problem(400, 'request.length', 'Content-Length is no number')
+        raise RefusalError(problem)
+    if int(announced) > limit_b:
+        raise RefusalError(body_too_large(limit_b))
--- /dev/null
+++ b/chestnutshift/forwarding/placing.py
@@ -0,0 +1,214 @@
+"""Find a place for an accepted request and run it there, once or again."""
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.exceptions import CodedError
+from chestnutshift.forwarding import events
+from chestnutshift.forwarding.attempt import Target
+from chestnutshift.forwarding.exceptions import (
+    PlaceBrokenError,
+    PlaceError,
+)
+from chestnutshift.forwarding.problems import Ran
+from chestnutshift.forwarding.targets import Job, TargetMaker
+from chestnutshift.idempotency.claims import NotRunProof
+from chestnutshift.regions.model import Demand, Place
+from chestnutshift.retries.budget import RetryBudget
+from chestnutshift.retries.deadline import Deadline
+from chestnutshift.retries.decision import Failure, decide_retry
+from chestnutshift.upstreams.connections import (
+    ConnectionsExhaustedError,
+    ExchangeBrokenError,
+    NotConnectedError,
+)
+from chestnutshift.upstreams.dispatch import Wanted
+from chestnutshift.upstreams.exceptions import (
+    ForeignWorkRefusedError,
+    NoUpstreamError,
+)
+from chestnutshift.vms.steering import RegionSteering
+from chestnutshift.vms.work import LocalWork
+
+FOREIGN_RETRY_S = 1.0
+# What an attempt is expected to need at the least, in seconds.
+EXPECTED_S = 0.01
+_NOT_SENT = (NotConnectedError, ConnectionsExhaustedError)
+
+
+@attrs.frozen
+class Placer:
+    """Run requests on upstreams here, or at VMs of other domains."""
+
+    _work: LocalWork
+    _steering: RegionSteering
+    _targets: TargetMaker
+    _budget: RetryBudget
+    _rng: random.Random
+    _event_log: EventLog
+
+    async def run(self, job: Job) -> None:
+        """Run the request until its answer has been passed on.
+
+        Raises PlaceError if it has not run, PlaceBrokenError if it may have,
+        RefusedError if there is no slot in time.
+        """
+        accepted = job.accepted
+        self._budget.record_attempt(
+            job.service,
+            accepted.account,
+            trio.current_time(),
+        )
+        while not job.attempt.finished:
+            try:
+                await self._run_once(job)
+            except (PlaceError, PlaceBrokenError) as error:
+                self._note_failure(job, error)
+                await self._wait_for_retry(job, error)
+
+    async def _wait_for_retry(
+        self,
+        job: Job,
+        error: PlaceError | PlaceBrokenError,
+    ) -> None:
+        """Return when the request may be sent again, else raise the error."""
+        accepted = job.accepted
+        failure = Failure(
+            service=job.service,
+            account=accepted.account,
+            idempotent=accepted.service.idempotent or accepted.request.is_safe,
+            not_run=job.attempt.ran is Ran.NOT_RUN,
+            retries_done=job.retries,
+            expected_s=EXPECTED_S,
+        )
+        decision = decide_retry(
+            failure,
+            Deadline(accepted.deadline),
+            self._budget,
+            trio.current_time(),
+            self._rng,
+        )
+        stopped = decision.denial or job.attempt.started
+        if stopped or not job.may_send_again:
+            raise error
+        job.retries += 1
+        await trio.sleep(decision.delay_s)
+
+    async def _run_once(self, job: Job) -> None:
+        if job.accepted.crossing is not None:
+            self._admit_foreign(job)
+            await self._run_here(job)
+            return
+        place = self._choose(job)
+        if place is None:
+            await self._run_here(job)
+        else:
+            await self._run_there(job, place)
+
+    def _choose(self, job: Job) -> Place | None:
+        now = trio.current_time()
+        try:
+            wait_s = self._work.dispatcher.expected_wait_s(job.service, now)
+        except NoUpstreamError:
+            wait_s = float('inf')
+        length = job.accepted.request.header(b'content-length') or b'0'
+        demand = Demand(
+            service=job.service,
+            size_b=int(length),
+            local_wait_s=wait_s,
+            deadline_at=job.accepted.deadline,
+        )
+        return self._steering.choose(demand, now, job.tried)
+
+    def _admit_foreign(self, job: Job) -> None:
+        region = job.accepted.crossing.region
+        table = self._work.table
+        now = trio.current_time()
+        if table is None or not table.admit_foreign(job.service, region, now):
+            raise ForeignWorkRefusedError(
+                f'{job.service}: no slot for other failure domains',
+                FOREIGN_RETRY_S,
+            )
+
+    async def _run_here(self, job: Job) -> None:
+        accepted = job.accepted
+        wanted = Wanted(
+            service=job.service,
+            request=accepted.request.request_id,
+            account=accepted.account,
+            deadline_at=accepted.deadline,
+            avoided=job.tried,
+        )
+        dispatcher = self._work.dispatcher
+        held = await dispatcher.acquire(wanted)
+        try:
+            with self._failures_noted(job, held.upstream):
+                await self._attempt(job, self._targets.upstream(job, held))
+        finally:
+            dispatcher.release(
+                held,
+                trio.current_time(),
+                whole=job.attempt.finished,
+            )
+
+    async def _run_there(self, job: Job, place: Place) -> None:
+        started_at = trio.current_time()
+        self._steering.record_move(place, job.service, started_at)
+        try:
+            await self._attempt(job, self._targets.vm(job, place))
+        except PlaceError:
+            job.tried |= {place.vm}
+            now = trio.current_time()
+            self._steering.record_refusal(place.vm, job.service, now)
+            raise
+        finally:
+            self._steering.record_end(place.vm, job.service, started_at)
+
+    async def _attempt(self, job: Job, target: Target) -> None:
+        try:
+            await job.attempt.run(
+                target,
+                job.accepted.account,
+                job.body,
+                job.accepted.deadline,
+            )
+        except _NOT_SENT as error:
+            raise PlaceError(error.detail) from error
+        except PlaceError:
+            job.attempt.ran = Ran.NOT_RUN
+            job.claimed.note_not_run(NotRunProof.UPSTREAM_SAID_SO)
+            raise
+        except ExchangeBrokenError as error:
+            raise PlaceBrokenError(
+                'the connection broke; the request may have run',
+            ) from error
+
+    @contextmanager
+    def _failures_noted(self, job: Job, upstream: str) -> Iterator[None]:
+        try:
+            yield
+        except (PlaceError, PlaceBrokenError) as error:
+            job.tried |= {upstream}
+            refused = isinstance(error.__cause__, NotConnectedError)
+            self._work.pool.record_failure(
+                upstream,
+                error.code,
+                trio.current_time(),
+                refused=refused,
+            )
+            raise
+
+    def _note_failure(self, job: Job, error: CodedError) -> None:
+        self._event_log.emit(
+            events.ATTEMPT_FAILED,
+            request=job.accepted.request.request_id,
+            account=job.accepted.account,
+            code=error.code,
+            detail=error.detail,
+            ran=job.attempt.ran,
+        )
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -105,47 +105,48 @@
 
 
 class RequestBody:
-    """The body of a request, passed on as it arrives and counted."""
+    """The body of a request, held while it is short, else passed on."""
 
     def __init__(self, receive: Receive, limit_b: int) -> None:
         """Refuse more than limit_b bytes."""
         self._receive = receive
         self._limit_b = limit_b
-        self._passed_b = 0
-        self._first: dict = {}
+        self._seen_b = 0
+        self._held: list[bytes] = []
+        self._whole: bytes | None = None
+        self._passing = False
         self._finished = trio.Event()
 
     @property
-    def passed_b(self) -> int:
-        """Bytes passed on so far."""
-        return self._passed_b
+    def whole(self) -> bytes | None:
+        """The body if it is held whole, so that it can be sent again."""
+        return self._whole
 
-    async def first(self) -> bytes | None:
-        """Return a body that is whole already, None if more is to come.
+    @property
+    def is_passing(self) -> bool:
+        """Whether `chunks` has begun, so that the body can't be sent again."""
+        return self._passing
+
+    async def hold(self, held_b: int) -> None:
+        """Read until the body is whole, or longer than held_b bytes.
 
-        Only to be called before `chunks`, for requests without a body.
+        Raises CallerGoneError, and RefusalError for a body over the limit.
         """
-        message = await self._next()
-        if message.get('more_body', False):
-            self._first = message
-            return None
-        self._finished.set()
-        return message.get('body', b'')
+        while self._seen_b <= held_b and not self._finished.is_set():
+            self._held.append(await self._next())
+        if self._finished.is_set():
+            self._whole = b''.join(self._held)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body after `first` returned None."""
-        message = self._first
-        while True:
-            chunk = message.get('body', b'')
-            self._passed_b += len(chunk)
-            if self._passed_b > self._limit_b:
-                raise RefusalError(body_too_large(self._limit_b))
+        """Yield the body after `hold` found it too long to hold; once."""
+        self._passing = True
+        for chunk in self._held:
+            yield chunk
+        self._held.clear()
+        while not self._finished.is_set():
+            chunk = await self._next()
             if chunk:
                 yield chunk
-            if not message.get('more_body', False):
-                break
-            message = await self._next()
-        self._finished.set()
 
     async def wait_gone(self) -> None:
         """Return when the caller has closed after sending its body."""
@@ -154,11 +155,17 @@
         while message['type'] != 'http.disconnect':
             message = await self._receive()
 
-    async def _next(self) -> dict:
+    async def _next(self) -> bytes:
         message = await self._receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError('the caller closed within its request')
-        return message
+        chunk = message.get('body', b'')
+        self._seen_b += len(chunk)
+        if self._seen_b > self._limit_b:
+            raise RefusalError(body_too_large(self._limit_b))
+        if not message.get('more_body', False):
+            self._finished.set()
+        return chunk
 
 
 def body_too_large(limit_b: int) -> Problem:
--- /dev/null
+++ b/chestnutshift/forwarding/targets.py
@@ -0,0 +1,133 @@
+"""Where a request is sent: an upstream, or a VM of another domain."""
+
+import secrets
+
+import attrs
+import trio
+
+from chestnutshift.forwarding.attempt import Attempt, Target
+from chestnutshift.forwarding.claims import ClaimedWork
+from chestnutshift.forwarding.crossing import Crossing, crossing_headers
+from chestnutshift.forwarding.exceptions import (
+    PlaceError,
+    PlaceRefusedError,
+    SlotLapsedError,
+    UpstreamRefusedError,
+)
+from chestnutshift.forwarding.intake import Accepted
+from chestnutshift.forwarding.problems import RAN_HEADER
+from chestnutshift.forwarding.requests import RequestBody
+from chestnutshift.forwarding.vm_connections import VmConnections
+from chestnutshift.regions.model import Place
+from chestnutshift.upstreams.connections import UpstreamAnswer
+from chestnutshift.upstreams.dispatch import Held
+from chestnutshift.upstreams.health import LeavingNews, NewsSource
+from chestnutshift.vms.work import LocalWork
+
+CROSSING_NUMBER_B = 12
+LEAVING_HEADER = b'chestnutshift-leaving'
+
+
+@attrs.define
+class Job:
+    """One accepted request on its way, and the places tried so far."""
+
+    accepted: Accepted
+    attempt: Attempt
+    body: RequestBody
+    claimed: ClaimedWork
+    tried: frozenset[str] = frozenset()
+    retries: int = 0
+
+    @property
+    def service(self) -> str:
+        """The name of the service."""
+        return self.accepted.service.name
+
+    @property
+    def may_send_again(self) -> bool:
+        """Whether the body can be sent once more."""
+        return self.body.whole is not None or not self.body.is_passing
+
+
+@attrs.frozen
+class TargetMaker:
+    """Join a job to the place that it is sent to."""
+
+    _work: LocalWork
+    _vms: VmConnections
+    _secret: bytes
+
+    def upstream(self, job: Job, held: Held) -> Target:
+        """Return the upstream whose slot the request holds.
+
+        Raises PlaceError if it has left the list meanwhile.
+        """
+        upstream = self._work.directory.get(held.upstream)
+        if upstream is None:
+            raise PlaceError(f'{held.upstream} is not listed any more')
+        health = self._work.health
+
+        def before_send() -> None:
+            now = trio.current_time()
+            if not held.lease.may_start(now):
+                raise SlotLapsedError(f'the slot on {held.upstream} lapsed')
+            health.record_sent(held.upstream, now)
+            job.claimed.before_send()
+
+        def on_answer(answer: UpstreamAnswer) -> None:
+            told = _own_headers(answer)
+            if LEAVING_HEADER in told:
+                news = LeavingNews(held.upstream, NewsSource.ANSWER)
+                now = trio.current_time()
+                self._work.pool.note([health.record_leaving(news, now)])
+            if told.get(RAN_HEADER) == b'no':
+                raise UpstreamRefusedError(f'{held.upstream} shed the request')
+            job.claimed.start_answer(answer)
+
+        return Target(
+            name=held.upstream,
+            host=upstream.host,
+            connections=upstream.connections,
+            before_send=before_send,
+            on_answer=on_answer,
+            on_chunk=job.claimed.add_chunk,
+            on_whole=job.claimed.finish,
+        )
+
+    def vm(self, job: Job, place: Place) -> Target:
+        """Return a VM of another failure domain."""
+        other = self._vms.get(place.vm)
+        here = self._work.place
+        crossing = Crossing(
+            sender=here.vm,
+            region=here.region,
+            number=secrets.token_hex(CROSSING_NUMBER_B),
+            account=job.accepted.account,
+        )
+
+        def on_answer(answer: UpstreamAnswer) -> None:
+            ran = _own_headers(answer).get(RAN_HEADER)
+            if ran == b'no':
+                raise PlaceRefusedError(f'{place.vm} did not take the request')
+            job.claimed.start_answer(answer)
+
+        return Target(
+            name=place.vm,
+            host=other.host,
+            connections=other.connections,
+            extra_headers=crossing_headers(
+                crossing,
+                job.accepted.request,
+                self._secret,
+                other.incarnation,
+            ),
+            before_send=job.claimed.before_send,
+            on_answer=on_answer,
+            on_chunk=job.claimed.add_chunk,
+            on_whole=job.claimed.finish,
+        )
+
+
+def _own_headers(answer: UpstreamAnswer) -> dict[bytes, bytes]:
+    return {name.lower(): text for name, text in answer.headers}
--- a/chestnutshift/links/server.py
+++ b/chestnutshift/links/server.py
@@ -38,6 +38,7 @@
         port: int,
         silence_s: float,
         tls: ssl.SSLContext | None = None,
+        task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept until cancelled; close a link silent for silence_s."""
 
@@ -45,10 +46,16 @@
             async with stream:
                 await self._serve_link(stream, silence_s)
 
-        if tls is None:
-            await trio.serve_tcp(connection, port, host=address)
-        else:
-            await trio.serve_ssl_over_tcp(connection, port, tls, host=address)
+        listeners: list = await trio.open_tcp_listeners(port, host=address)
+        if tls is not None:
+            listeners = [
+                trio.SSLListener(listener, tls) for listener in listeners
+            ]
+        await trio.serve_listeners(
+            connection,
+            listeners,
+            task_status=task_status,
+        )
 
     async def _serve_link(
         self,
--- a/chestnutshift/management/commands.py
+++ b/chestnutshift/management/commands.py
@@ -18,7 +18,8 @@
 from chestnutshift.management.client import OperatorsClient
 from chestnutshift.management.output import Output, table
 from chestnutshift.platform.backends.http import HttpPlatform
-from chestnutshift.vms.process import VmProcess, make_state
+from chestnutshift.vms.assembly import make_state
+from chestnutshift.vms.process import VmProcess
 
 
 @attrs.frozen
--- a/chestnutshift/operators/application.py
+++ b/chestnutshift/operators/application.py
@@ -12,6 +12,8 @@
 from chestnutshift.conf.loader import structure
 from chestnutshift.configuration.codec import to_document
 from chestnutshift.exceptions import CodedError
+from chestnutshift.lookup.answers import Question, choose
+from chestnutshift.lookup.documents import describe_answer
 from chestnutshift.operators.acceptance import ChangeRequest, accept
 from chestnutshift.operators.exceptions import BadRequestError, StrangerError
 from chestnutshift.operators.status import vm_status
@@ -61,6 +63,18 @@
     async def configuration() -> Response:
         return jsonify(to_document(state.holder.current))
 
+    @app.get('/locate')
+    async def locate() -> Response:
+        question = Question(
+            address='127.0.0.1',
+            block=request.args.get('block', ''),
+            region=request.args.get('region', ''),
+        )
+        preset = state.holder.current.preset
+        view = state.lookups.directory.view
+        answer = choose(question, view, preset, trio.current_time())
+        return jsonify(describe_answer(answer))
+
     @app.post('/changes')
     async def change() -> Response:
         raw = await request.get_json(force=True, silent=True)
--- a/chestnutshift/operators/status.py
+++ b/chestnutshift/operators/status.py
@@ -21,7 +21,7 @@
         'platform_reachable': state.follower.reachable,
         'keys': state.key_ring.freshness(now).value,
         'drains': sorted(configuration.drains),
-        'headroom': round(state.headroom(), 3),
+        'headroom': round(state.work.headroom(now), 3),
         'peers': [
             _peer_status(peer, peer in heard) for peer in state.membership.peers
         ],
--- a/chestnutshift/upstreams/directory.py
+++ b/chestnutshift/upstreams/directory.py
@@ -1,7 +1,5 @@
 """The upstreams that this VM knows, by what the platform's list says."""
 
-import contextlib
-import random
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -13,11 +11,10 @@
 
 @attrs.define
 class Upstream:
-    """One upstream: its record, connections, and this VM's work on it."""
+    """One upstream: its record and the connections to it."""
 
     record: VmRecord
     connections: UpstreamConnections
-    in_flight: int = 0
 
     @property
     def name(self) -> str:
@@ -29,18 +26,9 @@
         """The value of the Host header."""
         return self.record.address.encode()
 
-    @contextlib.contextmanager
-    def working(self) -> Iterator[None]:
-        """Count one request on the upstream while the block runs."""
-        self.in_flight += 1
-        try:
-            yield
-        finally:
-            self.in_flight -= 1
-
 
 class UpstreamDirectory:
-    """All upstreams, and those that may take new work."""
+    """All upstreams that the platform lists."""
 
     def __init__(self) -> None:
         """Start without any upstream."""
@@ -70,19 +58,9 @@
                 self._upstreams[name] = _connect(record)
         return tuple(dropped)
 
-    def serving(
-        self,
-        service: str,
-        failure_domain: str,
-    ) -> tuple[Upstream, ...]:
-        """Return the upstreams of a service that may take new work."""
-        return tuple(
-            upstream
-            for upstream in self._upstreams.values()
-            if upstream.record.service == service
-            and upstream.record.failure_domain == failure_domain
-            and upstream.record.state is VmState.LIVE
-        )
+    def get(self, name: str) -> Upstream | None:
+        """Return the upstream of that name, None if it is not listed."""
+        return self._upstreams.get(name)
 
     def _must_replace(self, name: str, listed: dict[str, VmRecord]) -> bool:
         record = listed.get(name)
@@ -100,26 +78,3 @@
         maximum=defaults.CONNECTIONS_MAX,
     )
     return Upstream(record, connections)
-
-
-def pick(
-    upstreams: Iterable[Upstream],
-    tried: frozenset[str],
-    rng: random.Random,
-) -> Upstream | None:
-    """Return an upstream with a free slot, the emptiest of the rest first."""
-    free = [
-        upstream
-        for upstream in upstreams
-        if upstream.in_flight < upstream.record.slots
-        and upstream.name not in tried
-    ]
-    if not free:
-        return None
-    return min(
-        free,
-        key=lambda upstream: (
-            upstream.in_flight / upstream.record.slots,
-            rng.random(),
-        ),
-    )
--- /dev/null
+++ b/chestnutshift/upstreams/dispatch.py
@@ -0,0 +1,203 @@
+"""Give requests a slot on an upstream of the own failure domain, in turn."""
+
+import attrs
+import trio
+
+from chestnutshift.exceptions import CodedError
+from chestnutshift.upstreams.candidates import CandidatePool
+from chestnutshift.upstreams.exceptions import (
+    DeadlineTooNearError,
+    NoUpstreamError,
+    QueueFullError,
+)
+from chestnutshift.upstreams.model import Candidate
+from chestnutshift.upstreams.queueing import ServiceQueue, Waiting
+from chestnutshift.upstreams.slots import SlotLease, SlotTable
+
+NO_UPSTREAM_RETRY_S = 2.0
+NONE_AVOIDED: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Wanted:
+    """A request that wants a slot; avoided names upstreams tried before."""
+
+    service: str
+    request: str
+    account: str
+    deadline_at: float
+    avoided: frozenset[str] = NONE_AVOIDED
+
+
+@attrs.frozen(eq=False)
+class Held:
+    """A slot on an upstream, held from started_at on."""
+
+    candidate: Candidate
+    lease: SlotLease
+    service: str
+    started_at: float
+
+    @property
+    def upstream(self) -> str:
+        """The upstream's name."""
+        return self.candidate.name
+
+
+@attrs.define(eq=False)
+class _Turn:
+    """A queued request, until it gets a slot or a refusal."""
+
+    over: trio.Event = attrs.field(factory=trio.Event)
+    held: Held | None = None
+    refusal: CodedError | None = None
+
+    def grant(self, held: Held) -> None:
+        self.held = held
+        self.over.set()
+
+    def refuse(self, refusal: CodedError) -> None:
+        self.refusal = refusal
+        self.over.set()
+
+
+class Dispatcher:
+    """The slots and queues of one VM."""
+
+    def __init__(self, table: SlotTable, pool: CandidatePool) -> None:
+        """Start with empty queues."""
+        self._table = table
+        self._pool = pool
+        self._queues: dict[str, ServiceQueue] = {}
+        self._turns: dict[Waiting, _Turn] = {}
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """The length of each service's queue."""
+        return {service: len(queue) for service, queue in self._queues.items()}
+
+    def expected_wait_s(self, service: str, now: float) -> float:
+        """Return how long a request would wait here, infinite if for ever."""
+        capacity, busy = self._table.service_load(service, now)
+        if not capacity:
+            return float('inf')
+        queue = self._queue(service)
+        ahead = max(0, busy + len(queue) - capacity + 1)
+        return ahead * queue.duration_s / capacity
+
+    async def acquire(self, wanted: Wanted) -> Held:
+        """Wait for a slot.
+
+        Raises NoUpstreamError, QueueFullError and DeadlineTooNearError, each
+        at once; the request has not run.
+        """
+        now = trio.current_time()
+        queue = self._queue(wanted.service)
+        if not queue:
+            held = self._try(wanted.service, wanted.avoided, now)
+            if held is not None:
+                return held
+        waiting, turn = self._join(queue, wanted, now)
+        try:
+            await turn.over.wait()
+        except BaseException:
+            self._leave(queue, waiting, turn)
+            raise
+        if turn.refusal is not None:
+            raise turn.refusal
+        return turn.held
+
+    def release(self, held: Held, now: float, *, whole: bool) -> None:
+        """Give a slot back; whole says that the answer came whole."""
+        duration_s = now - held.started_at
+        self._table.release(held.lease, now)
+        self._pool.record_answer(
+            held.candidate,
+            duration_s,
+            now,
+            whole=whole,
+        )
+        if whole:
+            self._queue(held.service).record_duration(duration_s)
+        self._serve(held.service, now)
+
+    def tick(self, now: float) -> None:
+        """Refuse what can't end in time and serve what can start now."""
+        for service, queue in self._queues.items():
+            for waiting in queue.expired(now):
+                refusal = DeadlineTooNearError(
+                    f'{service}: the deadline came before a slot',
+                    queue.retry_after_s(self._slots(service, now)),
+                )
+                self._turns.pop(waiting).refuse(refusal)
+            self._serve(service, now)
+
+    def _queue(self, service: str) -> ServiceQueue:
+        return self._queues.setdefault(service, ServiceQueue(service))
+
+    def _slots(self, service: str, now: float) -> int:
+        return max(1, self._table.service_load(service, now)[0])
+
+    def _join(
+        self,
+        queue: ServiceQueue,
+        wanted: Wanted,
+        now: float,
+    ) -> tuple[Waiting, _Turn]:
+        if not self._table.service_load(wanted.service, now)[0]:
+            raise NoUpstreamError(
+                f'no upstream of {wanted.service} takes work here',
+                NO_UPSTREAM_RETRY_S,
+            )
+        slots = self._slots(wanted.service, now)
+        waiting = Waiting(wanted.request, wanted.account, wanted.deadline_at)
+        pushed_out = queue.offer(waiting, slots, now)
+        if pushed_out is not None:
+            refusal = QueueFullError(
+                f'{wanted.service}: the queue is full',
+                queue.retry_after_s(slots),
+            )
+            self._turns.pop(pushed_out).refuse(refusal)
+        turn = _Turn()
+        self._turns[waiting] = turn
+        return waiting, turn
+
+    def _leave(
+        self,
+        queue: ServiceQueue,
+        waiting: Waiting,
+        turn: _Turn,
+    ) -> None:
+        self._turns.pop(waiting, None)
+        queue.withdraw(waiting)
+        if turn.held is not None:
+            # The slot came together with the cancellation.
+            now = trio.current_time()
+            self._table.release(turn.held.lease, now)
+            self._serve(turn.held.service, now)
+
+    def _serve(self, service: str, now: float) -> None:
+        queue = self._queue(service)
+        while queue:
+            held = self._try(service, NONE_AVOIDED, now)
+            if held is None:
+                return
+            waiting = queue.take(now)
+            if waiting is None:
+                self._table.release(held.lease, now)
+                return
+            self._turns.pop(waiting).grant(held)
+
+    def _try(
+        self,
+        service: str,
+        avoided: frozenset[str],
+        now: float,
+    ) -> Held | None:
+        chosen = self._pool.choose(service, avoided, now)
+        if chosen is None:
+            return None
+        lease = self._table.acquire(chosen.name, now)
+        if lease is None:
+            return None
+        return Held(chosen, lease, service, now)
--- /dev/null
+++ b/chestnutshift/vms/assembly.py
@@ -0,0 +1,89 @@
+"""Put the parts of a VM together."""
+
+import random
+import secrets
+from collections.abc import Callable
+
+import trio
+
+from chestnutshift.accounts.admission import Admission
+from chestnutshift.conf.settings import Settings
+from chestnutshift.configuration.follow import PlatformFollower
+from chestnutshift.configuration.holder import ConfigurationHolder
+from chestnutshift.events.log import EventLog
+from chestnutshift.idempotency.ledger import Ledger
+from chestnutshift.idempotency.records import Holder
+from chestnutshift.keys.authentication import KeyRing
+from chestnutshift.keys.watch import Watch
+from chestnutshift.platform.backends.base import Platform
+from chestnutshift.vms import seats
+from chestnutshift.vms.lookups import LookupKeeper
+from chestnutshift.vms.membership import Membership
+from chestnutshift.vms.state import VmState
+from chestnutshift.vms.steering import RegionSteering
+from chestnutshift.vms.work import LocalWork
+
+INCARNATION_B = 8
+
+
+def make_state(settings: Settings, platform: Platform) -> VmState:
+    """Return the state of a VM that has just started."""
+    name = settings.vm.name
+    incarnation = secrets.token_hex(INCARNATION_B)
+    event_log = EventLog(name)
+    rng = random.Random(incarnation)
+    holder = ConfigurationHolder()
+    membership = Membership(settings.peers.vms, settings.peers.silence_s)
+    seat_holder = seats.holder_name(name, incarnation)
+    key_ring = KeyRing()
+    steering = RegionSteering(settings, membership, rng)
+    return VmState(
+        settings=settings,
+        incarnation=incarnation,
+        event_log=event_log,
+        platform=platform,
+        holder=holder,
+        follower=PlatformFollower(platform, holder, event_log),
+        membership=membership,
+        key_ring=key_ring,
+        watch=Watch(key_ring.withdrawals),
+        keeper=seats.make_keeper(name, seat_holder, platform, event_log),
+        admission=Admission(
+            seat_holder,
+            1 + len(membership.peers),
+            rng,
+            log=event_log,
+        ),
+        ledger=Ledger(
+            platform,
+            Holder(name, incarnation),
+            random.SystemRandom(),
+            event_log,
+            _gone_check(name, incarnation, membership),
+        ),
+        work=LocalWork(settings, rng, event_log),
+        steering=steering,
+        lookups=LookupKeeper(
+            settings,
+            membership,
+            steering,
+            event_log,
+            trio.current_time(),
+        ),
+    )
+
+
+def _gone_check(
+    name: str,
+    incarnation: str,
+    membership: Membership,
+) -> Callable[[Holder], bool]:
+    def is_gone(holder: Holder) -> bool:
+        """Tell whether a newer incarnation of the holder's VM was met."""
+        if holder.vm == name:
+            return holder.incarnation != incarnation
+        peer = membership.get(holder.vm)
+        met = peer.incarnation if peer else ''
+        return met not in {'', holder.incarnation}
+
+    return is_gone
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -20,8 +20,12 @@
         configuration_number=state.holder.number,
         platform_reachable=state.follower.reachable,
         knowledge_age_s=age_s,
-        headroom=state.headroom(),
+        headroom=state.work.headroom(now),
         withdrawal_count=len(state.key_ring.withdrawals.digests),
+        loads=[
+            ttypes.ServiceLoad(service_=service, slots=slots, in_use=in_use)
+            for service, (slots, in_use) in state.work.loads(now).items()
+        ],
     )
 
 
@@ -34,6 +38,10 @@
         knowledge_age_s=heartbeat.knowledge_age_s,
         headroom=heartbeat.headroom or 0,
         withdrawal_count=heartbeat.withdrawal_count or 0,
+        loads={
+            load.service_: (load.slots or 0, load.in_use or 0)
+            for load in heartbeat.loads or []
+        },
     )
 
 
@@ -45,6 +53,13 @@
         heartbeat = to_heartbeat(state, trio.current_time())
         return ttypes.Body(heartbeat=heartbeat)
 
+    @handlers.register('withdrawals')
+    async def answer_withdrawals(peer: str, message: object) -> ttypes.Body:
+        withdrawals = state.key_ring.withdrawals
+        state.end_keys(withdrawals.add(message.digests or set()), peer)
+        known = ttypes.Withdrawals(digests=set(withdrawals.digests))
+        return ttypes.Body(withdrawals=known)
+
     @handlers.register('configuration_request')
     async def answer_configuration(
         _peer: str,
@@ -72,15 +87,37 @@
     report = from_heartbeat(answer.heartbeat)
     if report.configuration_number > state.holder.number:
         await fetch_configuration(state, link, silence_s)
-    state.membership.note_answer(
+    if report.withdrawal_count > len(state.key_ring.withdrawals.digests):
+        await exchange_withdrawals(state, link, silence_s)
+    peer = state.membership.note_answer(
         link.name,
         link.incarnation,
         asked_at,
         report,
     )
+    state.steering.note_loads(
+        peer,
+        report.loads,
+        asked_at,
+        trio.current_time(),
+    )
     state.refresh_knowledge()
 
 
+async def exchange_withdrawals(
+    state: VmState,
+    link: PeerLink,
+    timeout_s: float,
+) -> None:
+    """Send all withdrawals known here and take those known there."""
+    withdrawals = state.key_ring.withdrawals
+    message = ttypes.Withdrawals(digests=set(withdrawals.digests))
+    answer = await link.call(ttypes.Body(withdrawals=message), timeout_s)
+    if answer.withdrawals is not None:
+        fresh = withdrawals.add(answer.withdrawals.digests or set())
+        state.end_keys(fresh, link.name)
+
+
 async def fetch_configuration(
     state: VmState,
     link: PeerLink,
--- /dev/null
+++ b/chestnutshift/vms/lending.py
@@ -0,0 +1,117 @@
+"""Carry the loans of rates and slots between VMs."""
+
+import trio
+
+from chestnutshift.accounts.loans import LoanRequest, Peer
+from chestnutshift.exceptions import CodedError
+from chestnutshift.links.handlers import Handlers
+from chestnutshift.links.peer import PeerLink
+from chestnutshift.upstreams.loans import Outgoing
+from chestnutshift.vms.state import VmState
+from chestnutshift.wire import mapping
+from chestnutshift.wire.generated.links import ttypes
+
+PLAN_S = 0.05
+ANSWER_S = 1.0
+
+
+def register(handlers: Handlers, state: VmState) -> None:
+    """Add the handlers of loan messages."""
+
+    @handlers.register('rate_requests')
+    async def lend_rates(peer: str, message: object) -> ttypes.Body:
+        now = trio.current_time()
+        grants = [
+            state.admission.handle_request(peer, request, now)
+            for request in mapping.from_struct(message.requests or [])
+        ]
+        structs = [mapping.to_struct(grant) for grant in grants if grant]
+        return ttypes.Body(rate_grants=ttypes.RateGrants(grants=structs))
+
+    async def handle_slots(_peer: str, message: object) -> ttypes.Body:
+        answers: list[Outgoing] = []
+        if state.work.exchange is not None:
+            answers = state.work.exchange.handle_message(
+                mapping.from_struct(message),
+                trio.current_time(),
+            )
+        if answers:
+            return mapping.to_body(answers[0].message)
+        return ttypes.Body(nothing=ttypes.Nothing())
+
+    for field in mapping.BODY_FIELDS.values():
+        handlers.register(field)(handle_slots)
+
+
+async def lend(state: VmState) -> None:
+    """Ask for what this VM lacks, every PLAN_S; forever."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            now = trio.current_time()
+            heard = state.membership.heard(now)
+            region = state.settings.vm.region
+            state.admission.connect(
+                tuple(
+                    Peer(peer.name, near=peer.address.region == region)
+                    for peer in heard
+                ),
+            )
+            for name, requests in _by_peer(state, now).items():
+                link = state.links[name]
+                nursery.start_soon(_ask_rates, state, link, requests)
+            for outgoing in _plan_slots(state, now):
+                link = state.links.get(outgoing.recipient)
+                if link is not None:
+                    nursery.start_soon(_send_slots, state, link, outgoing)
+            await trio.sleep(PLAN_S)
+
+
+def _by_peer(state: VmState, now: float) -> dict[str, list[LoanRequest]]:
+    grouped: dict[str, list[LoanRequest]] = {}
+    for request in state.admission.plan(now):
+        grouped.setdefault(request.peer, []).append(request)
+    return grouped
+
+
+def _plan_slots(state: VmState, now: float) -> list[Outgoing]:
+    work = state.work
+    if work.exchange is None:
+        return []
+    heard = {peer.name for peer in state.membership.heard(now)}
+    peers = [name for name in work.domain_vms if name in heard]
+    waiting = work.dispatcher.waiting
+    work.dispatcher.tick(now)
+    return work.exchange.plan(now, waiting, peers)
+
+
+async def _ask_rates(
+    state: VmState,
+    link: PeerLink,
+    requests: list[LoanRequest],
+) -> None:
+    structs = [mapping.to_struct(request) for request in requests]
+    body = ttypes.Body(rate_requests=ttypes.RateRequests(requests=structs))
+    try:
+        answer = await link.call(body, ANSWER_S)
+    except CodedError:
+        return
+    now = trio.current_time()
+    grants = answer.rate_grants.grants if answer.rate_grants else []
+    for grant in mapping.from_struct(grants):
+        state.admission.handle_grant(link.name, grant, now)
+
+
+async def _send_slots(
+    state: VmState,
+    link: PeerLink,
+    outgoing: Outgoing,
+) -> None:
+    try:
+        answer = await link.call(mapping.to_body(outgoing.message), ANSWER_S)
+        message = mapping.from_body(answer)
+    except CodedError:
+        return
+    if message is not None and state.work.exchange is not None:
+        now = trio.current_time()
+        state.work.exchange.handle_message(message, now)
+        state.work.dispatcher.tick(now)
--- a/chestnutshift/vms/membership.py
+++ b/chestnutshift/vms/membership.py
@@ -22,7 +22,8 @@
     """What a VM says of itself in a heartbeat.
 
     knowledge_age_s is how old its confirmation by the platform was, None if
-    it never had one; headroom is the free share of its slots.
+    it never had one; headroom is the free share of its slots; loads has the
+    slots that it may use and those in use, by service.
     """
 
     phase: str
@@ -31,6 +32,7 @@
     knowledge_age_s: float | None
     headroom: float
     withdrawal_count: int
+    loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -79,12 +81,13 @@
         incarnation: str,
         asked_at: float,
         report: PeerReport,
-    ) -> None:
+    ) -> Peer:
         """Take over the answer to a question that was asked at asked_at."""
         peer = self._peers[name]
         peer.incarnation = incarnation
         peer.asked_at = max(peer.asked_at, asked_at)
         peer.report = report
+        return peer
 
     def heard(self, now: float) -> tuple[Peer, ...]:
         """Return the VMs that answered lately."""
--- /dev/null
+++ b/chestnutshift/vms/probing.py
@@ -0,0 +1,83 @@
+"""Ask the upstreams' health and load endpoints, a few at a time."""
+
+import random
+
+import httpx
+import trio
+
+from chestnutshift.upstreams.directory import Upstream
+from chestnutshift.upstreams.health import LeavingNews, NewsSource
+from chestnutshift.upstreams.probes import ProbePlan
+from chestnutshift.vms.state import VmState
+
+PROBE_TIMEOUT_S = 1.0
+PLAN_S = 0.1
+
+
+async def keep_probing(state: VmState, rng: random.Random) -> None:
+    """Probe the upstreams of the own failure domain; forever."""
+    plan = ProbePlan(state.work.health, rng)
+    domain = state.settings.vm.failure_domain
+    async with (
+        httpx.AsyncClient(
+            verify=False,
+            trust_env=False,
+            timeout=PROBE_TIMEOUT_S,
+        ) as client,
+        trio.open_nursery() as nursery,
+    ):
+        while True:
+            names = [
+                upstream.name
+                for upstream in state.work.directory
+                if upstream.record.failure_domain == domain
+            ]
+            for name in plan.due(names, trio.current_time()):
+                upstream = state.work.directory.get(name)
+                nursery.start_soon(_probe, state, plan, client, upstream)
+            await trio.sleep(PLAN_S)
+
+
+async def _probe(
+    state: VmState,
+    plan: ProbePlan,
+    client: httpx.AsyncClient,
+    upstream: Upstream,
+) -> None:
+    asked_at = trio.current_time()
+    try:
+        health = (await _ask(client, upstream, '/health')) or {}
+        load = (await _ask(client, upstream, '/load')) or {}
+    except (httpx.HTTPError, ValueError):
+        health, load = {}, {}
+    finally:
+        plan.record_end(upstream.name, trio.current_time())
+    _take_health(state, upstream.name, health)
+    slots = load.get('slots')
+    if slots and state.work.pool is not None:
+        busy = (load.get('in_flight', 0) + load.get('queued', 0)) / slots
+        state.work.pool.record_load(upstream.name, busy, asked_at)
+
+
+async def _ask(
+    client: httpx.AsyncClient,
+    upstream: Upstream,
+    path: str,
+) -> dict:
+    answer = await client.get(f'http://{upstream.record.address}{path}')
+    document = answer.json()
+    return document if isinstance(document, dict) else {}
+
+
+def _take_health(state: VmState, name: str, health: dict) -> None:
+    if not health or state.work.pool is None:
+        return
+    now = trio.current_time()
+    table = state.work.health
+    process = str(health.get('process', ''))
+    if health.get('leaving'):
+        news = LeavingNews(name, NewsSource.HEALTH, process)
+        change = table.record_leaving(news, now)
+    else:
+        change = table.record_process(name, process, now)
+    state.work.pool.note([change])
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -1,49 +1,31 @@
 """The process of one entry VM: every task it runs, from start to stop."""
 
-import secrets
+import random
 import signal
 
 import attrs
 import trio
 
 from chestnutshift.conf.loader import read_secret
-from chestnutshift.conf.settings import PeerAddress, Settings
-from chestnutshift.configuration.events import IN_FORCE
-from chestnutshift.configuration.follow import PlatformFollower
-from chestnutshift.configuration.holder import ConfigurationHolder
+from chestnutshift.conf.settings import PeerAddress
 from chestnutshift.configuration.model import Configuration
-from chestnutshift.events.log import EventLog
-from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.links.handlers import Handlers
 from chestnutshift.links.peer import Identity, PeerLink
 from chestnutshift.links.server import LinkServer
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.records import VmList
-from chestnutshift.upstreams.directory import UpstreamDirectory
 from chestnutshift.operators import timeline
-from chestnutshift.vms import beats, events, serving
-from chestnutshift.vms.membership import Membership, VmPhase
+from chestnutshift.platform.records import VmList
+from chestnutshift.vms import (
+    beats,
+    events,
+    lending,
+    probing,
+    seats,
+    serving,
+    ticks,
+)
+from chestnutshift.vms.membership import VmPhase
 from chestnutshift.vms.state import VmState
 
-INCARNATION_B = 8
-
-
-def make_state(settings: Settings, platform: Platform) -> VmState:
-    """Return the state of a VM that has just started."""
-    event_log = EventLog(settings.vm.name)
-    holder = ConfigurationHolder()
-    return VmState(
-        settings=settings,
-        incarnation=secrets.token_hex(INCARNATION_B),
-        event_log=event_log,
-        platform=platform,
-        holder=holder,
-        follower=PlatformFollower(platform, holder, event_log),
-        key_ring=KeyRing(),
-        directory=UpstreamDirectory(),
-        membership=Membership(settings.peers.vms, settings.peers.silence_s),
-    )
-
 
 async def wait_for_stop_signal() -> None:
     """Return on SIGTERM or SIGINT."""
@@ -63,24 +45,45 @@
         state = self._state
         state.holder.listen(self._adopt)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._serve_links)
-            for address in state.settings.peers.vms:
-                nursery.start_soon(self._keep_link, self._make_link(address))
-            nursery.start_soon(
-                state.follower.run,
-                state.settings.platform.poll_s,
-                state.refresh_knowledge,
-                self._take_vms,
-            )
-            nursery.start_soon(serving.serve_operators, state)
-            nursery.start_soon(self._watch_signals)
+            # Nothing else of this VM may run beside a process that already
+            # listens here, so the address is taken first.
+            await nursery.start(self._serve_links)
+            self._start_tasks(nursery)
             state.phase = VmPhase.LIVE
             state.event_log.emit(events.STARTED, incarnation=state.incarnation)
             await serving.serve_callers(state, self._stopping)
+            await self._leave()
             nursery.cancel_scope.cancel()
-        await state.platform.aclose()
+        with trio.CancelScope(shield=True):
+            await state.platform.aclose()
         state.event_log.emit(events.STOPPED)
 
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        state = self._state
+        for address in state.settings.peers.vms:
+            nursery.start_soon(self._keep_link, self._make_link(address))
+        nursery.start_soon(
+            state.follower.run,
+            state.settings.platform.poll_s,
+            state.refresh_knowledge,
+            self._take_vms,
+        )
+        rng = random.Random(state.incarnation)
+        nursery.start_soon(serving.serve_operators, state)
+        nursery.start_soon(seats.keep_seat, state)
+        nursery.start_soon(lending.lend, state)
+        nursery.start_soon(ticks.keep_ticking, state)
+        nursery.start_soon(probing.keep_probing, state, rng)
+        nursery.start_soon(state.ledger.settler.run)
+        nursery.start_soon(self._watch_signals)
+
+    async def _leave(self) -> None:
+        """Give up the seat and write down what is settled."""
+        state = self._state
+        with trio.move_on_after(state.settings.platform.timeout_s):
+            await seats.release_seat(state)
+            await state.ledger.settler.settle()
+
     async def _watch_signals(self) -> None:
         await wait_for_stop_signal()
         self._state.phase = VmPhase.LEAVING
@@ -88,17 +91,10 @@
         self._stopping.set()
 
     def _adopt(self, configuration: Configuration) -> None:
-        state = self._state
-        state.event_log.emit(
-            IN_FORCE,
-            number=configuration.number,
-            preset=configuration.in_force,
-        )
-        state.key_ring.adopt(configuration)
-        state.refresh_knowledge()
+        self._state.adopt(configuration, trio.current_time())
 
     def _take_vms(self, vm_list: VmList) -> None:
-        self._state.directory.update(vm_list.vms)
+        self._state.take_list(vm_list, trio.current_time())
 
     def _make_link(self, address: PeerAddress) -> PeerLink:
         state = self._state
@@ -115,11 +111,15 @@
         peers = self._state.settings.peers
         await link.run(peers.heartbeat_s, peers.silence_s, beat)
 
-    async def _serve_links(self) -> None:
+    async def _serve_links(
+        self,
+        task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         state = self._state
         peers = state.settings.peers
         handlers = Handlers()
         beats.register(handlers, state)
+        lending.register(handlers, state)
         timeline.register(handlers, state)
         server = LinkServer(
             state.name,
@@ -128,4 +128,9 @@
             handlers,
             state.event_log,
         )
-        await server.serve(peers.address, peers.port, peers.silence_s)
+        await server.serve(
+            peers.address,
+            peers.port,
+            peers.silence_s,
+            task_status=task_status,
+        )
--- /dev/null
+++ b/chestnutshift/vms/seats.py
@@ -0,0 +1,110 @@
+"""Hold this VM's seat: its row in the platform's table, and what follows."""
+
+import pathlib
+
+import trio
+
+from chestnutshift.accounts.keeper import SeatKeeper, SeatRow
+from chestnutshift.accounts.seats import SEATS_TABLE, SeatRecord
+from chestnutshift.events.log import EventLog
+from chestnutshift.platform.backends.base import Platform
+from chestnutshift.platform.records import (
+    ABSENT_VERSION,
+    Condition,
+    Transaction,
+    Write,
+)
+from chestnutshift.vms.state import VmState
+
+STEPS_PER_LEASE = 4
+FIRST_STEP_S = 0.2
+BOOT_ID_PATH = pathlib.Path('/proc/sys/kernel/random/boot_id')
+_SEPARATOR = '/'
+
+
+class PlatformSeatTable:
+    """The seats' rows in the platform's table service."""
+
+    def __init__(self, platform: Platform) -> None:
+        """Work on the platform's table of seats."""
+        self._platform = platform
+
+    async def read(self, seat: str) -> SeatRow | None:
+        """Return the seat's row; raise the platform's errors."""
+        row = await self._platform.read(SEATS_TABLE, seat)
+        if row is None:
+            return None
+        return SeatRow(SeatRecord.from_row(row.value), row.version)
+
+    async def write(
+        self,
+        seat: str,
+        record: SeatRecord,
+        version: int | None,
+        operation_id: str,
+    ) -> None:
+        """Write the row if it has this version, None for no row."""
+        condition = Condition(SEATS_TABLE, seat, version or ABSENT_VERSION)
+        write = Write(SEATS_TABLE, seat, record.as_row())
+        await self._platform.commit(
+            Transaction(operation_id, (condition,), (write,)),
+        )
+
+
+def holder_name(vm: str, incarnation: str) -> str:
+    """Return the name under which a process holds its seat.
+
+    It names the boot of the machine, so that the next process on the same
+    VM can tell that this one is dead.
+    """
+    boot = BOOT_ID_PATH.read_text().strip() if BOOT_ID_PATH.exists() else ''
+    return _SEPARATOR.join((vm, boot, incarnation))
+
+
+def is_predecessor(holder: str, own: str) -> bool:
+    """Tell whether holder was an earlier process of this boot of this VM.
+
+    Only to be asked by a process that listens on the VM's address: as no two
+    processes can, the earlier one is dead, not paused.
+    """
+    theirs = holder.split(_SEPARATOR)
+    ours = own.split(_SEPARATOR)
+    has_boot = len(theirs) == len(ours) and bool(ours[1])
+    return has_boot and theirs[:2] == ours[:2]
+
+
+def make_keeper(
+    vm: str,
+    holder: str,
+    platform: Platform,
+    event_log: EventLog,
+) -> SeatKeeper:
+    """Return the keeper of a VM's seat."""
+
+    async def is_gone(other: str) -> bool:
+        return is_predecessor(other, holder)
+
+    table = PlatformSeatTable(platform)
+    return SeatKeeper(vm, holder, table, is_gone, event_log)
+
+
+async def keep_seat(state: VmState) -> None:
+    """Take the seat, renew it, and let the shares follow; forever."""
+    while True:
+        if not state.holder.number:
+            await trio.sleep(FIRST_STEP_S)
+            continue
+        shares = state.holder.current.preset.shares
+        with trio.move_on_after(shares.lease_s):
+            right = await state.keeper.step(shares, state.admission.settle_s)
+            now = trio.current_time()
+            state.admission.renewed(right, now)
+            state.work.follow_seat(state.keeper.fence, now)
+        pause_s = shares.lease_s / STEPS_PER_LEASE
+        await trio.sleep(pause_s if state.admission.right.covers(now) else 1)
+
+
+async def release_seat(state: VmState) -> None:
+    """Give the seat up, so that another process may take it at once."""
+    settle_s = state.admission.surrender(trio.current_time())
+    await state.keeper.release(settle_s)
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -11,29 +11,66 @@
 from chestnutshift.callers.steering import make_steering
 from chestnutshift.conf.loader import read_secret
 from chestnutshift.conf.settings import TlsSettings
+from chestnutshift.configuration.model import Configuration, RetriesPreset
 from chestnutshift.forwarding.application import Forwarder
+from chestnutshift.forwarding.crossing import CrossingGuard
+from chestnutshift.forwarding.intake import Intake
+from chestnutshift.forwarding.placing import Placer
+from chestnutshift.forwarding.targets import TargetMaker
+from chestnutshift.forwarding.vm_connections import VmConnections
 from chestnutshift.operators.application import make_operators
+from chestnutshift.retries.budget import RetryBudget
 from chestnutshift.vms.state import VmState
 
 BACKLOG = 512
 
 
+def make_callers_application(state: VmState) -> CallersApplication:
+    """Join the parts of a VM to the application on its callers' port."""
+    rng = random.Random(state.incarnation)
+    secret = read_secret(state.settings.peers.secret_file)
+    budget = RetryBudget(RetriesPreset())
+
+    def adopt_retries(configuration: Configuration) -> None:
+        budget.preset = configuration.preset.retries
+
+    state.holder.listen(adopt_retries)
+    intake = Intake(
+        state.holder,
+        state.key_ring,
+        state.admission,
+        CrossingGuard(secret, state.incarnation),
+    )
+    connections = VmConnections(state.settings.peers.vms, state.links)
+    placer = Placer(
+        state.work,
+        state.steering,
+        TargetMaker(state.work, connections, secret),
+        budget,
+        rng,
+        state.event_log,
+    )
+    forwarder = Forwarder(
+        intake,
+        state.ledger,
+        placer,
+        state.watch,
+        state.event_log,
+    )
+    return CallersApplication(make_steering(state, intake), forwarder)
+
+
 async def serve_callers(state: VmState, stopping: trio.Event) -> None:
     """Serve until stopping is set, then end what is in flight."""
     callers = state.settings.callers
-    forwarder = Forwarder(
-        failure_domain=state.settings.vm.failure_domain,
-        holder=state.holder,
-        key_ring=state.key_ring,
-        directory=state.directory,
-        event_log=state.event_log,
-        rng=random.Random(state.incarnation),
-    )
-    application = CallersApplication(make_steering(state), forwarder)
     config = _server_config(callers.address, callers.port, callers.tls)
     config.h11_max_incomplete_size = callers.header_limit_b
     config.graceful_timeout = state.settings.grace_s
-    await serve(application, config, shutdown_trigger=stopping.wait)
+    await serve(
+        make_callers_application(state),
+        config,
+        shutdown_trigger=stopping.wait,
+    )
 
 
 async def serve_operators(state: VmState) -> None:
--- /dev/null
+++ b/chestnutshift/vms/steering.py
@@ -0,0 +1,166 @@
+"""What shifts between regions are decided by: loads, delays, drains."""
+
+import random
+
+import attrs
+
+from chestnutshift.conf.settings import Settings
+from chestnutshift.configuration.model import Configuration, Preset
+from chestnutshift.regions.drains import DrainBoard, Topology
+from chestnutshift.regions.loads import LoadTable
+from chestnutshift.regions.model import Demand, Place, VmLoad
+from chestnutshift.regions.steering import Steering, Surroundings
+from chestnutshift.vms.membership import Membership, Peer
+
+# One-way delay assumed for a region until it was measured, in seconds.
+DELAY_DEFAULT_S = 0.03
+DELAY_GROWTH = 1.01
+
+
+@attrs.define
+class RegionSteering:
+    """Where requests should go, as one VM sees it."""
+
+    _settings: Settings
+    _membership: Membership
+    _rng: random.Random
+    _delays_s: dict[str, float] = attrs.field(factory=dict)
+    _upstreams: dict[str, str] = attrs.field(factory=dict)
+    _vms: dict[str, Place] = attrs.field(factory=dict)
+    _preset: Preset | None = None
+    _steering: Steering | None = None
+    _board: DrainBoard | None = None
+    _loads: LoadTable | None = None
+
+    @property
+    def place(self) -> Place:
+        """Where this VM is."""
+        vm = self._settings.vm
+        return Place(vm.name, vm.failure_domain, vm.region)
+
+    @property
+    def places(self) -> dict[str, Place]:
+        """Every VM's place by name, this one's first."""
+        return self._vms
+
+    @property
+    def order(self) -> tuple[str, ...]:
+        """The regions, this VM's first, then by distance."""
+        nearest = sorted(self._delays_s, key=self._delays_s.get)
+        return (self.place.region, *nearest)
+
+    @property
+    def board(self) -> DrainBoard | None:
+        """The drains and their progress, None before a configuration."""
+        return self._board
+
+    @property
+    def steering(self) -> Steering | None:
+        """The shifts from here to other regions."""
+        return self._steering
+
+    def adopt(self, configuration: Configuration, now: float) -> None:
+        """Follow a new configuration; ramps go on if their preset does."""
+        preset = configuration.preset
+        if preset != self._preset:
+            self._renew(preset, now)
+        self._board.update(configuration.drains, now)
+
+    def update_upstreams(self, domains: dict[str, str]) -> None:
+        """Take over the failure domain of each upstream."""
+        self._upstreams.clear()
+        self._upstreams.update(domains)
+
+    def note_loads(
+        self,
+        peer: Peer,
+        loads: dict[str, tuple[int, int]],
+        asked_at: float,
+        answered_at: float,
+    ) -> None:
+        """Take over a VM's slots and those in use, by service."""
+        place = _place_of(peer)
+        self._note_delay(place.region, (answered_at - asked_at) / 2)
+        if self._loads is None:
+            return
+        for service, (slots, in_use) in loads.items():
+            load = VmLoad(place, service, slots, in_use, asked_at)
+            self._loads.record(load)
+
+    def tick(self, services: frozenset[str], now: float) -> None:
+        """Move ramps on and forget the loads of silent VMs."""
+        if self._steering is None:
+            return
+        self._steering.advance(services, now)
+        heard = {peer.name for peer in self._membership.heard(now)}
+        for peer in self._membership.peers:
+            if peer.name not in heard:
+                self._loads.forget(peer.name)
+
+    def choose(
+        self,
+        demand: Demand,
+        now: float,
+        tried: frozenset[str],
+    ) -> Place | None:
+        """Return where to move a request, None to keep it here.
+
+        tried names VMs that refused the request already.
+        """
+        if self._steering is None:
+            return None
+        if self._rng.random() < self._board.moved_fraction(self.place, now):
+            demand = attrs.evolve(demand, local_wait_s=float('inf'))
+        avoided = self._board.targets | tried
+        return self._steering.choose(demand, now, self._rng, avoided)
+
+    def record_move(self, place: Place, service: str, now: float) -> None:
+        """Count a request that is being sent to the place."""
+        self._steering.record_move(place, service, now)
+
+    def record_end(self, vm: str, service: str, started_at: float) -> None:
+        """Count a moved request no more."""
+        self._loads.record_end(vm, service, started_at)
+
+    def record_refusal(self, vm: str, service: str, now: float) -> None:
+        """Leave a VM alone for a while that refused work."""
+        self._loads.record_refusal(vm, service, now)
+
+    def _renew(self, preset: Preset, now: float) -> None:
+        self._preset = preset
+        peers = self._membership.peers
+        own = self.place
+        self._vms = {own.vm: own}
+        self._vms.update({peer.name: _place_of(peer) for peer in peers})
+        region_vms = [
+            place for place in self._vms.values() if place.region == own.region
+        ]
+        for place in self._vms.values():
+            if place.region != own.region:
+                self._delays_s.setdefault(place.region, DELAY_DEFAULT_S)
+        self._loads = LoadTable(preset.upstreams.report_age_s)
+        surroundings = Surroundings(own, self._delays_s, len(region_vms))
+        self._steering = Steering(
+            surroundings,
+            preset.shift,
+            self._loads,
+            now,
+        )
+        drains = self._board.targets if self._board else frozenset()
+        self._board = DrainBoard(
+            Topology(self._vms, self._upstreams),
+            preset.shift.ramp_s,
+            preset.lookup.lifetime_s,
+        )
+        self._board.update(drains, now)
+
+    def _note_delay(self, region: str, delay_s: float) -> None:
+        known_s = self._delays_s.get(region)
+        if known_s is not None:
+            # The least of the delays measured, forgotten slowly.
+            self._delays_s[region] = min(delay_s, known_s * DELAY_GROWTH)
+
+
+def _place_of(peer: Peer) -> Place:
+    address = peer.address
+    return Place(address.name, address.failure_domain, address.region)
--- /dev/null
+++ b/chestnutshift/vms/ticks.py
@@ -0,0 +1,26 @@
+"""What a VM does again and again between messages."""
+
+import trio
+
+from chestnutshift.vms.state import VmState
+
+TICK_S = 0.1
+
+
+async def keep_ticking(state: VmState) -> None:
+    """Move ramps, look-ups, drains and key trust on, every TICK_S."""
+    while True:
+        now = trio.current_time()
+        if state.holder.number:
+            tick(state, now)
+        await trio.sleep(TICK_S)
+
+
+def tick(state: VmState, now: float) -> None:
+    """Do once what depends on the time."""
+    work = state.work
+    state.steering.tick(frozenset(work.loads(now)), now)
+    preset = state.holder.current.preset
+    state.lookups.tick(work.headroom(now), state.phase, preset, now)
+    work.close_upstreams(state.steering.board.closed_upstreams(now))
+    state.note_freshness(now)
--- /dev/null
+++ b/chestnutshift/vms/work.py
@@ -0,0 +1,175 @@
+"""The upstreams of the own failure domain, as one VM may use them."""
+
+import random
+from collections.abc import Iterable
+
+from chestnutshift.conf.settings import Settings
+from chestnutshift.configuration.model import Preset
+from chestnutshift.events.log import EventLog
+from chestnutshift.platform.records import VmState as ListedState
+from chestnutshift.regions.model import Place
+from chestnutshift.upstreams.candidates import CandidatePool
+from chestnutshift.upstreams.directory import UpstreamDirectory
+from chestnutshift.upstreams.dispatch import Dispatcher
+from chestnutshift.upstreams.division import Seat, UpstreamSlots
+from chestnutshift.upstreams.exceptions import NoUpstreamError
+from chestnutshift.upstreams.exchange import SlotExchange
+from chestnutshift.upstreams.health import HealthTable
+from chestnutshift.upstreams.loans import LoanTerms
+from chestnutshift.upstreams.slots import SlotTable
+
+NO_SEAT_RETRY_S = 2.0
+
+
+class LocalWork:
+    """The slots, queues and health of one VM's failure domain.
+
+    Without a seat there are no slots: another process may use them.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        event_log: EventLog,
+    ) -> None:
+        """Start without a seat."""
+        self._settings = settings
+        self._rng = rng
+        self._event_log = event_log
+        self._preset: Preset | None = None
+        self._fence = 0
+        self._table: SlotTable | None = None
+        self.health = HealthTable()
+        self.directory = UpstreamDirectory()
+        self.exchange: SlotExchange | None = None
+        self.pool: CandidatePool | None = None
+        self._dispatcher: Dispatcher | None = None
+
+    @property
+    def place(self) -> Place:
+        """Where this VM is."""
+        vm = self._settings.vm
+        return Place(vm.name, vm.failure_domain, vm.region)
+
+    @property
+    def table(self) -> SlotTable | None:
+        """The slots, None without a seat."""
+        return self._table
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """What gives requests their slots; raises NoUpstreamError."""
+        if self._dispatcher is None:
+            raise NoUpstreamError('this VM holds no seat', NO_SEAT_RETRY_S)
+        return self._dispatcher
+
+    @property
+    def domain_vms(self) -> tuple[str, ...]:
+        """The VMs of this failure domain by name, this one among them."""
+        own = self._settings.vm
+        peers = self._settings.peers.vms
+        others = (
+            peer.name
+            for peer in peers
+            if peer.failure_domain == own.failure_domain
+        )
+        return tuple(sorted((own.name, *others)))
+
+    def adopt(self, preset: Preset) -> None:
+        """Work by this preset from now on."""
+        self._preset = preset
+        if self.pool is not None:
+            self.pool.adopt(preset.upstreams)
+
+    def follow_seat(self, fence: int, now: float) -> None:
+        """Use the slots of the seat that this VM holds under the fence."""
+        if fence == self._fence or self._preset is None:
+            return
+        if self.pool is not None and any(self.pool.in_flight.values()):
+            # Slots of the former right are in use; try again later.
+            self._dispatcher = None
+            return
+        self._fence = fence
+        vms = self.domain_vms
+        seat = Seat(
+            vm=self._settings.vm.name,
+            region=self._settings.vm.region,
+            position=vms.index(self._settings.vm.name),
+            positions=len(vms),
+            incarnation=fence,
+            joined_at=now,
+        )
+        terms = LoanTerms(
+            start_s=self._preset.shares.loan_s,
+            run_s=self._preset.deadline_s,
+        )
+        table = SlotTable(
+            seat,
+            self._own_slots(),
+            terms,
+            self._preset.shift.region_ceiling,
+        )
+        self._table = table
+        self.exchange = SlotExchange(table)
+        self.pool = CandidatePool(
+            table,
+            self.health,
+            self._preset.upstreams,
+            self._rng,
+            self._event_log,
+        )
+        self._dispatcher = Dispatcher(table, self.pool)
+
+    def update_list(self, records: Iterable, now: float) -> None:
+        """Take over the platform's list of upstreams."""
+        self.directory.update(records)
+        leaving = [
+            upstream.name
+            for upstream in self.directory
+            if upstream.record.state is ListedState.LEAVING
+        ]
+        live = [
+            upstream.name
+            for upstream in self.directory
+            if upstream.record.state is ListedState.LIVE
+        ]
+        changes = self.health.record_list(live, leaving, now)
+        if self.pool is not None:
+            self.pool.note(changes)
+        if self._table is not None:
+            self._table.division.update(self._own_slots())
+
+    def close_upstreams(self, drained: frozenset[str]) -> None:
+        """Give no new work to drained upstreams, and those that leave."""
+        if self._table is not None:
+            self._table.closed = drained | self.health.closed()
+
+    def headroom(self, now: float) -> float:
+        """Return the free share of the slots that this VM may use."""
+        loads = self.loads(now)
+        slots = sum(load[0] for load in loads.values())
+        if not slots:
+            return 0
+        return 1 - sum(load[1] for load in loads.values()) / slots
+
+    def loads(self, now: float) -> dict[str, tuple[int, int]]:
+        """Return slots and those in use, by service."""
+        if self._table is None:
+            return {}
+        return {
+            service: self._table.service_load(service, now)
+            for service in self._table.division
+        }
+
+    def _own_slots(self) -> list[UpstreamSlots]:
+        domain = self._settings.vm.failure_domain
+        return [
+            UpstreamSlots(
+                upstream.name,
+                upstream.record.service,
+                upstream.record.slots,
+            )
+            for upstream in self.directory
+            if upstream.record.failure_domain == domain
+        ]
