Add caps, ramps, steering and drains between regions

The cap of a pair of regions and a direction is divided over the sending region's VMs, so a VM that hears nobody keeps to its part.

--- /dev/null
+++ b/chestnutshift/regions/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of work between failure domains and regions, and their bounds."""
--- /dev/null
+++ b/chestnutshift/regions/drains.py
@@ -0,0 +1,181 @@
+"""Planned moves of work away from VMs, upstreams, domains and regions."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chestnutshift.regions.exceptions import UnknownTargetError
+from chestnutshift.regions.model import Place
+
+
+@attrs.frozen
+class Topology:
+    """The VMs by name and the failure domain of each upstream."""
+
+    vms: Mapping[str, Place]
+    upstreams: Mapping[str, str]
+
+    def validate(self, targets: Iterable[str]) -> None:
+        """Raise UnknownTargetError for a name that nothing has."""
+        known = set(self.upstreams)
+        for place in self.vms.values():
+            known.update(attrs.astuple(place))
+        unknown = sorted(set(targets) - known)
+        if unknown:
+            raise UnknownTargetError(f'nothing is named {unknown[0]!r}')
+
+    def upstreams_of(self, target: str) -> frozenset[str]:
+        """Return the upstreams that a drain of the target concerns."""
+        if target in self.upstreams:
+            return frozenset((target,))
+        domains = {
+            place.failure_domain
+            for place in self.vms.values()
+            if target in {place.failure_domain, place.region}
+        }
+        return frozenset(
+            name for name, domain in self.upstreams.items() if domain in domains
+        )
+
+    def vms_of(self, target: str) -> frozenset[str]:
+        """Return the VMs that a drain of the target concerns."""
+        return frozenset(
+            name
+            for name, place in self.vms.items()
+            if target in attrs.astuple(place)
+        )
+
+
+@attrs.frozen
+class DrainProgress:
+    """How far one drain is, as seen from this VM.
+
+    cached_until is when the last cached look-up that names a drained VM
+    lapses; moved is the fraction of new work that goes elsewhere by plan.
+    """
+
+    target: str
+    started_at: float
+    moved: float
+    in_flight: int
+    cached_until: float
+    finished_at: float | None = None
+
+    @property
+    def drain_s(self) -> float | None:
+        """How long the drain took, None while it goes on."""
+        if self.finished_at is None:
+            return None
+        return self.finished_at - self.started_at
+
+
+@attrs.define
+class _Drain:
+    started_at: float
+    finished_at: float | None = None
+
+
+class DrainBoard:
+    """The drains that the configuration asks for, and their progress."""
+
+    def __init__(
+        self,
+        topology: Topology,
+        ramp_s: float,
+        lookup_lifetime_s: float,
+    ) -> None:
+        """Move work of regions and domains over ramp_s.
+
+        A drained VM gets requests by cached look-ups for lookup_lifetime_s.
+        """
+        self._topology = topology
+        self._ramp_s = ramp_s
+        self._lifetime_s = lookup_lifetime_s
+        self._drains: dict[str, _Drain] = {}
+
+    @property
+    def targets(self) -> frozenset[str]:
+        """The names of everything that is drained."""
+        return frozenset(self._drains)
+
+    def update(self, targets: frozenset[str], now: float) -> None:
+        """Take the drains of the configuration in force."""
+        for ended in self.targets - targets:
+            self._drains.pop(ended)
+        for started in targets - self.targets:
+            self._drains[started] = _Drain(now)
+
+    def moved_fraction(self, place: Place, now: float) -> float:
+        """Return how much of a place's work should go elsewhere by now.
+
+        A VM's own drain moves nothing to other domains: its look-ups do.
+        """
+        fractions = [
+            self._ramp(self._drains[target], now)
+            for target in (place.failure_domain, place.region)
+            if target in self._drains
+        ]
+        return max(fractions, default=0)
+
+    def closed_upstreams(self, now: float) -> frozenset[str]:
+        """Return the upstreams that get no new work.
+
+        A drained upstream gets none at once, those of a drained domain or
+        region none when its ramp is over and no cached look-up names it.
+        """
+        closed: set[str] = set()
+        for target, drain in self._drains.items():
+            single = target in self._topology.upstreams
+            open_s = max(self._ramp_s, self._lifetime_s)
+            if single or now >= drain.started_at + open_s:
+                closed.update(self._topology.upstreams_of(target))
+        return frozenset(closed)
+
+    def progress(
+        self,
+        in_flight: Mapping[str, int],
+        now: float,
+    ) -> list[DrainProgress]:
+        """Return each drain's progress and note those that are finished.
+
+        in_flight counts running requests by the name of VM or upstream.
+        """
+        return [
+            self._progress_of(target, drain, in_flight, now)
+            for target, drain in sorted(self._drains.items())
+        ]
+
+    def _progress_of(
+        self,
+        target: str,
+        drain: _Drain,
+        in_flight: Mapping[str, int],
+        now: float,
+    ) -> DrainProgress:
+        vms = self._topology.vms_of(target)
+        names = vms | self._topology.upstreams_of(target)
+        running = sum(in_flight.get(name, 0) for name in names)
+        cached_until = drain.started_at
+        if vms:
+            cached_until += self._lifetime_s
+        moved = self._moved(target, drain, now)
+        over = not running and now >= cached_until and moved >= 1
+        if over and drain.finished_at is None:
+            drain.finished_at = now
+        return DrainProgress(
+            target=target,
+            started_at=drain.started_at,
+            moved=moved,
+            in_flight=running,
+            cached_until=cached_until,
+            finished_at=drain.finished_at,
+        )
+
+    def _moved(self, target: str, drain: _Drain, now: float) -> float:
+        single = target in self._topology.upstreams
+        if single or target in self._topology.vms:
+            return 1
+        return self._ramp(drain, now)
+
+    def _ramp(self, drain: _Drain, now: float) -> float:
+        return min(1, (now - drain.started_at) / self._ramp_s)
--- /dev/null
+++ b/chestnutshift/regions/steering.py
@@ -0,0 +1,132 @@
+"""Where a request goes that its own failure domain can't start at once."""
+
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from chestnutshift.configuration.model import ShiftPreset
+from chestnutshift.invariants.registry import REGION_LOAD, verify
+from chestnutshift.regions.caps import CapShare, LinkCap
+from chestnutshift.regions.loads import LoadTable
+from chestnutshift.regions.model import Demand, Place
+from chestnutshift.regions.shift import Shift
+
+ROUND_TRIPS = 2
+NEAR_WAIT_S = 0.002
+
+
+@attrs.frozen
+class Surroundings:
+    """A VM's place, the one-way delays in seconds to other regions, and
+    the number of VMs in its region that divide the caps.
+    """
+
+    place: Place
+    delays_s: Mapping[str, float]
+    region_vms: int
+
+
+class Steering:
+    """Choose the other VM for a request: local first, then by distance.
+
+    The chosen VM decides by its own knowledge whether the request comes
+    in; work that came from elsewhere is never moved on.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        preset: ShiftPreset,
+        loads: LoadTable,
+        now: float,
+    ) -> None:
+        """Divide the caps of the preset and begin every ramp anew."""
+        self._here = surroundings
+        self._preset = preset
+        self._loads = loads
+        share = CapShare.of(preset, surroundings.region_vms)
+        self._caps = {
+            region: LinkCap(share, now) for region in surroundings.delays_s
+        }
+        self._shifts = {
+            region: Shift(preset) for region in surroundings.delays_s
+        }
+        self._moved: set[str] = set()
+
+    @property
+    def shifts(self) -> Mapping[str, Shift]:
+        """The ramps by region, for status and events."""
+        return self._shifts
+
+    def cap(self, region: str) -> LinkCap:
+        """Return the cap that paces the bytes to a region."""
+        return self._caps[region]
+
+    def advance(self, services: frozenset[str], now: float) -> None:
+        """Move the ramps on; call this several times a second."""
+        for region, shift in self._shifts.items():
+            loads = [
+                self._loads.region_load(region, service, now)
+                for service in services
+            ]
+            known = [load for load in loads if load is not None]
+            load = max(known) if known else None
+            shift.advance(now, load, moving=region in self._moved)
+        self._moved.clear()
+
+    def choose(
+        self,
+        demand: Demand,
+        now: float,
+        rng: random.Random,
+        avoided: frozenset[str],
+    ) -> Place | None:
+        """Return where to move a request, None to keep it here.
+
+        avoided names VMs, failure domains and regions that are drained.
+        """
+        free = {
+            place: slots
+            for place, slots in self._loads.free(demand.service, now).items()
+            if place.vm != self._here.place.vm
+            and avoided.isdisjoint(attrs.astuple(place))
+        }
+        near = {
+            place: slots
+            for place, slots in free.items()
+            if place.region == self._here.place.region
+        }
+        if near and demand.local_wait_s > NEAR_WAIT_S:
+            return _draw(near, rng)
+        for region in sorted(self._here.delays_s, key=self._here.delays_s.get):
+            far = {
+                place: slots
+                for place, slots in free.items()
+                if place.region == region
+            }
+            if far and self._may_shift(region, demand, now):
+                return _draw(far, rng)
+        return None
+
+    def record_move(self, place: Place, service: str, now: float) -> None:
+        """Count a request that is being sent to the chosen place."""
+        self._loads.record_move(place.vm, service, now)
+        if place.region != self._here.place.region:
+            self._caps[place.region].record_request(now)
+
+    def _may_shift(self, region: str, demand: Demand, now: float) -> bool:
+        delay_s = ROUND_TRIPS * self._here.delays_s[region]
+        if demand.local_wait_s <= delay_s or now + delay_s > demand.deadline_at:
+            return False
+        load = self._loads.region_load(region, demand.service, now)
+        self._moved.add(region)
+        if load is None or load >= self._preset.region_ceiling:
+            return False
+        verify(REGION_LOAD, holds=load < 1, detail=f'{region} at {load:.2f}')
+        return self._caps[region].admits(now, self._shifts[region].fraction)
+
+
+def _draw(free: Mapping[Place, int], rng: random.Random) -> Place:
+    """Draw a place in proportion to its free slots."""
+    return rng.choices(list(free), weights=list(free.values()))[0]
