Hand back burst over the aim with its tokens; lend no crumbs

Cause of the refusals when demand jumps: VMs that were busy kept borrowed burst as long as it was full of tokens, two jumps later still.

--- a/chestnutshift/accounts/borrower.py
+++ b/chestnutshift/accounts/borrower.py
@@ -173,8 +173,7 @@
     ) -> LoanRequest:
         loan = share.borrowed[key]
         spare_rate = max(0, share.bucket.rate - targets.held_rate)
-        needed = max(share.bucket.level, targets.high)
-        spare_burst = max(0, share.bucket.capacity - needed)
+        spare_burst = max(0, share.bucket.capacity - targets.high)
         kept = attrs.evolve(
             loan,
             rate=max(0, loan.rate - spare_rate),
@@ -290,9 +289,10 @@
     targets: Targets,
     now: float,
 ) -> bool:
-    needed = max(share.bucket.level, targets.high)
-    if loan.burst > EPSILON and share.bucket.capacity - loan.burst >= needed:
-        return True
+    if loan.burst > EPSILON:
+        rest = share.bucket.capacity - loan.burst
+        if rest >= targets.high:
+            return True
     spare_rate = share.bucket.rate - targets.held_rate
     return (
         spare_rate > max(SURPLUS * share.bucket.rate, share.base_rate / 2)
--- a/chestnutshift/accounts/demand.py
+++ b/chestnutshift/accounts/demand.py
@@ -28,11 +28,12 @@
     @property
     def at_least(self) -> float:
         """The demand that is sure enough to ask for, per second."""
-        return max(
+        bound = max(
             0,
             self.slow - SLOW_ERRORS * math.sqrt(self.slow / (2 * SLOW_S)),
             self.fast - FAST_ERRORS * math.sqrt(self.fast / (2 * FAST_S)),
         )
+        return min(bound, self.at_most)
 
     @property
     def at_most(self) -> float:
--- a/chestnutshift/accounts/lender.py
+++ b/chestnutshift/accounts/lender.py
@@ -17,6 +17,9 @@
 from chestnutshift.accounts.targets import Targets
 from chestnutshift.invariants.registry import ACCOUNT_RATE, verify
 
+# Less than this part of the seat's own rate or burst is not lent.
+LEAST_PART = 0.1
+
 # Takers whose newest request is remembered.
 KNOWN_TAKERS = 4096
 
@@ -98,6 +101,10 @@
         tokens = _within(
             request.burst - request.tokens, level - fair, own_burst
         )
+        if rate < share.base_rate * LEAST_PART:
+            rate = 0
+        if tokens < share.base_burst * LEAST_PART:
+            tokens = 0
         return _Amounts(rate, tokens, tokens)
 
     def _renew(
--- a/chestnutshift/accounts/loans.py
+++ b/chestnutshift/accounts/loans.py
@@ -21,7 +21,8 @@
     """Ask a peer for a loan, or renew, reduce or hand back one.
 
     For a new loan giver is empty, rate is what is asked for, tokens what the
-    taker has and burst what it aims at. For an existing loan giver is the incarnation that gave it, rate
+    taker has and burst the tokens that it aims at.
+    For an existing loan giver is the incarnation that gave it, rate
     and burst are what the taker keeps, and tokens what it hands back.
     ask grows with each request of one taker incarnation.
     """
