--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -153,7 +153,7 @@
 class Restart(Case):
     """Every 10 s the VM at one seat is replaced."""
 
-    due: float = WARM_UP_S
+    due: float = WARM_UP_S  # noqa: WPS601
 
     def disturb(self, now: float) -> None:
         """Replace the VM at a random seat."""
