--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -153,12 +153,12 @@
 class Restart(Case):
     """Every 10 s the VM at one seat is replaced."""
 
-    due: float = WARM_UP_S  # noqa: WPS601
+    due: float = WARM_UP_S
 
     def disturb(self, now: float) -> None:
         """Replace the VM at a random seat."""
         if now >= self.due:
-            self.due = now + 10
+            self.due = now + 10  # noqa: WPS601
             self.fleet.restart(self.rng.choice(SEATS), now)
 
 
