Cancel by identity, recognise generated keys, compare withdrawals by fingerprint

Cause: a key that a configuration drops or gives to another account kept its requests under way; on a route open to all a key that stands anywhere but in Authorization was not known and went through; and two VMs that each hold one withdrawal the other lacks have equal counts. Change: Watch checks each request's identity against the ring; generated keys carry a prefix that the detector finds without knowing the key; Withdrawals has a fingerprint. The interface of Watch changes: it takes the ring, and subscribe takes the identity and now. Seen to fail first: test_key_that_ends_otherwise_cancels with the key moved (nothing was cancelled).

--- a/chestnutshift/keys/authentication.py
+++ b/chestnutshift/keys/authentication.py
@@ -7,6 +7,7 @@
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.keys import credentials
 from chestnutshift.keys.exceptions import (
+    KeyRefusalError,
     MissingKeyError,
     StaleKeysError,
     UnknownKeyError,
@@ -41,6 +42,11 @@
     _knowledge: KnowledgeView | None = None
     _trusted_until: float = -math.inf
 
+    @property
+    def trusted_until(self) -> float:
+        """When keyed requests stop unless something is heard, in seconds."""
+        return self._trusted_until
+
     def learn(self, knowledge: KnowledgeView) -> None:
         """Take over what was heard from the platform or from a peer."""
         self._knowledge = knowledge
@@ -73,9 +79,34 @@
 
     def is_live(self, digest: str, now: float) -> bool:
         """Tell whether requests with this key's digest may go on."""
-        if digest in self.withdrawals or not self._lists(digest):
-            return False
-        return now <= self._trusted_until
+        return self.refusal(digest, now) is None
+
+    def refusal(self, digest: str, now: float) -> KeyRefusalError | None:
+        """Return why requests with this key's digest must not run, if so."""
+        if digest in self.withdrawals:
+            return WithdrawnKeyError('not run: this key was withdrawn')
+        configuration = self._configuration
+        if configuration is None or now > self._trusted_until:
+            return StaleKeysError(
+                'not run: this VM cannot learn of withdrawn keys just now',
+            )
+        if digest not in configuration.keys:
+            return UnknownKeyError('not run: no account has this key')
+        return None
+
+    def recheck(
+        self,
+        identity: Identity,
+        now: float,
+    ) -> KeyRefusalError | None:
+        """Return why an identity authenticated earlier works no more."""
+        refusal = self.refusal(identity.digest, now)
+        if refusal is not None:
+            return refusal
+        account = self._configuration.keys[identity.digest].account
+        if account == identity.account:
+            return None
+        return UnknownKeyError('the key speaks for another account now')
 
     def authenticate(self, key: str | None, now: float) -> Identity:
         """Return the identity of a key.
@@ -84,23 +115,14 @@
         UnknownKeyError; the request has not run in any of these cases.
         """
         if key is None:
-            raise MissingKeyError('this route needs a key')
+            raise MissingKeyError('not run: this route needs a key')
         # The look-up is by digest: its timing tells nothing about keys.
         digest = credentials.digest(key)
-        if digest in self.withdrawals:
-            raise WithdrawnKeyError('this key was withdrawn')
-        if self._configuration is None or now > self._trusted_until:
-            raise StaleKeysError(
-                'not run: this VM cannot learn of withdrawn keys just now',
-            )
-        if not self._lists(digest):
-            raise UnknownKeyError('no account has this key')
+        refusal = self.refusal(digest, now)
+        if refusal is not None:
+            raise refusal
         return Identity(self._configuration.keys[digest].account, digest)
 
-    def _lists(self, digest: str) -> bool:
-        configuration = self._configuration
-        return configuration is not None and digest in configuration.keys
-
 
 def _ended(before: Configuration, after: Configuration) -> frozenset[str]:
     return frozenset(
--- a/chestnutshift/keys/credentials.py
+++ b/chestnutshift/keys/credentials.py
@@ -7,6 +7,8 @@
 from chestnutshift.keys.exceptions import MalformedKeyError, SeveralKeysError
 
 KEY_BYTES = 32
+# Marks generated keys, so that one can be recognised wherever it stands.
+KEY_PREFIX = 'csk_'
 KEY_LENGTH_MIN = 16
 KEY_LENGTH_MAX = 256
 # The characters of a bearer token (RFC 6750).
@@ -44,7 +46,7 @@
 
 def generate() -> str:
     """Return a new key from the system's source of secrets."""
-    return secrets.token_urlsafe(KEY_BYTES)
+    return f'{KEY_PREFIX}{secrets.token_urlsafe(KEY_BYTES)}'
 
 
 def _is_authorization(name: bytes) -> bool:
--- a/chestnutshift/keys/hiding.py
+++ b/chestnutshift/keys/hiding.py
@@ -9,11 +9,16 @@
 - in hexadecimal;
 - in base64, either alphabet, with any text around the key (`user:key`).
 
+Keys made by `credentials.generate` are recognised by their prefix as well,
+also another account's, or on a route open to all where no key was read; of
+these only the first two spellings are detected.
+
 Not detected: a key split over several headers or parameters, compressed,
 encrypted, reversed, in base64 twice, or in the body, which is not altered.
 """
 
 import base64
+import re
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -30,6 +35,9 @@
 # Not deleted by folding, so that two parts never join up to a key.
 _SEPARATOR = b'\x00'
 _IGNORED = b' \t\r\n"\'\\'
+# A generated key after folding: its prefix and 32 bytes in base64.
+_PREFIX = b'csk/'
+_GENERATED = re.compile(rb'csk/[a-z0-9+/]{43}')
 _FOLDING = bytes.maketrans(
     b'ABCDEFGHIJKLMNOPQRSTUVWXYZ-_',
     b'abcdefghijklmnopqrstuvwxyz+/',
@@ -50,14 +58,17 @@
 
 
 class KeyDetector:
-    """Recognise one key in the spellings that this module lists.
+    """Recognise a key in the spellings that this module lists.
 
     One detector serves one request; it must not outlive it, as it holds the
     key itself.
     """
 
-    def __init__(self, key: str) -> None:
-        """Work out the spellings of the key."""
+    def __init__(self, key: str | None) -> None:
+        """Work out the spellings of the key, if one was read."""
+        self._needles: tuple[bytes, ...] = ()
+        if key is None:
+            return
         raw = key.encode('ascii')
         self._needles = (
             _fold(raw),
@@ -74,7 +85,9 @@
 
     def _matches(self, text: bytes) -> bool:
         folded = _fold(text)
-        return any(needle in folded for needle in self._needles)
+        if any(needle in folded for needle in self._needles):
+            return True
+        return _PREFIX in folded and bool(_GENERATED.search(folded))
 
     def _matches_decoded(self, text: bytes) -> bool:
         for _ in range(LAYERS_MAX):
--- a/chestnutshift/keys/watch.py
+++ b/chestnutshift/keys/watch.py
@@ -5,13 +5,12 @@
 from typing import Protocol
 
 import attrs
+import trio
 
-from chestnutshift.keys.exceptions import (
-    KeyRefusalError,
-    StaleKeysError,
-    WithdrawnKeyError,
-)
-from chestnutshift.keys.withdrawals import Withdrawals
+from chestnutshift.keys.authentication import Identity, KeyRing
+from chestnutshift.keys.exceptions import KeyRefusalError
+
+STALE_PERIOD_S = 0.25
 
 
 class Cancellable(Protocol):
@@ -25,7 +24,7 @@
 class Subscription:
     """One request under way; `cause` is set when it was cancelled."""
 
-    digest: str
+    identity: Identity
     scope: Cancellable
     cause: KeyRefusalError | None = None
 
@@ -40,49 +39,61 @@
 class Watch:
     """The requests under way on this VM, by their key's digest."""
 
-    _withdrawals: Withdrawals
+    _ring: KeyRing
     _subscriptions: dict[str, set[Subscription]] = attrs.field(factory=dict)
 
     @contextmanager
     def subscribe(
         self,
-        digest: str,
+        identity: Identity,
         scope: Cancellable,
+        now: float,
     ) -> Iterator[Subscription]:
-        """Cancel the scope if the key is withdrawn inside the block.
+        """Cancel the scope if the key stops working inside the block.
 
-        A key withdrawn between authentication and this call is cancelled
-        at once.
+        A key that stopped between its authentication and this call, at the
+        time `now`, is cancelled at once.
         """
-        subscription = Subscription(digest, scope)
-        self._subscriptions.setdefault(digest, set()).add(subscription)
-        if digest in self._withdrawals:
-            subscription.cancel(WithdrawnKeyError('this key was withdrawn'))
+        subscription = Subscription(identity, scope)
+        same_key = self._subscriptions.setdefault(identity.digest, set())
+        same_key.add(subscription)
+        self._check(identity.digest, now)
         try:
             yield subscription
         finally:
             self._remove(subscription)
 
-    def withdrawn(self, digests: Iterable[str]) -> int:
-        """Cancel every request of these keys; return how many."""
-        cause = WithdrawnKeyError('this key was withdrawn')
-        return sum(self._cancel(digest, cause) for digest in digests)
-
-    def stale(self) -> int:
-        """Cancel every keyed request, as no key can be trusted any longer."""
-        cause = StaleKeysError('this VM cannot learn of withdrawn keys')
-        return sum(
-            self._cancel(digest, cause) for digest in list(self._subscriptions)
-        )
+    def ended(self, digests: Iterable[str], now: float) -> int:
+        """Cancel the requests of those keys that work no more.
 
-    def _cancel(self, digest: str, cause: KeyRefusalError) -> int:
-        subscriptions = self._subscriptions.get(digest, ())
-        for subscription in subscriptions:
-            subscription.cancel(cause)
-        return len(subscriptions)
+        To be called with what `Withdrawals.add` and `KeyRing.adopt` return.
+        Return the number of requests cancelled.
+        """
+        return sum(self._check(digest, now) for digest in digests)
+
+    def check_all(self, now: float) -> int:
+        """Cancel every request whose key can't be trusted any longer."""
+        return self.ended(list(self._subscriptions), now)
+
+    async def run(self) -> None:
+        """Check the trust in all keys periodically until cancelled."""
+        while True:
+            await trio.sleep(STALE_PERIOD_S)
+            if trio.current_time() > self._ring.trusted_until:
+                self.check_all(trio.current_time())
+
+    def _check(self, digest: str, now: float) -> int:
+        cancelled = 0
+        for subscription in self._subscriptions.get(digest, ()):
+            cause = self._ring.recheck(subscription.identity, now)
+            if cause is not None and subscription.cause is None:
+                subscription.cancel(cause)
+                cancelled += 1
+        return cancelled
 
     def _remove(self, subscription: Subscription) -> None:
-        remaining = self._subscriptions[subscription.digest]
+        digest = subscription.identity.digest
+        remaining = self._subscriptions[digest]
         remaining.discard(subscription)
         if not remaining:
-            self._subscriptions.pop(subscription.digest)
+            self._subscriptions.pop(digest)
--- a/chestnutshift/keys/withdrawals.py
+++ b/chestnutshift/keys/withdrawals.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+# The fingerprint fits a signed 64-bit integer on the wire.
+_FINGERPRINT_DIGITS = 15
+_HEXADECIMAL = 16
+
 
 @attrs.define
 class Withdrawals:
@@ -16,6 +20,7 @@
 
     _digests: set[str] = attrs.field(factory=set)
     _unwritten: set[str] = attrs.field(factory=set)
+    _fingerprint: int = 0
 
     @property
     def digests(self) -> frozenset[str]:
@@ -27,21 +32,33 @@
         """Withdrawals that no configuration seen so far contains."""
         return frozenset(self._unwritten)
 
+    @property
+    def fingerprint(self) -> int:
+        """A number that two VMs share if they hold the same set.
+
+        A count would not do: two VMs may each hold one that the other lacks.
+        """
+        return self._fingerprint
+
     def __contains__(self, digest: str) -> bool:
         """Tell whether the digest is withdrawn."""
         return digest in self._digests
 
     def add(self, digests: Iterable[str]) -> frozenset[str]:
         """Merge withdrawals from an operator or a peer; return the new."""
-        fresh = frozenset(digests) - self._digests
-        self._digests |= fresh
+        fresh = self._merge(digests)
         self._unwritten |= fresh
         return fresh
 
     def confirm(self, digests: Iterable[str]) -> frozenset[str]:
         """Merge withdrawals that the platform holds; return the new."""
         written = frozenset(digests)
-        fresh = written - self._digests
-        self._digests |= written
         self._unwritten -= written
+        return self._merge(written)
+
+    def _merge(self, digests: Iterable[str]) -> frozenset[str]:
+        fresh = frozenset(digests) - self._digests
+        self._digests |= fresh
+        for digest in fresh:
+            self._fingerprint ^= int(digest[:_FINGERPRINT_DIGITS], _HEXADECIMAL)
         return fresh
--- a/tests/keys/__init__.py
+++ b/tests/keys/__init__.py
@@ -12,10 +12,14 @@
 )
 from chestnutshift.invariants.registry import ENFORCEMENT
 from chestnutshift.keys import credentials
+from chestnutshift.keys.authentication import KeyRing
+from chestnutshift.keys.freshness import KnowledgeView, PeerView
 
 KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
 OTHER_KEY = 'another-key-of-another-account'
 DIGEST = credentials.digest(KEY)
+NOW = 100.0
+TRUST_S = 5.0
 
 raises = unittest.TestCase().assertRaises
 
@@ -46,3 +50,11 @@
         in_force='ordinary',
         keys={DIGEST: KeyRecord(account, 'test', withdrawn=withdrawn)},
     )
+
+
+def make_ring() -> KeyRing:
+    """Return a ring with KEY live and fresh at NOW, and one silent peer."""
+    ring = KeyRing()
+    ring.learn(KnowledgeView(TRUST_S, confirmed_at=NOW, peers=(PeerView(),)))
+    ring.adopt(make_configuration())
+    return ring
--- a/tests/keys/test_authentication.py
+++ b/tests/keys/test_authentication.py
@@ -4,19 +4,15 @@
 
 from chestnutshift.keys import credentials, exceptions
 from chestnutshift.keys.authentication import KeyRing
-from chestnutshift.keys.freshness import KnowledgeView, PeerView
-from tests.keys import DIGEST, KEY, OTHER_KEY, make_configuration, raises
-
-NOW = 100.0
-KNOWLEDGE = KnowledgeView(5, confirmed_at=NOW, peers=(PeerView(),))
-
-
-def make_ring() -> KeyRing:
-    """Return a ring with KEY live and fresh at NOW."""
-    ring = KeyRing()
-    ring.learn(KNOWLEDGE)
-    ring.adopt(make_configuration())
-    return ring
+from tests.keys import (
+    DIGEST,
+    KEY,
+    NOW,
+    OTHER_KEY,
+    make_configuration,
+    make_ring,
+    raises,
+)
 
 
 def test_key_is_read():
--- a/tests/keys/test_hiding.py
+++ b/tests/keys/test_hiding.py
@@ -5,6 +5,7 @@
 from nose2.tools import params
 
 from chestnutshift.invariants.registry import InvariantViolationError
+from chestnutshift.keys import credentials
 from chestnutshift.keys.exceptions import KeyInTargetError
 from chestnutshift.keys.hiding import (
     KeyDetector,
@@ -96,6 +97,16 @@
         hide_key(DETECTOR, f'/listings/{spelling}'.encode(), b'', PLAIN)
 
 
+@params(str, str.upper, percent)
+def test_generated_key_is_recognised(spell):
+    """On open routes a generated key is found though none was read."""
+    spelling = spell(credentials.generate())
+    headers = [*PLAIN, header('x-api-key', f'key={spelling}')]
+    hidden = hide_key(KeyDetector(None), b'/a', b'', headers)
+    assert hidden.headers == PLAIN
+    assert hidden.removed == ('x-api-key',)
+
+
 def test_plain_request_is_unchanged():
     """Nothing but the credential header is taken from a plain request."""
     headers = [header('authorization', f'Bearer {KEY}'), *PLAIN]
--- a/tests/keys/test_withdrawals.py
+++ b/tests/keys/test_withdrawals.py
@@ -2,63 +2,104 @@
 
 import random
 
+import attrs
 import trio
+from nose2.tools import params
 from trio.testing import trio_test, wait_all_tasks_blocked
 
+from chestnutshift.configuration.model import KeyRecord
+from chestnutshift.keys import credentials
+from chestnutshift.keys.authentication import Identity, KeyRing
 from chestnutshift.keys.watch import Watch
 from chestnutshift.keys.withdrawals import Withdrawals
-from tests.keys import DIGEST
+from tests.keys import (
+    DIGEST,
+    NOW,
+    OTHER_KEY,
+    TRUST_S,
+    make_configuration,
+    make_ring,
+)
+
+KONYA = Identity('konya', DIGEST)
+OTHER = credentials.digest(OTHER_KEY)
 
 
 def test_merge_in_any_order():
     """VMs that exchange their sets in any order end with the union."""
     rng = random.Random(7)
-    union = {f'd{number}' for number in range(6)}
+    union = {f'{number:064x}' for number in range(6)}
     sets = [Withdrawals({name}, {name}) for name in sorted(union)]
     for _ in range(200):
         giver, taker = rng.sample(sets, 2)
         taker.add(giver.digests)
     assert all(held.digests == union for held in sets)
     assert all(held.unwritten == union for held in sets)
-    assert not sets[0].confirm(['d1'])
-    assert sets[0].unwritten == union - {'d1'}
+    assert not sets[0].confirm([max(union)])
+    assert sets[0].unwritten == union - {max(union)}
+
+
+def test_fingerprint_tells_sets_apart():
+    """Sets of one size differ; the order of merging doesn't matter."""
+    first, second = Withdrawals(), Withdrawals()
+    first.add([DIGEST])
+    second.confirm([OTHER])
+    assert first.fingerprint != second.fingerprint
+    first.add([OTHER, DIGEST])
+    second.add([DIGEST])
+    assert first.fingerprint == second.fingerprint
 
 
 @trio_test
 async def test_withdrawal_cancels_what_is_under_way():
     """An upload in the middle ends when its key is withdrawn."""
-    withdrawals = Withdrawals()
-    watch = Watch(withdrawals)
+    ring = make_ring()
+    watch = Watch(ring)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_withdraw, withdrawals, watch)
+        nursery.start_soon(_withdraw, ring, watch)
         with trio.CancelScope() as scope:
-            with watch.subscribe(DIGEST, scope) as subscription:
-                with watch.subscribe('other', trio.CancelScope()) as other:
-                    await trio.sleep_forever()
+            with watch.subscribe(KONYA, scope, NOW) as subscription:
+                await trio.sleep_forever()
     assert subscription.cause.code == 'keys.withdrawn'
-    assert other.cause is None
-    assert watch.withdrawn([DIGEST, 'other']) == 0
+    assert watch.ended([DIGEST], NOW) == 0
 
 
-async def _withdraw(withdrawals: Withdrawals, watch: Watch) -> None:
+async def _withdraw(ring: KeyRing, watch: Watch) -> None:
     await wait_all_tasks_blocked()
-    assert watch.withdrawn(withdrawals.add([DIGEST])) == 1
+    assert watch.ended([DIGEST], NOW) == 0
+    assert watch.ended(ring.withdrawals.add([DIGEST]), NOW) == 1
+
+
+@params({}, {DIGEST: KeyRecord('bursa', 'moved')})
+def test_key_that_ends_otherwise_cancels(keys):
+    """A configuration that drops or moves the key ends its requests."""
+    ring = make_ring()
+    watch = Watch(ring)
+    scope = trio.CancelScope()
+    with watch.subscribe(KONYA, scope, NOW) as subscription:
+        newer = attrs.evolve(make_configuration(2), keys=keys)
+        assert watch.ended(ring.adopt(newer), NOW) == 1
+    assert subscription.cause.code == 'keys.unknown'
 
 
 def test_withdrawal_before_subscription_cancels():
     """No gap opens between authentication and subscription."""
-    watch = Watch(Withdrawals({DIGEST}))
+    ring = make_ring()
+    ring.withdrawals.add([DIGEST])
     scope = trio.CancelScope()
-    with watch.subscribe(DIGEST, scope) as subscription:
+    with Watch(ring).subscribe(KONYA, scope, NOW) as subscription:
         assert scope.cancel_called
     assert subscription.cause.code == 'keys.withdrawn'
 
 
-def test_stale_keys_cancel_everything():
+@trio_test
+async def test_stale_keys_cancel_everything():
     """When no key can be trusted, everything keyed under way ends."""
-    watch = Watch(Withdrawals())
+    ring = make_ring()
+    watch = Watch(ring)
     scope = trio.CancelScope()
-    with watch.subscribe(DIGEST, scope) as subscription:
-        assert watch.stale() == 1
+    with watch.subscribe(KONYA, scope, NOW) as subscription:
+        assert watch.check_all(NOW + TRUST_S) == 0
+        assert watch.check_all(NOW + TRUST_S + 1) == 1
     assert scope.cancel_called
     assert subscription.cause.code == 'keys.stale'
