--- a/tests/keys/test_hiding.py
+++ b/tests/keys/test_hiding.py
@@ -90,6 +90,12 @@
     assert hide_in_trailers(DETECTOR, trailers) == trailers[:1]
 
 
+def test_key_in_header_name_is_taken_out():
+    """A head whose only trace of the key is a name is seen as well."""
+    headers = [*PLAIN, header(f'x-{KEY}', '1')]
+    assert hide_key(DETECTOR, b'/a', b'', headers).headers == PLAIN
+
+
 @params(*SPELLINGS)
 def test_key_in_path_is_refused(spelling):
     """A path can't be cut, so the request is refused."""
@@ -110,9 +116,10 @@
 def test_plain_request_is_unchanged():
     """Nothing but the credential header is taken from a plain request."""
     headers = [header('authorization', f'Bearer {KEY}'), *PLAIN]
-    hidden = hide_key(DETECTOR, b'/listings', b'q=50%25&p=%C3%BC', headers)
+    query = b'q=50%252525&p=%C3%BC'
+    hidden = hide_key(DETECTOR, b'/listings', query, headers)
     assert hidden.headers == PLAIN
-    assert hidden.query == b'q=50%25&p=%C3%BC'
+    assert hidden.query == query
     assert not hidden.removed
 
 
