Serve callers and upstreams by h11 directly on trio streams

Cause: Hypercorn closes a broken HTTP/1.0 answer as if it were whole, sends in a shielded scope that no deadline or stop can end, takes a half-closed caller for a gone one, and spends four tasks and a channel on each request; httpcore cannot read an early answer while it sends a body. Ruled out: subclasses of Hypercorn's TCPServer, H11Protocol and HTTPStream, as each method that the points above touch had to be replaced. Change: one connection task and one reader for each caller, the ASGI interface kept; one h11 connection for each upstream exchange; keys hidden from outbound heads; "ran: no" of an upstream is a refusal that may be retried.

--- /dev/null
+++ b/bench/forwarder.py
@@ -0,0 +1,240 @@
+"""Compare this forwarder with a naive one and with no forwarder at all.
+
+Run as `python -m bench.forwarder`. Upstream and forwarders are processes of
+their own; this process is the callers. The cases alternate within one run.
+"""
+
+import argparse
+import functools
+import statistics
+import subprocess  # noqa: S404
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import attrs
+import httpx
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from chestnutshift.conf import settings
+from chestnutshift.configuration.model import (
+    AccountLimit,
+    Configuration,
+    KeyRecord,
+    Preset,
+    Service,
+)
+from chestnutshift.keys import credentials
+from chestnutshift.keys.freshness import KnowledgeView
+from chestnutshift.platform.backends.memory import MemoryPlatform
+from chestnutshift.platform.records import VmRecord, VmRole
+from chestnutshift.vms.process import make_state
+from chestnutshift.vms.serving import serve_callers
+from chestnutshift.vms.state import VmState
+
+HOST = '127.0.0.1'
+PORTS = {'direct': 18701, 'naive': 18702, 'ours': 18703}
+KEY = 'bench-key-of-the-only-account'
+ANSWER_B = 1000
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (
+    ANSWER_B,
+    b'x' * ANSWER_B,
+)
+REQUEST = (
+    b'GET %b HTTP/1.1\r\nhost: bench\r\naccept: */*\r\n'
+    b'user-agent: bench\r\nauthorization: Bearer %b\r\n\r\n'
+)
+FORWARDED = REQUEST % (b'/listings/1', KEY.encode())
+LOOKED_UP = REQUEST % (b'/steering/entries', KEY.encode())
+READ_B = 65536
+CONNECT_PATIENCE = 100
+TRUST_S = 1e9
+
+
+async def run_upstream() -> None:
+    """Answer every request head with the same bytes."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        while data := await stream.receive_some(READ_B):
+            await stream.send_all(ANSWER * data.count(b'\r\n\r\n'))
+
+    await trio.serve_tcp(answer, PORTS['direct'], host=HOST)
+
+
+async def run_naive() -> None:
+    """Forward by Quart and HTTPX in the plainest way."""
+    app = QuartTrio('naive')
+    client = httpx.AsyncClient(trust_env=False)
+    url = f'http://{HOST}:{PORTS["direct"]}'
+
+    @app.get('/<path:path>')
+    async def forward(path: str) -> Response:
+        headers = {
+            name: text
+            for name, text in request.headers.items()
+            if name.lower() not in {'host', 'authorization'}
+        }
+        answer = await client.get(f'{url}/{path}', headers=headers)
+        return Response(answer.content, answer.status_code)
+
+    config = Config()
+    config.bind = [f'{HOST}:{PORTS["naive"]}']
+    await serve(app, config)
+
+
+def make_vm() -> VmState:
+    """Return a VM with one account and the upstream, without platform."""
+    url = f'http://{HOST}:{PORTS["ours"]}'
+    state = make_state(
+        settings.Settings(
+            vm=settings.VmSettings('vm', 'region', 'domain'),
+            callers=settings.CallersSettings(HOST, PORTS['ours'], url),
+            operators=settings.OperatorsSettings(HOST, 0, ''),
+            peers=settings.PeersSettings(HOST, 0, ''),
+            platform=settings.PlatformSettings(''),
+        ),
+        MemoryPlatform(),
+    )
+    limit = AccountLimit(rate=1e9, burst=1e9)
+    preset = Preset(accounts={'bench': limit})
+    configuration = Configuration(
+        number=1,
+        deployment='bench',
+        services=(Service('listings', '/listings'),),
+        presets={'ordinary': preset},
+        in_force='ordinary',
+        keys={credentials.digest(KEY): KeyRecord('bench', 'bench')},
+    )
+    state.holder.offer(configuration)
+    state.key_ring.adopt(configuration)
+    state.key_ring.learn(KnowledgeView(TRUST_S, trio.current_time()))
+    address = f'{HOST}:{PORTS["direct"]}'
+    record = VmRecord('upstream', VmRole.UPSTREAM, 'domain', 'region', address)
+    record = attrs.evolve(record, service='listings', slots=100)
+    state.directory.update([record])
+    return state
+
+
+async def run_ours() -> None:
+    """Run the callers' side of one VM."""
+    await serve_callers(make_vm(), trio.Event())
+
+
+async def call(port: int, payload: bytes, until: float) -> list[float]:
+    """Repeat the request on one connection; return the latencies, s."""
+    stream = await trio.open_tcp_stream(HOST, port)
+    stream.setsockopt(6, 1, 1)
+    latencies = []
+    async with stream:
+        while time.perf_counter() < until:
+            began = time.perf_counter()
+            await stream.send_all(payload)
+            left = await _read_head(stream)
+            while left > 0:
+                left -= len(await stream.receive_some(READ_B))
+            latencies.append(time.perf_counter() - began)
+    return latencies
+
+
+async def _read_head(stream: trio.SocketStream) -> int:
+    """Read past the head; return the bytes of the body still to come."""
+    head = b''
+    while b'\r\n\r\n' not in head:
+        data = await stream.receive_some(READ_B)
+        if not data:
+            raise ConnectionError(head)
+        head += data
+    head, _, body = head.partition(b'\r\n\r\n')
+    if not head.startswith(b'HTTP/1.1 200'):
+        raise ConnectionError(head, body)
+    length = head.lower().partition(b'content-length: ')[2]
+    return int(length.partition(b'\r\n')[0]) - len(body)
+
+
+async def measure(case: str, callers: int, seconds: float) -> list[float]:
+    """Return the latencies of one case, s."""
+    port = PORTS['ours' if case == 'look-up' else case]
+    payload = LOOKED_UP if case == 'look-up' else FORWARDED
+    until = time.perf_counter() + seconds
+    latencies: list[float] = []
+
+    async def caller() -> None:
+        latencies.extend(await call(port, payload, until))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(callers):
+            nursery.start_soon(caller)
+    return latencies
+
+
+async def _wait_ready(port: int) -> None:
+    for _ in range(CONNECT_PATIENCE):
+        try:
+            return await (await trio.open_tcp_stream(HOST, port)).aclose()
+        except OSError:
+            await trio.sleep(0.1)
+    raise TimeoutError(port)
+
+
+async def compare(rounds: int, seconds: float, cases: tuple[str, ...]) -> None:
+    """Print requests/s (median over rounds), p50 and p99 of each case."""
+    for port in PORTS.values():
+        await _wait_ready(port)
+    for callers in (1, 8):
+        rates: dict[str, list[float]] = {case: [] for case in cases}
+        found: dict[str, list[float]] = {case: [] for case in cases}
+        for turn in range(rounds + 1):
+            for case in cases:
+                latencies = await measure(case, callers, seconds)
+                if turn:  # The first round warms up.
+                    rates[case].append(len(latencies) / seconds)
+                    found[case] += latencies
+        for case in cases:
+            cuts = statistics.quantiles(found[case], n=100)
+            print(
+                f'{case:8} callers={callers}'
+                f' {statistics.median(rates[case]):8.0f}/s'
+                f' p50={cuts[49] * 1e3:.2f} ms p99={cuts[98] * 1e3:.2f} ms',
+            )
+
+
+ROLES: dict[str, Callable[[], Awaitable[None]]] = {
+    'direct': run_upstream,
+    'naive': run_naive,
+    'ours': run_ours,
+}
+
+
+def main() -> None:
+    """Run a role, or all roles and the comparison."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--role', choices=ROLES)
+    parser.add_argument('--rounds', type=int, default=5)
+    parser.add_argument('--seconds', type=float, default=1.0)
+    parser.add_argument('--cases', default='direct,naive,ours,look-up')
+    options = parser.parse_args()
+    if options.role:
+        trio.run(ROLES[options.role])
+        return
+    command = [sys.executable, '-m', 'bench.forwarder', '--role']
+    children = [subprocess.Popen([*command, role]) for role in ROLES]
+    try:
+        trio.run(
+            functools.partial(
+                compare,
+                options.rounds,
+                options.seconds,
+                tuple(options.cases.split(',')),
+            ),
+        )
+    finally:
+        for child in children:
+            child.kill()
+
+
+if __name__ == '__main__':
+    main()
--- a/chestnutshift/callers/application.py
+++ b/chestnutshift/callers/application.py
@@ -16,23 +16,7 @@
     forwarder: Forwarder
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
-        """Serve one ASGI connection scope."""
-        if scope['type'] == 'lifespan':
-            await _live(receive, send)
-            return
-        if scope['type'] == 'websocket':
-            # Closing without accepting refuses a websocket.
-            await send({'type': 'websocket.close'})
-            return
+        """Serve one request."""
         steers = scope['path'].startswith(STEERING_PREFIX)
         application = self.steering if steers else self.forwarder
         await application(scope, receive, send)
-
-
-async def _live(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        kind = message['type']
-        await send({'type': f'{kind}.complete'})
-        if kind == 'lifespan.shutdown':
-            return
--- /dev/null
+++ b/chestnutshift/callers/connection.py
@@ -0,0 +1,206 @@
+"""One caller's connection: HTTP/1.1 through h11, requests in their order.
+
+One task reads ahead and notices the caller's end; the other serves. Every
+answer is whole, or the connection is reset so that no caller can take a
+broken answer for a whole one.
+"""
+
+import contextlib
+import logging
+import secrets
+from collections.abc import Awaitable, Callable, Iterator
+
+import h11
+import trio
+
+from chestnutshift.callers import refusals
+from chestnutshift.callers.exchange import CallerExchange, Message
+from chestnutshift.callers.end_watch import EndWatch
+from chestnutshift.callers.intake import Intake
+from chestnutshift.callers.limits import CallerLimits, StopState
+from chestnutshift.callers.transport import CallerTransport
+from chestnutshift.forwarding.problems import Problem
+from chestnutshift.forwarding.requests import REQUEST_ID_B, CallerGoneError
+
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Message, Receive, Send], Awaitable[None]]
+
+logger = logging.getLogger('chestnutshift.http')
+
+
+@contextlib.contextmanager
+def _resetting(transport: CallerTransport) -> Iterator[None]:
+    """Reset the connection of a caller that is gone."""
+    try:
+        yield
+    except CallerGoneError:
+        transport.reset()
+
+
+class CallerConnection:
+    """Serve the requests of one connection, one after the other."""
+
+    def __init__(
+        self,
+        transport: CallerTransport,
+        application: Application,
+        limits: CallerLimits,
+        stop: StopState,
+    ) -> None:
+        """Serve the stream with the ASGI application."""
+        self.transport = transport
+        self.limits = limits
+        self.intake = Intake(transport.stream)
+        self.h11 = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.header_limit_b,
+        )
+        self._application = application
+        self._stop = stop
+        self._head_scope = trio.CancelScope()
+        self._end_watch = EndWatch(transport, self.intake, self.h11)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this VM is stopping."""
+        return self._stop.is_stopping
+
+    def end_idle(self, at: float) -> None:
+        """Close at that time if no request is being served then."""
+        self._head_scope.deadline = min(self._head_scope.deadline, at)
+
+    async def run(self) -> None:
+        """Serve until either side closes; reset if cancelled meanwhile."""
+        await self._run(self._serve)
+
+    async def run_refusal(self, problem: Problem) -> None:
+        """Refuse the first request, whatever it is, and close."""
+        await self._run(self._refuse_first, problem)
+
+    async def write(self, content: bytes) -> None:
+        """Send bytes; raises CallerGoneError."""
+        await self._end_watch.wait_probed()
+        await self.transport.send(content)
+
+    async def refuse(self, problem: Problem) -> None:
+        """Answer with the problem, outside of the application."""
+        request_id = secrets.token_hex(REQUEST_ID_B)
+        body = problem.body(request_id)
+        headers = problem.headers(request_id)
+        headers += [
+            (b'content-length', b'%d' % len(body)),
+            (b'connection', b'close'),
+        ]
+        response = h11.Response(status_code=problem.status, headers=headers)
+        await self.write(
+            self.h11.send(response)
+            + self.h11.send(h11.Data(data=body))
+            + self.h11.send(h11.EndOfMessage()),
+        )
+
+    async def _run(
+        self,
+        serve: Callable[..., Awaitable[None]],
+        *args: Problem,
+    ) -> None:
+        try:
+            self.transport.open()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._end_watch.run)
+                with _resetting(self.transport):
+                    await serve(*args)
+                nursery.cancel_scope.cancel()
+        except OSError:
+            self.transport.reset()
+        except trio.Cancelled:
+            self.transport.reset()
+            raise
+        finally:
+            self.transport.close()
+
+    async def _refuse_first(self, problem: Problem) -> None:
+        await self.refuse(problem)
+        await self._close()
+
+    async def _serve(self) -> None:
+        request = await self._next_request()
+        while request is not None:
+            if not await self._answer(request):
+                self.transport.reset()
+                return
+            request = None
+            if self._can_go_on():
+                self.h11.start_next_cycle()
+                request = await self._next_request()
+        await self._close()
+
+    async def _close(self) -> None:
+        """End the sending side, and read on so that the answer arrives."""
+        await self.transport.send_end()
+        with trio.move_on_after(self.limits.linger_s):
+            await self.intake.drain()
+
+    def _can_go_on(self) -> bool:
+        return (
+            not self.is_stopping
+            and self.h11.our_state is h11.DONE
+            and self.h11.their_state is h11.DONE
+        )
+
+    async def _next_request(self) -> h11.Request | None:
+        """Return the next head, None when the connection is to close."""
+        try:
+            event = await self._next_head()
+        except h11.RemoteProtocolError as error:
+            await self.refuse(refusals.refuse_malformed(error))
+            return None
+        if not isinstance(event, h11.Request):
+            if self.h11.trailing_data[0]:
+                await self.refuse(refusals.SLOW_HEAD)
+            return None
+        problem = refusals.refuse_unsupported(event)
+        if problem is None:
+            return event
+        await self.refuse(problem)
+        return None
+
+    async def _next_head(self) -> h11.Event:
+        """Return the next event; NEED_DATA if it took too long."""
+        event = self.h11.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        idle_s = 0 if self.is_stopping else self.limits.idle_s
+        scope = trio.CancelScope(deadline=trio.current_time() + idle_s)
+        self._head_scope = scope
+        with scope:
+            self.h11.receive_data(await self.intake.take())
+            scope.deadline = trio.current_time() + self.limits.header_timeout_s
+            event = self.h11.next_event()
+            while event is h11.NEED_DATA:
+                self.h11.receive_data(await self.intake.take())
+                event = self.h11.next_event()
+        return event
+
+    async def _answer(self, request: h11.Request) -> bool:
+        """Let the application answer; return whether the answer is whole."""
+        exchange = CallerExchange(self, request)
+        self._end_watch.exchange = exchange
+        try:
+            with exchange.scope:
+                await self._application(
+                    exchange.asgi_scope(),
+                    exchange.receive,
+                    exchange.send,
+                )
+        except CallerGoneError:
+            return False
+        except Exception:
+            logger.exception('a fault ended a request')
+            if exchange.is_started:
+                return False
+            await self.refuse(refusals.FAULT)
+            return True
+        finally:
+            self._end_watch.exchange = None
+        return exchange.is_whole
--- /dev/null
+++ b/chestnutshift/callers/end_watch.py
@@ -0,0 +1,65 @@
+"""Notice that a caller is gone, and cancel what runs for it."""
+
+import h11
+import trio
+
+from chestnutshift.callers.exchange import CONTINUE, CallerExchange
+from chestnutshift.callers.intake import Intake
+from chestnutshift.callers.transport import CallerTransport
+from chestnutshift.forwarding.requests import CallerGoneError
+
+HALF_CLOSED_CHECK_S = 0.1
+
+
+class EndWatch:
+    """Read ahead on one connection, and tell a half-closed from a gone end.
+
+    `exchange` is what runs on the connection, None between requests.
+    """
+
+    def __init__(
+        self,
+        transport: CallerTransport,
+        intake: Intake,
+        connection: h11.Connection,
+    ) -> None:
+        """Watch the connection that these belong to."""
+        self.exchange: CallerExchange | None = None
+        self._transport = transport
+        self._intake = intake
+        self._h11 = connection
+        self._probed: trio.Event | None = None
+
+    async def run(self) -> None:
+        """Read; after the end, cancel what runs once the caller is gone."""
+        await self._intake.run()
+        while True:
+            if self.exchange is not None:
+                await self._probe(self.exchange)
+            if self.exchange is not None and self._is_gone():
+                self.exchange.scope.cancel()
+            await trio.sleep(HALF_CLOSED_CHECK_S)
+
+    async def wait_probed(self) -> None:
+        """Return when no interim answer is just being sent."""
+        if self._probed is not None:
+            await self._probed.wait()
+
+    async def _probe(self, exchange: CallerExchange) -> None:
+        """Send an interim answer to a caller that ended its side.
+
+        The host of a caller that closed resets the connection on the next
+        bytes; these harm no caller that waits for its answer.
+        """
+        if not exchange.can_probe or self._probed is not None:
+            return
+        self._probed = trio.Event()
+        try:
+            await self._transport.send(self._h11.send(CONTINUE))
+        except CallerGoneError:
+            exchange.scope.cancel()
+        finally:
+            self._probed.set()
+
+    def _is_gone(self) -> bool:
+        return self._intake.is_broken or self._transport.is_gone
--- /dev/null
+++ b/chestnutshift/callers/exchange.py
@@ -0,0 +1,208 @@
+"""One request and its answer on a caller's connection, as ASGI sees them."""
+
+import time
+from email.utils import formatdate
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+
+import h11
+import trio
+
+from chestnutshift.callers.exceptions import (
+    MalformedBodyError,
+    SlowBodyError,
+)
+from chestnutshift.forwarding.requests import CallerGoneError, Headers
+
+if TYPE_CHECKING:
+    from chestnutshift.callers.connection import CallerConnection
+
+Message = dict[str, Any]
+
+BODILESS_STATUSES = frozenset((204, 304))
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
+_CLOSE = (b'connection', b'close')
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class _DateHeader:
+    """The Date header, made once a second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._header = (b'date', b'')
+
+    def at(self, wall_s: float) -> tuple[bytes, bytes]:
+        """Return the header for the wall time, in seconds."""
+        if int(wall_s) != self._second:
+            self._second = int(wall_s)
+            text = formatdate(self._second, usegmt=True)
+            self._header = (b'date', text.encode())
+        return self._header
+
+
+_DATE = _DateHeader()
+
+
+class CallerExchange:
+    """Read one request's body and write its answer."""
+
+    def __init__(
+        self,
+        connection: 'CallerConnection',
+        request: h11.Request,
+    ) -> None:
+        """Serve the request whose head was read."""
+        self.scope = trio.CancelScope()
+        self._connection = connection
+        self._h11 = connection.h11
+        self._request = request
+        self._pending = b''
+        self._has_body = True
+        # A request without a body is read at once; else on demand, so that
+        # a refused caller need not send it.
+        self._is_read = not _has_body(request) and self._reads_end()
+        self._is_delivered = False
+        self._is_started = False
+        self._is_whole = False
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the request is read to its end."""
+        return self._is_read
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the answer began."""
+        return self._is_started
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole answer went out."""
+        return self._is_whole
+
+    @property
+    def can_probe(self) -> bool:
+        """Whether an interim answer may be sent now."""
+        if not self._is_read or self._is_started:
+            return False
+        return self._request.http_version == b'1.1'
+
+    def asgi_scope(self) -> Message:
+        """Return the request's head as ASGI has it."""
+        request = self._request
+        path, _, query = request.target.partition(b'?')
+        return {
+            'type': 'http',
+            'asgi': {'version': '3.0', 'spec_version': '2.3'},
+            'http_version': request.http_version.decode(),
+            'method': request.method.decode(),
+            'scheme': self._connection.transport.scheme,
+            'path': unquote(path.decode('ascii')),
+            'raw_path': path,
+            'query_string': query,
+            'root_path': '',
+            'headers': list(request.headers),
+            'client': self._connection.transport.peer,
+            'server': None,
+            'extensions': {},
+            'state': {},
+        }
+
+    async def receive(self) -> Message:
+        """Return the next part of the body, with all that has arrived.
+
+        Raises CallerGoneError, SlowBodyError and MalformedBodyError. After
+        the body it waits for ever: the scope of a caller that closes is
+        cancelled.
+        """
+        if self._is_delivered:
+            await trio.sleep_forever()
+        body = b'' if self._is_read else self._arrived()
+        while not body and not self._is_read:
+            await self._read_more()
+            body = self._arrived()
+        self._is_delivered = self._is_read
+        more = not self._is_read
+        return {'type': 'http.request', 'body': body, 'more_body': more}
+
+    async def send(self, message: Message) -> None:
+        """Write a part of the answer; raises CallerGoneError."""
+        if message['type'] == 'http.response.start':
+            self._start(message['status'], list(message.get('headers', ())))
+            return
+        body = message.get('body', b'')
+        if not self._has_body:
+            body = b''
+        if body:
+            self._pending += self._h11.send(h11.Data(data=body))
+        is_last = not message.get('more_body', False)
+        if is_last:
+            self._pending += self._h11.send(h11.EndOfMessage())
+        await self._flush()
+        self._is_whole = is_last
+
+    def _start(self, status: int, headers: Headers) -> None:
+        self._is_started = True
+        self._has_body = (
+            self._request.method != b'HEAD' and status not in BODILESS_STATUSES
+        )
+        if not any(name.lower() == b'date' for name, _ in headers):
+            headers.append(_DATE.at(time.time()))
+        if self._connection.is_stopping or not self._is_read:
+            headers.append(_CLOSE)
+        self._pending = self._h11.send(
+            h11.Response(
+                status_code=status,
+                headers=headers,
+                reason=_REASONS.get(status, b''),
+            ),
+        )
+
+    async def _flush(self) -> None:
+        pending = self._pending
+        self._pending = b''
+        if pending:
+            await self._connection.write(pending)
+
+    def _arrived(self) -> bytes:
+        chunks = []
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                break
+            if not isinstance(event, h11.Data):
+                # Trailers are dropped: one may hold the caller's key.
+                self._is_read = True
+                break
+            chunks.append(event.data)
+        return b''.join(chunks)
+
+    def _reads_end(self) -> bool:
+        return isinstance(self._next_event(), h11.EndOfMessage)
+
+    def _next_event(self) -> h11.Event:
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._connection.intake.has_ended:
+                raise CallerGoneError('the caller ended early') from error
+            raise MalformedBodyError(str(error)) from error
+
+    async def _read_more(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            await self._connection.write(self._h11.send(CONTINUE))
+        silence_s = self._connection.limits.body_silence_s
+        with trio.move_on_after(silence_s) as silence:
+            chunk = await self._connection.intake.take()
+        if silence.cancelled_caught:
+            raise SlowBodyError(f'no byte of the body came for {silence_s} s')
+        self._h11.receive_data(chunk)
+
+
+def _has_body(request: h11.Request) -> bool:
+    return any(
+        name in {b'content-length', b'transfer-encoding'}
+        for name, _ in request.headers
+    )
--- /dev/null
+++ b/chestnutshift/callers/intake.py
@@ -0,0 +1,67 @@
+"""What a caller sends, read ahead so that its end is noticed at once."""
+
+from collections import deque
+
+import trio
+
+READ_B = 65_536
+READ_AHEAD_B = 131_072
+
+
+class Intake:
+    """The bytes of one connection that nobody has taken yet."""
+
+    def __init__(self, stream: trio.abc.ReceiveStream) -> None:
+        """Read from the stream, bounded to READ_AHEAD_B bytes."""
+        self._stream = stream
+        self._chunks: deque[bytes] = deque()
+        self._held_b = 0
+        self._is_broken = False
+        self._ended = trio.Event()
+        self._arrival = trio.lowlevel.ParkingLot()
+        self._room = trio.lowlevel.ParkingLot()
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection was reset, not ended."""
+        return self._is_broken
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the caller sends nothing more."""
+        return self._ended.is_set()
+
+    async def run(self) -> None:
+        """Read until the caller ends its side or the connection breaks."""
+        while chunk := await self._read():
+            self._chunks.append(chunk)
+            self._held_b += len(chunk)
+            self._arrival.unpark()
+            while self._held_b > READ_AHEAD_B:
+                await self._room.park()
+        self._ended.set()
+        self._arrival.unpark_all()
+
+    async def take(self) -> bytes:
+        """Return the next bytes, empty after the end."""
+        while not self._chunks:
+            if self.has_ended:
+                return b''
+            await self._arrival.park()
+        chunk = self._chunks.popleft()
+        self._held_b -= len(chunk)
+        self._room.unpark()
+        return chunk
+
+    async def drain(self) -> None:
+        """Drop everything until the caller ends its side."""
+        chunk = await self.take()
+        while chunk:
+            chunk = await self.take()
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._stream.receive_some(READ_B)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._is_broken = True
+            return b''
--- /dev/null
+++ b/chestnutshift/callers/listener.py
@@ -0,0 +1,109 @@
+"""Accept callers' connections, bounded in number, until the VM stops."""
+
+import functools
+import ssl
+
+import trio
+
+from chestnutshift.callers.connection import Application, CallerConnection
+from chestnutshift.callers.limits import CallerLimits, StopState
+from chestnutshift.callers.refusals import FULL
+from chestnutshift.callers.transport import CallerStream, CallerTransport
+
+# Connections over the limit that are told so; more are reset.
+REFUSED_MAX = 50
+BACKLOG = 512
+
+Listener = trio.SocketListener | trio.SSLListener
+
+
+class CallersListener:
+    """Serve an ASGI application to callers on any number of listeners."""
+
+    def __init__(self, application: Application, limits: CallerLimits) -> None:
+        """Serve the application within the limits."""
+        self._application = application
+        self._limits = limits
+        self._stop = StopState()
+        self._open: set[CallerConnection] = set()
+        self._refused_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Connections being served."""
+        return len(self._open)
+
+    async def serve(
+        self,
+        listeners: list[Listener],
+        stopping: trio.Event,
+    ) -> None:
+        """Serve until stopping is set, then end what is in flight.
+
+        Answers that are not whole after grace_s seconds are aborted.
+        """
+        async with trio.open_nursery() as connections:
+            accept = functools.partial(
+                trio.serve_listeners,
+                self._serve_stream,
+                listeners,
+                handler_nursery=connections,
+            )
+            async with trio.open_nursery() as acceptors:
+                acceptors.start_soon(accept)
+                await stopping.wait()
+                acceptors.cancel_scope.cancel()
+            now = trio.current_time()
+            self._stop.is_stopping = True
+            for connection in self._open:
+                connection.end_idle(now + self._limits.stop_idle_s)
+            connections.cancel_scope.deadline = now + self._limits.grace_s
+
+    async def _serve_stream(self, stream: CallerStream) -> None:
+        connection = CallerConnection(
+            CallerTransport(stream),
+            self._application,
+            self._limits,
+            self._stop,
+        )
+        if len(self._open) >= self._limits.connections_max:
+            await self._refuse(connection)
+            return
+        self._open.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._open.discard(connection)
+
+    async def _refuse(self, connection: CallerConnection) -> None:
+        if self._refused_count >= REFUSED_MAX:
+            connection.transport.reset()
+            return
+        self._refused_count += 1
+        try:
+            await connection.run_refusal(FULL)
+        finally:
+            self._refused_count -= 1
+
+
+async def open_listeners(
+    address: str,
+    port: int,
+    certificate_file: str = '',
+    key_file: str = '',
+) -> list[Listener]:
+    """Listen on an address, with TLS if there is a certificate."""
+    listeners = await trio.open_tcp_listeners(
+        port,
+        host=address,
+        backlog=BACKLOG,
+    )
+    if not certificate_file:
+        return list(listeners)
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(certificate_file, key_file)
+    context.set_alpn_protocols(['http/1.1'])
+    return [
+        trio.SSLListener(listener, context, https_compatible=True)
+        for listener in listeners
+    ]
--- /dev/null
+++ b/chestnutshift/callers/refusals.py
@@ -0,0 +1,59 @@
+"""Refusals of what never becomes a request of the application."""
+
+import h11
+
+from chestnutshift.forwarding.problems import Problem, Ran
+
+HEAD_TOO_LARGE = 431
+
+SLOW_HEAD = Problem(
+    408,
+    'request.slow_head',
+    'the head of the request took too long',
+)
+FAULT = Problem(
+    500,
+    'request.fault',
+    'a fault in the program ended the request; it may have run',
+    Ran.UNKNOWN,
+)
+FULL = Problem(
+    503,
+    'callers.connections',
+    'this VM has all the connections it takes; use another',
+    retry_after_s=1,
+)
+_NO_VERSION = Problem(
+    505,
+    'request.http_version',
+    'this port speaks HTTP/1.1 and HTTP/1.0',
+)
+_NO_WEBSOCKET = Problem(
+    501,
+    'request.websocket',
+    'this port offers no websockets',
+)
+_NO_TUNNEL = Problem(
+    501,
+    'request.method',
+    'this port offers no tunnels',
+)
+
+
+def refuse_malformed(error: h11.RemoteProtocolError) -> Problem:
+    """Return the refusal of a head that h11 can't accept."""
+    if error.error_status_hint == HEAD_TOO_LARGE:
+        return Problem(HEAD_TOO_LARGE, 'request.head', 'the head is too large')
+    return Problem(400, 'request.malformed', str(error))
+
+
+def refuse_unsupported(request: h11.Request) -> Problem | None:
+    """Return the refusal of what this port doesn't speak, if it is that."""
+    if request.http_version not in {b'1.1', b'1.0'}:
+        return _NO_VERSION
+    if request.method == b'CONNECT':
+        return _NO_TUNNEL
+    for name, text in request.headers:
+        if name == b'upgrade' and text.strip().lower() == b'websocket':
+            return _NO_WEBSOCKET
+    return None
--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -30,10 +30,7 @@
 )
 from chestnutshift.keys import credentials
 from chestnutshift.keys.authentication import Identity, KeyRing
-from chestnutshift.upstreams.connections import (
-    ExchangeBrokenError,
-    NotConnectedError,
-)
+from chestnutshift.upstreams.connection import UpstreamError
 from chestnutshift.upstreams.directory import (
     Upstream,
     UpstreamDirectory,
@@ -60,8 +57,10 @@
         attempt = Attempt(request, send)
         try:
             await self._serve(request, attempt, receive)
-        except CallerGoneError:
+        except (CallerGoneError, trio.Cancelled):
+            # The connection cancels what runs for a caller that closed.
             self.event_log.emit(events.CALLER_GONE, request=request.request_id)
+            raise
         except CodedError as error:
             await self._refuse(attempt, error)
 
@@ -100,45 +99,17 @@
         self._check_idempotency(request, service)
         body = RequestBody(receive, preset.body_limit_b)
         with trio.move_on_after(timeout_s) as scope:
-            await self._forward_while_wanted(
+            whole = await body.first()
+            await self._forward(
                 attempt,
                 service,
                 identity,
-                body,
+                (body, whole),
                 now + timeout_s,
             )
         if scope.cancelled_caught:
             raise RefusalError(_too_late(attempt.ran))
 
-    async def _forward_while_wanted(
-        self,
-        attempt: Attempt,
-        service: Service,
-        identity: Identity,
-        body: RequestBody,
-        deadline: float,
-    ) -> None:
-        """Forward, and cancel the upstream's work if the caller closes."""
-        failure: CodedError | None = None
-        whole = await body.first()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, body, nursery)
-            try:
-                await self._forward(
-                    attempt,
-                    service,
-                    identity,
-                    (body, whole),
-                    deadline,
-                )
-            except CodedError as error:
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if not attempt.finished:
-            raise CallerGoneError('the caller closed before its answer')
-
     async def _forward(
         self,
         attempt: Attempt,
@@ -152,10 +123,9 @@
             upstream = self._pick(service, tried)
             try:
                 await attempt.run(upstream, identity.account, body, deadline)
-            except (NotConnectedError, ExchangeBrokenError) as error:
+            except UpstreamError as error:
                 self._note_failure(attempt, identity, upstream, error)
-                if attempt.ran is not Ran.NOT_RUN:
-                    raise RefusalError(_broken(error)) from error
+                attempt.check_repeatable(body[0], error)
                 tried |= {upstream.name}
         self.event_log.emit(
             events.REQUEST_ANSWERED,
@@ -223,11 +193,6 @@
         )
 
 
-async def _cancel_when_gone(body: RequestBody, nursery: trio.Nursery) -> None:
-    await body.wait_gone()
-    nursery.cancel_scope.cancel()
-
-
 def _no_slot(service: Service) -> Problem:
     return Problem(
         http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -237,15 +202,6 @@
     )
 
 
-def _broken(error: CodedError) -> Problem:
-    return Problem(
-        http.HTTPStatus.BAD_GATEWAY,
-        error.code,
-        'the upstream broke off; the request may have run',
-        Ran.UNKNOWN,
-    )
-
-
 def _too_late(ran: Ran) -> Problem:
     return Problem(
         http.HTTPStatus.GATEWAY_TIMEOUT,
--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -1,5 +1,7 @@
 """Heads of requests to upstreams and of answers to callers."""
 
+import attrs
+
 from chestnutshift.forwarding.problems import (
     ACCOUNT_HEADER,
     REQUEST_ID_HEADER,
@@ -9,6 +11,16 @@
     CallerRequest,
     Headers,
 )
+from chestnutshift.invariants.registry import KEYED_REQUEST, verify
+from chestnutshift.keys.credentials import read_key
+from chestnutshift.keys.exceptions import KeyRefusalError
+from chestnutshift.keys.hiding import (
+    KeyDetector,
+    drop_credentials,
+    hide_key,
+    verify_hidden,
+)
+from chestnutshift.upstreams.connection import OutboundRequest
 
 # Headers that speak of one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -25,64 +37,123 @@
     )
 )
 OWN_PREFIX = b'chestnutshift-'
-_REPLACED = frozenset((b'host', b'authorization', REQUEST_ID_HEADER, b'expect'))
+MILLISECONDS = 1000
+_TO_UPSTREAM = HOP_BY_HOP | {
+    b'host',
+    b'authorization',
+    b'expect',
+    b'http2-settings',
+    REQUEST_ID_HEADER,
+}
+_TO_CALLER = HOP_BY_HOP | {REQUEST_ID_HEADER}
 
 
-def _named_by_connection(headers: Headers) -> frozenset[bytes]:
-    return frozenset(
-        token.strip().lower()
-        for name, text in headers
-        if name == b'connection'
-        for token in text.split(b',')
+@attrs.frozen
+class HiddenRequest:
+    """A caller's request without its key, and what recognises the key."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    _detector: KeyDetector | None
+
+    def outbound(
+        self,
+        account: str,
+        host: bytes,
+        remaining_s: float,
+        *,
+        has_stream: bool,
+    ) -> OutboundRequest:
+        """Return the request for one upstream."""
+        headers = list(self.headers)
+        if has_stream and not _has_length(headers):
+            headers.append((b'transfer-encoding', b'chunked'))
+        remaining_ms = max(1, int(remaining_s * MILLISECONDS))
+        headers += [(b'host', host), (DEADLINE_HEADER, b'%d' % remaining_ms)]
+        if account:
+            headers.append((ACCOUNT_HEADER, account.encode()))
+        if self._detector is not None:
+            verify_hidden(self._detector, self.target, headers)
+        named = [text for name, text in headers if name == ACCOUNT_HEADER]
+        expected = [account.encode()] if account else []
+        verify(
+            KEYED_REQUEST,
+            holds=named == expected,
+            detail='an outbound head names another account',
+        )
+        return OutboundRequest(self.method, self.target, headers)
+
+
+def hide_request(request: CallerRequest) -> HiddenRequest:
+    """Return the request without its key and without headers of one hop.
+
+    Callers can't pass on headers of the system's own prefix. Raises
+    KeyInTargetError when the path holds the key.
+    """
+    path, mark, query = request.target.partition(b'?')
+    headers = _end_to_end(request.headers, _TO_UPSTREAM)
+    headers.append((REQUEST_ID_HEADER, request.request_id.encode()))
+    detector = _detector_of(request)
+    if detector is None:
+        headers = drop_credentials(headers)
+    else:
+        hidden = hide_key(detector, path, query, headers)
+        query, headers = hidden.query, hidden.headers
+    return HiddenRequest(
+        method=request.method.encode(),
+        target=path + mark + query,
+        headers=headers,
+        detector=detector,
     )
 
 
-def upstream_headers(
-    request: CallerRequest,
-    account: str,
-    host: bytes,
-    remaining_s: float,
-    *,
-    has_stream: bool,
-) -> Headers:
-    """Return the headers for an upstream, the caller's key left out.
+def caller_headers(headers: Headers, request_id: str) -> Headers:
+    """Return the headers of an upstream's answer for the caller.
 
-    Callers can't pass on headers of the system's own prefix.
+    The names are in lower case.
     """
-    dropped = HOP_BY_HOP | _REPLACED
-    named = _named_by_connection(request.headers)
-    kept = [
-        (name, text)
-        for name, text in request.headers
-        if name not in dropped
-        and name not in named
-        and not name.startswith(OWN_PREFIX)
-    ]
-    if has_stream and not any(name == b'content-length' for name, _ in kept):
-        kept.append((b'transfer-encoding', b'chunked'))
-    kept += [
-        (b'host', host),
-        (REQUEST_ID_HEADER, request.request_id.encode()),
-        (DEADLINE_HEADER, b'%d' % max(1, remaining_s * 1000)),
-    ]
-    if account:
-        kept.append((ACCOUNT_HEADER, account.encode()))
+    kept = _end_to_end(headers, _TO_CALLER)
+    kept.append((REQUEST_ID_HEADER, request_id.encode()))
     return kept
 
 
-def caller_headers(headers: Headers, request_id: str) -> Headers:
-    """Return the headers of an upstream's answer for the caller."""
-    # The server on the callers' port puts its own date.
-    dropped = HOP_BY_HOP | {b'date', REQUEST_ID_HEADER}
-    named = _named_by_connection(
-        [(name.lower(), text) for name, text in headers],
-    )
-    kept = [
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first header of that lower-case name."""
+    for found, text in headers:
+        if found == name:
+            return text
+    return None
+
+
+def _end_to_end(headers: Headers, dropped: frozenset[bytes]) -> Headers:
+    named = _named_by_connection(headers)
+    if named:
+        dropped |= named
+    return [
         (name, text)
         for name, text in headers
-        if name.lower() not in dropped
-        and name.lower() not in named
-        and not name.lower().startswith(OWN_PREFIX)
+        if name not in dropped and not name.startswith(OWN_PREFIX)
     ]
-    kept.append((REQUEST_ID_HEADER, request_id.encode()))
-    return kept
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower()
+        for name, text in headers
+        if name == b'connection'
+        for token in text.split(b',')
+    ) - {b'content-length'}
+
+
+def _has_length(headers: Headers) -> bool:
+    return any(name == b'content-length' for name, _ in headers)
+
+
+def _detector_of(request: CallerRequest) -> KeyDetector | None:
+    """Return what recognises the key; open routes may come without one."""
+    try:
+        key = read_key(request.headers)
+    except KeyRefusalError:
+        return None
+    return None if key is None else KeyDetector(key)
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
-import trio
 
 from chestnutshift.configuration.model import Configuration, Service
 from chestnutshift.exceptions import CodedError
@@ -13,6 +12,7 @@
 REQUEST_ID_MAX = 64
 REQUEST_ID_B = 8
 DEADLINE_HEADER = b'chestnutshift-deadline-ms'
+DEADLINE_DIGITS_MAX = 12
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _ID_CHARACTERS = frozenset(
     b'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.',
@@ -59,7 +59,7 @@
         asked = self.header(DEADLINE_HEADER)
         if asked is None:
             return preset_s
-        if not asked.isdigit():
+        if not asked.isdigit() or len(asked) > DEADLINE_DIGITS_MAX:
             raise RefusalError(
                 Problem(
                     400,
@@ -71,8 +71,8 @@
 
 
 def read_request(scope: dict) -> CallerRequest:
-    """Return the head that an ASGI scope carries."""
-    headers = [(name.lower(), text) for name, text in scope['headers']]
+    """Return the head that an ASGI scope carries, names in lower case."""
+    headers = scope['headers']
     target = scope.get('raw_path') or scope['path'].encode()
     if scope['query_string']:
         target = b'%b?%b' % (target, scope['query_string'])
@@ -113,7 +113,6 @@
         self._limit_b = limit_b
         self._passed_b = 0
         self._first: dict = {}
-        self._finished = trio.Event()
 
     @property
     def passed_b(self) -> int:
@@ -121,15 +120,17 @@
         return self._passed_b
 
     async def first(self) -> bytes | None:
-        """Return a body that is whole already, None if more is to come.
+        """Return a body that came whole at once, None if more is to come.
 
-        Only to be called before `chunks`, for requests without a body.
+        A body that came whole can be sent again. Only to be called once,
+        before `chunks`.
         """
         message = await self._next()
         if message.get('more_body', False):
             self._first = message
             return None
-        self._finished.set()
+        if len(message['body']) > self._limit_b:
+            raise RefusalError(body_too_large(self._limit_b))
         return message.get('body', b'')
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -145,14 +146,6 @@
             if not message.get('more_body', False):
                 break
             message = await self._next()
-        self._finished.set()
-
-    async def wait_gone(self) -> None:
-        """Return when the caller has closed after sending its body."""
-        await self._finished.wait()
-        message = await self._receive()
-        while message['type'] != 'http.disconnect':
-            message = await self._receive()
 
     async def _next(self) -> dict:
         message = await self._receive()
--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -4,80 +4,43 @@
 only after a whole answer, so an answer can never be taken for another's.
 """
 
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
 
-import attrs
-import httpcore
 import trio
 
 from chestnutshift.conf import defaults
 from chestnutshift.exceptions import CodedError
+from chestnutshift.upstreams.connection import (
+    ExchangeBrokenError,
+    OutboundRequest,
+    UpstreamAnswer,
+    UpstreamConnection,
+    UpstreamError,
+)
 
 CONNECT_S = 1.0
+# An idle connection unused for this long is not worth its risk.
+IDLE_MAX_S = 15.0
+# An exchange given up after this long without a byte makes idle
+# connections suspect that were last heard before it began.
+STALL_S = 0.5
 
-_CONNECT_FAILED = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    OSError,
-)
-_EXCHANGE_FAILED = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
+PassOn = Callable[[UpstreamAnswer], Awaitable[None]]
 
 
-class NotConnectedError(CodedError):
+class NotConnectedError(UpstreamError):
     """No connection could be made, so the request surely did not run."""
 
     code = 'upstreams.not_connected'
 
 
-class ExchangeBrokenError(CodedError):
-    """The exchange broke after bytes may have reached the upstream."""
-
-    code = 'upstreams.broken'
-
-
-class ConnectionsExhaustedError(CodedError):
+class ConnectionsExhaustedError(UpstreamError):
     """The upstream takes no more connections from this VM."""
 
     code = 'upstreams.connections'
 
 
-@attrs.frozen
-class OutboundRequest:
-    """The head of a request to an upstream; the body is passed beside it."""
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-
-
-@attrs.define
-class UpstreamAnswer:
-    """The head of an answer, and its body as it arrives."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    _response: httpcore.Response
-    _connection: httpcore.AsyncHTTP11Connection
-    _owner: 'UpstreamConnections'
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raise ExchangeBrokenError if it ends early."""
-        try:
-            async for chunk in self._response.stream:
-                yield chunk
-        except _EXCHANGE_FAILED as error:
-            raise ExchangeBrokenError(f'the answer broke: {error!r}') from error
-
-    async def aclose(self) -> None:
-        """Give the connection back after a whole answer, else close it."""
-        await self._response.aclose()
-        await self._owner.give_back(self._connection)
-
-
 class UpstreamConnections:
     """Idle and busy connections to one upstream."""
 
@@ -89,12 +52,13 @@
         maximum: int = defaults.CONNECTIONS_MAX,
     ) -> None:
         """Connect when needed, one new connection each pace_s."""
-        self._origin = httpcore.Origin(b'http', address.encode(), port)
+        self._address = address
+        self._port = port
         self._pace_s = pace_s
         self._maximum = maximum
-        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        # The one used last is at the right.
+        self._idle: deque[UpstreamConnection] = deque()
         self._open_count = 0
-        self._backend = httpcore.TrioBackend()
         self._dialling = trio.Lock()
 
     @property
@@ -102,102 +66,140 @@
         """Connections that stand, idle or busy."""
         return self._open_count
 
-    async def exchange(
-        self,
-        connection: httpcore.AsyncHTTP11Connection,
-        request: OutboundRequest,
-        body: bytes | AsyncIterator[bytes],
-        timeout_s: float,
-    ) -> UpstreamAnswer:
-        """Send the request and return the head of the answer.
+    @property
+    def idle_count(self) -> int:
+        """Connections that wait for an exchange."""
+        return len(self._idle)
 
-        Raises ExchangeBrokenError; the request may have run then.
-        """
-        url = httpcore.URL(
-            scheme=self._origin.scheme,
-            host=self._origin.host,
-            port=self._origin.port,
-            target=request.target,
-        )
-        outbound = httpcore.Request(
-            request.method,
-            url,
-            headers=request.headers,
-            content=body,
-            extensions={'timeout': {'read': timeout_s, 'write': timeout_s}},
-        )
-        try:
-            response = await connection.handle_async_request(outbound)
-        except _EXCHANGE_FAILED as error:
-            await self._discard(connection)
-            raise ExchangeBrokenError(f'{error!r}') from error
-        except BaseException:
-            await self._discard(connection)
-            raise
-        return UpstreamAnswer(
-            status=response.status,
-            headers=response.headers,
-            response=response,
-            connection=connection,
-            owner=self,
-        )
-
-    async def take(
-        self,
-        *,
-        fresh: bool = False,
-    ) -> httpcore.AsyncHTTP11Connection:
+    async def take(self, *, fresh: bool = False) -> UpstreamConnection:
         """Return an idle connection that still stands, or a new one.
 
-        Raises NotConnectedError or ConnectionsExhaustedError.
+        The caller hands it to `exchange` or `give_back`. Raises
+        NotConnectedError or ConnectionsExhaustedError.
         """
+        self._drop_older(trio.current_time() - IDLE_MAX_S)
         while self._idle and not fresh:
             connection = self._idle.pop()
-            if connection.is_idle() and not connection.has_expired():
+            if not connection.is_readable:
                 return connection
-            await self._discard(connection)
+            self._discard(connection)
+        if self._open_count >= self._maximum and self._idle:
+            self._discard(self._idle.popleft())
         if self._open_count >= self._maximum:
             raise ConnectionsExhaustedError(f'{self._maximum} are open')
         return await self._dial()
 
-    async def give_back(
+    async def exchange(
         self,
-        connection: httpcore.AsyncHTTP11Connection,
+        connection: UpstreamConnection,
+        request: OutboundRequest,
+        body: bytes | AsyncIterator[bytes],
+        pass_on: PassOn,
     ) -> None:
+        """Send the request and hand the answer to pass_on.
+
+        Returns when the answer is passed on; the connection is idle again
+        or closed then, whatever happened. Raises ExchangeBrokenError, and
+        what body and pass_on raise.
+        """
+        try:
+            if isinstance(body, bytes):
+                await connection.send_whole(request, body)
+                answer = await connection.receive_answer(request.method)
+                await pass_on(answer)
+            else:
+                await _Upload(connection, request, body, pass_on).run()
+        finally:
+            self.give_back(connection)
+
+    def give_back(self, connection: UpstreamConnection) -> None:
         """Keep the connection if its exchange is whole, else close it."""
-        if connection.is_idle() and not connection.has_expired():
+        if connection.renew():
             self._idle.append(connection)
             return
-        await self._discard(connection)
+        now = trio.current_time()
+        is_silent = connection.heard_at < connection.sent_at
+        if is_silent and now - connection.sent_at >= STALL_S:
+            self._drop_older(connection.sent_at)
+        self._discard(connection)
 
     async def aclose(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            await self._discard(self._idle.pop())
+            self._discard(self._idle.pop())
 
-    async def _dial(self) -> httpcore.AsyncHTTP11Connection:
+    async def _dial(self) -> UpstreamConnection:
         self._open_count += 1
         try:
-            async with self._dialling:
-                stream = await self._backend.connect_tcp(
-                    self._origin.host.decode(),
-                    self._origin.port,
-                    timeout=CONNECT_S,
-                )
-                # The upstream needs this long for each new connection.
-                await trio.sleep(self._pace_s)
-        except _CONNECT_FAILED as error:
+            return await self._connect()
+        except (OSError, trio.TooSlowError) as error:
             self._open_count -= 1
             raise NotConnectedError(f'{error!r}') from error
         except BaseException:
             self._open_count -= 1
             raise
-        return httpcore.AsyncHTTP11Connection(self._origin, stream)
 
-    async def _discard(
+    async def _connect(self) -> UpstreamConnection:
+        async with self._dialling:
+            with trio.fail_after(CONNECT_S):
+                stream = await trio.open_tcp_stream(self._address, self._port)
+            try:
+                # The upstream needs this long for each new connection.
+                await trio.sleep(self._pace_s)
+            except trio.Cancelled:
+                stream.socket.close()
+                raise
+        return UpstreamConnection(stream)
+
+    def _drop_older(self, heard_before: float) -> None:
+        old = [one for one in self._idle if one.heard_at <= heard_before]
+        for connection in old:
+            self._idle.remove(connection)
+            self._discard(connection)
+
+    def _discard(self, connection: UpstreamConnection) -> None:
+        self._open_count -= 1
+        connection.close()
+
+
+class _Upload:
+    """An exchange whose body streams while the answer may begin."""
+
+    def __init__(
         self,
-        connection: httpcore.AsyncHTTP11Connection,
+        connection: UpstreamConnection,
+        request: OutboundRequest,
+        body: AsyncIterator[bytes],
+        pass_on: PassOn,
     ) -> None:
-        self._open_count -= 1
-        with trio.CancelScope(shield=True):
-            await connection.aclose()
+        self._connection = connection
+        self._request = request
+        self._body = body
+        self._pass_on = pass_on
+        self._failure: CodedError | None = None
+
+    async def run(self) -> None:
+        """Send the body until the answer is passed on."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, nursery.cancel_scope)
+            try:
+                await self._answer()
+            except CodedError as error:
+                self._failure = self._failure or error
+            nursery.cancel_scope.cancel()
+        if self._failure is not None:
+            raise self._failure
+
+    async def _answer(self) -> None:
+        answer = await self._connection.receive_answer(self._request.method)
+        await self._pass_on(answer)
+
+    async def _send(self, scope: trio.CancelScope) -> None:
+        try:
+            await self._connection.send_stream(self._request, self._body)
+        except ExchangeBrokenError:
+            # The upstream takes no more; it may have answered early.
+            return
+        except CodedError as error:
+            self._failure = error
+            scope.cancel()
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -8,6 +8,8 @@
 from hypercorn.trio import serve
 
 from chestnutshift.callers.application import CallersApplication
+from chestnutshift.callers.limits import CallerLimits
+from chestnutshift.callers.listener import CallersListener, open_listeners
 from chestnutshift.callers.steering import make_steering
 from chestnutshift.conf.loader import read_secret
 from chestnutshift.conf.settings import TlsSettings
@@ -30,10 +32,19 @@
         rng=random.Random(state.incarnation),
     )
     application = CallersApplication(make_steering(state), forwarder)
-    config = _server_config(callers.address, callers.port, callers.tls)
-    config.h11_max_incomplete_size = callers.header_limit_b
-    config.graceful_timeout = state.settings.grace_s
-    await serve(application, config, shutdown_trigger=stopping.wait)
+    limits = CallerLimits(
+        header_limit_b=callers.header_limit_b,
+        header_timeout_s=callers.header_timeout_s,
+        connections_max=callers.connections_max,
+        grace_s=state.settings.grace_s,
+    )
+    listeners = await open_listeners(
+        callers.address,
+        callers.port,
+        callers.tls.certificate_file,
+        callers.tls.key_file,
+    )
+    await CallersListener(application, limits).serve(listeners, stopping)
 
 
 async def serve_operators(state: VmState) -> None:
