Test the callers' port against misbehaving callers and stops

Failed first: a head over the limit that arrived in one piece was served (h11 bounds only incomplete ones); an answer cancelled at the end of the grace was ended as if whole (the nursery raised a group that the handler of Cancelled missed). Both are mended: heads are measured when whole, and a connection that did not end cleanly is reset.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -104,6 +104,7 @@
         serve: Callable[..., Awaitable[None]],
         *args: Problem,
     ) -> None:
+        has_ended = False
         try:
             self.transport.open()
             async with trio.open_nursery() as nursery:
@@ -111,13 +112,15 @@
                 with _resetting(self.transport):
                     await serve(*args)
                 nursery.cancel_scope.cancel()
+            has_ended = True
         except OSError:
-            self.transport.reset()
-        except trio.Cancelled:
-            self.transport.reset()
-            raise
+            logger.debug('a caller closed before it was served')
         finally:
-            self.transport.close()
+            if has_ended:
+                self.transport.close()
+            else:
+                # A cancelled answer must not end as if it were whole.
+                self.transport.reset()
 
     async def _refuse_first(self, problem: Problem) -> None:
         await self.refuse(problem)
@@ -159,7 +162,7 @@
             if self.h11.trailing_data[0]:
                 await self.refuse(refusals.SLOW_HEAD)
             return None
-        problem = refusals.refuse_unsupported(event)
+        problem = refusals.refuse_head(event, self.limits.header_limit_b)
         if problem is None:
             return event
         await self.refuse(problem)
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -23,6 +23,11 @@
     'this VM has all the connections it takes; use another',
     retry_after_s=1,
 )
+_TOO_LARGE = Problem(
+    HEAD_TOO_LARGE,
+    'request.head',
+    'the head of the request is too large',
+)
 _NO_VERSION = Problem(
     505,
     'request.http_version',
@@ -43,12 +48,18 @@
 def refuse_malformed(error: h11.RemoteProtocolError) -> Problem:
     """Return the refusal of a head that h11 can't accept."""
     if error.error_status_hint == HEAD_TOO_LARGE:
-        return Problem(HEAD_TOO_LARGE, 'request.head', 'the head is too large')
+        return _TOO_LARGE
     return Problem(400, 'request.malformed', str(error))
 
 
-def refuse_unsupported(request: h11.Request) -> Problem | None:
-    """Return the refusal of what this port doesn't speak, if it is that."""
+def refuse_head(request: h11.Request, limit_b: int) -> Problem | None:
+    """Return the refusal of a head that this port doesn't serve, if any.
+
+    h11 bounds only heads that arrive in several pieces.
+    """
+    head_b = sum(len(name) + len(text) for name, text in request.headers)
+    if head_b + len(request.target) > limit_b:
+        return _TOO_LARGE
     if request.http_version not in {b'1.1', b'1.0'}:
         return _NO_VERSION
     if request.method == b'CONNECT':
--- /dev/null
+++ b/tests/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the callers' port, over real sockets."""
--- /dev/null
+++ b/tests/callers/test_listener.py
@@ -0,0 +1,89 @@
+"""The number of connections is bounded, and a stop is graceful."""
+
+import json
+
+import attrs
+import trio
+from trio.testing import trio_test
+
+from tests.callers.clients import calling, get
+from tests.callers.serving import LIMITS, echo, serving
+
+
+@trio_test
+async def test_full():
+    """A connection over the limit is told so; the others go on."""
+    limits = attrs.evolve(LIMITS, connections_max=1)
+    async with serving(echo, limits) as port, calling(port.number) as first:
+        await first.send(get('/1'))
+        await first.answer()
+        async with calling(port.number) as second:
+            await second.send(get('/2'))
+            answer = await second.answer()
+            assert answer.status == 503
+            assert json.loads(answer.body)['code'] == 'callers.connections'
+            assert answer.headers['retry-after'] == '1'
+            assert await second.read_end() == b''
+        await first.send(get('/3'))
+        assert (await first.answer()).body == b'GET /3 '
+    assert port.listener.open_count == 0
+
+
+@trio_test
+async def test_stop_is_graceful():
+    """A stop lets a streamed answer end whole and takes no new callers."""
+    async with (
+        serving(echo) as port,
+        calling(port.number) as slow,
+        calling(port.number) as idle,
+    ):
+        await slow.send(get('/slow'))
+        await idle.send(get('/'))
+        assert 'connection' not in (await idle.answer()).headers
+        port.stopping.set()
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        await _check_refused(port.number)
+        answer = await slow.answer()
+        assert answer.body == b'part part part part part GET /slow '
+        assert await slow.read_end() == b''
+        assert await idle.read_end() == b''
+        with trio.fail_after(10):
+            await port.stopped.wait()
+
+
+@trio_test
+async def test_stop_says_close():
+    """An idle caller's last request is answered, and told to go."""
+    limits = attrs.evolve(LIMITS, stop_idle_s=5)
+    async with serving(echo, limits) as port, calling(port.number) as caller:
+        await caller.send(get('/1'))
+        await caller.answer()
+        port.stopping.set()
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        await caller.send(get('/2'))
+        answer = await caller.answer()
+        assert answer.headers['connection'] == 'close'
+        assert await caller.read_end() == b''
+
+
+@trio_test
+async def test_stop_aborts_late():
+    """What is not whole after the grace is reset, not ended."""
+    limits = attrs.evolve(LIMITS, grace_s=0.2)
+    async with serving(echo, limits) as port, calling(port.number) as slow:
+        await slow.send(b'GET /slow HTTP/1.0\r\n\r\n')
+        await slow.stream.receive_some(10)
+        port.stopping.set()
+        try:
+            await slow.read_end()
+        except trio.BrokenResourceError:
+            return
+        raise AssertionError('a broken answer ended as if whole')
+
+
+async def _check_refused(port: int) -> None:
+    try:
+        async with calling(port):
+            raise AssertionError('a connection was accepted')
+    except OSError:
+        return
