--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -46,6 +46,7 @@
     _placer: Placer
     _watch: Watch
     _event_log: EventLog
+    _shields: set[trio.CancelScope] = attrs.field(factory=set)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request; every ending is a whole answer or an abort."""
@@ -53,14 +54,21 @@
         attempt = Attempt(request, send)
         try:
             await self._serve(attempt, receive)
-        except CallerGoneError:
+        except (CallerGoneError, trio.Cancelled):
+            # The connection cancels what runs for a caller that closed.
             self._event_log.emit(
                 events.CALLER_GONE,
                 request=request.request_id,
             )
+            raise
         except CodedError as error:
             await self._refuse(attempt, error)
 
+    def stop_claimed(self) -> None:
+        """Stop the operations that go on for callers that closed."""
+        for shield in self._shields:
+            shield.cancel()
+
     async def _refuse(self, attempt: Attempt, error: CodedError) -> None:
         request_id = attempt.request.request_id
         if attempt.started:
@@ -83,8 +91,6 @@
     async def _serve(self, attempt: Attempt, receive: Receive) -> None:
         now = trio.current_time()
         accepted = self._intake.accept(attempt.request, now)
-        # From here on the request goes without the caller's key.
-        attempt.request = accepted.request
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
         with self._watch.subscribe(accepted.identity.digest, scope) as watched:
@@ -110,19 +116,33 @@
         await body.hold(BODY_HELD_B)
         if not accepted.needs_claim:
             job = Job(accepted, attempt, body, ClaimedWork())
-            await self._run_while_wanted(job)
+            await self._placer.run(job)
             return
         outcome = await self._begin(accepted, body)
         if not isinstance(outcome, Claim):
             await _answer_verdict(attempt, outcome)
             return
         claimed = ClaimedWork(self._ledger, outcome)
+        job = Job(accepted, attempt, body, claimed)
+        await self._run_claimed(job, accepted.deadline)
+
+    async def _run_claimed(self, job: Job, deadline: float) -> None:
+        """Run an operation to its end, also for a caller that closes.
+
+        Its repeat gets the outcome then. A withdrawn key and the end of the
+        VM's grace still stop it.
+        """
+        digest = job.accepted.identity.digest
+        shield = trio.CancelScope(deadline=deadline, shield=True)
+        self._shields.add(shield)
         try:
-            # A caller that closes does not stop an operation half-way: its
-            # repeat gets the outcome.
-            await self._placer.run(Job(accepted, attempt, body, claimed))
+            with self._watch.subscribe(digest, shield), shield:
+                await self._placer.run(job)
         finally:
-            claimed.end()
+            self._shields.discard(shield)
+            job.claimed.end()
+        if shield.cancelled_caught and not job.attempt.finished:
+            raise RefusalError(_too_late(job.attempt.ran))
 
     async def _begin(
         self,
@@ -133,7 +153,7 @@
         moment = present_moment()
         digest = digest_request(
             request.method,
-            request.target,
+            accepted.hidden.target,
             request.headers,
             body.whole,
         )
@@ -145,26 +165,6 @@
         )
         return await self._ledger.begin(keyed, moment)
 
-    async def _run_while_wanted(self, job: Job) -> None:
-        """Run, and cancel the upstream's work if the caller closes."""
-        failure: CodedError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, job.body, nursery)
-            try:
-                await self._placer.run(job)
-            except CodedError as error:
-                failure = error
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if not job.attempt.finished:
-            raise CallerGoneError('the caller closed before its answer')
-
-
-async def _cancel_when_gone(body: RequestBody, nursery: trio.Nursery) -> None:
-    await body.wait_gone()
-    nursery.cancel_scope.cancel()
-
 
 async def _answer_verdict(attempt: Attempt, verdict: Verdict) -> None:
     if not isinstance(verdict, Replay):
--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -5,19 +5,35 @@
 import attrs
 import trio
 
-from chestnutshift.forwarding.heads import caller_headers, upstream_headers
-from chestnutshift.forwarding.problems import Problem, Ran
+from chestnutshift.forwarding.heads import (
+    HiddenRequest,
+    caller_headers,
+    find_header,
+)
+from chestnutshift.forwarding.problems import (
+    REQUEST_ID_HEADER,
+    Problem,
+    Ran,
+)
 from chestnutshift.forwarding.requests import (
     CallerRequest,
     Headers,
     RequestBody,
     Send,
 )
-from chestnutshift.upstreams.connections import (
-    OutboundRequest,
+from chestnutshift.invariants.registry import (
+    TRUE_REFUSAL,
+    WHOLE_ANSWER,
+    verify,
+)
+from chestnutshift.upstreams.connection import (
+    BODILESS_STATUSES,
+    AnswerPart,
+    ExchangeBrokenError,
     UpstreamAnswer,
-    UpstreamConnections,
+    UpstreamConnection,
 )
+from chestnutshift.upstreams.connections import UpstreamConnections
 
 
 @attrs.frozen
@@ -25,8 +41,8 @@
     """Where an attempt goes: an upstream, or a VM of another domain.
 
     before_send is called directly before the first byte and may raise to
-    stop it; on_answer is given the answer's head, on_chunk its body, and
-    on_whole is called once the whole answer was read.
+    stop it; on_answer is given the answer's head and may raise to refuse it;
+    on_chunk is given its body, and on_whole is called at its end.
     """
 
     name: str
@@ -49,29 +65,50 @@
     started: bool = False
     finished: bool = False
     status: int = 0
+    # Bytes sent to upstreams that did not say that they ran nothing.
+    _exposed_b: int = 0
 
     async def run(
         self,
         target: Target,
+        hidden: HiddenRequest,
         account: str,
         body: RequestBody,
         deadline: float,
     ) -> None:
         """Send the request and pass on the whole answer.
 
-        Raises NotConnectedError, with `ran` unchanged, and
-        ExchangeBrokenError.
+        Raises, with `ran` unchanged, NotConnectedError,
+        ConnectionsExhaustedError, and what the target's before_send raises;
+        else ExchangeBrokenError, and what its on_answer raises.
         """
-        answer = await self._exchange(target, account, body, deadline)
+        connection = await target.connections.take()
+        sent_b = connection.sent_b
         try:
-            target.on_answer(answer)
-            await self._pass_on(answer, target)
-        finally:
-            with trio.CancelScope(shield=True):
-                await answer.aclose()
+            await self._exchange(
+                target,
+                connection,
+                hidden,
+                account,
+                body,
+                deadline,
+            )
+        except BaseException:
+            self._exposed_b += connection.sent_b - sent_b
+            raise
+
+    def note_not_run(self) -> None:
+        """Note that what was sent so far surely ran nothing."""
+        self.ran = Ran.NOT_RUN
+        self._exposed_b = 0
 
     async def answer_problem(self, problem: Problem) -> None:
         """Give the caller its refusal."""
+        verify(
+            TRUE_REFUSAL,
+            holds=problem.ran is not Ran.NOT_RUN or not self._exposed_b,
+            detail=f'{problem.code} after {self._exposed_b} B',
+        )
         request_id = self.request.request_id
         body = problem.body(request_id)
         headers = problem.headers(request_id)
@@ -84,66 +121,88 @@
         body: bytes,
     ) -> None:
         """Give the caller an answer of the system's own."""
-        length = (b'content-length', str(len(body)).encode())
+        length = (b'content-length', b'%d' % len(body))
         await self._start(status, [*headers, length])
-        await self._send({'type': 'http.response.body', 'body': body})
-        self.finished = True
+        await self._pass_part(AnswerPart(body, is_last=True))
 
     async def _exchange(
         self,
         target: Target,
+        connection: UpstreamConnection,
+        hidden: HiddenRequest,
         account: str,
         body: RequestBody,
         deadline: float,
-    ) -> UpstreamAnswer:
-        connection = await target.connections.take()
-        remaining_s = deadline - trio.current_time()
-        headers = upstream_headers(
-            self.request,
+    ) -> None:
+        outbound = hidden.outbound(
             account,
             target.host,
-            remaining_s,
+            deadline - trio.current_time(),
             has_stream=body.whole is None,
+            extra_headers=target.extra_headers,
         )
-        outbound = OutboundRequest(
-            method=self.request.method.encode(),
-            target=self.request.target,
-            headers=headers + target.extra_headers,
-        )
+
+        async def pass_on(answer: UpstreamAnswer) -> None:
+            await self._pass_on(answer, target)
+
         try:
             target.before_send()
         except BaseException:
-            await target.connections.give_back(connection)
+            target.connections.give_back(connection)
             raise
         # From here on bytes may reach the upstream.
         self.ran = Ran.UNKNOWN
-        return await target.connections.exchange(
+        await target.connections.exchange(
             connection,
             outbound,
             body.chunks() if body.whole is None else body.whole,
-            remaining_s,
+            pass_on,
         )
 
-    async def _pass_on(
-        self,
-        answer: UpstreamAnswer,
-        target: Target,
-    ) -> None:
+    async def _pass_on(self, answer: UpstreamAnswer, target: Target) -> None:
+        self._check_own(answer)
+        part = answer.arrived()
+        target.on_answer(answer)
         self.status = answer.status
         headers = caller_headers(answer.headers, self.request.request_id)
         await self._start(answer.status, headers)
-        async for chunk in answer.chunks():
-            target.on_chunk(chunk)
-            await self._send(
-                {
-                    'type': 'http.response.body',
-                    'body': chunk,
-                    'more_body': True,
-                }
-            )
+        passed_b = 0
+        while True:
+            passed_b += len(part.content)
+            target.on_chunk(part.content)
+            if part.is_last:
+                break
+            await self._pass_part(part)
+            part = await answer.receive()
+        self._check_whole(answer, passed_b)
         target.on_whole()
-        await self._send({'type': 'http.response.body', 'body': b''})
-        self.finished = True
+        await self._pass_part(part)
+
+    def _check_own(self, answer: UpstreamAnswer) -> None:
+        """Refuse an answer that names another request."""
+        named = find_header(answer.headers, REQUEST_ID_HEADER)
+        if named not in {None, self.request.request_id.encode()}:
+            raise ExchangeBrokenError('the answer is of another request')
+
+    def _check_whole(self, answer: UpstreamAnswer, passed_b: int) -> None:
+        announced = find_header(answer.headers, b'content-length')
+        if self.request.method == 'HEAD' or answer.status in BODILESS_STATUSES:
+            announced = None
+        verify(
+            WHOLE_ANSWER,
+            holds=announced is None or int(announced) == passed_b,
+            detail=f'{passed_b} B of {announced!r}',
+        )
+
+    async def _pass_part(self, part: AnswerPart) -> None:
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': part.content,
+                'more_body': not part.is_last,
+            },
+        )
+        self.finished = part.is_last
 
     async def _start(self, status: int, headers: Headers) -> None:
         self.started = True
@@ -152,5 +211,5 @@
                 'type': 'http.response.start',
                 'status': int(status),
                 'headers': headers,
-            }
+            },
         )
--- a/chestnutshift/forwarding/claims.py
+++ b/chestnutshift/forwarding/claims.py
@@ -17,7 +17,7 @@
     StillRunning,
     Verdict,
 )
-from chestnutshift.upstreams.connections import UpstreamAnswer
+from chestnutshift.upstreams.connection import UpstreamAnswer
 
 REPLAYED_HEADER = (b'idempotency-replayed', b'true')
 
--- a/chestnutshift/forwarding/intake.py
+++ b/chestnutshift/forwarding/intake.py
@@ -7,6 +7,7 @@
 from chestnutshift.configuration.model import Preset, Service
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.crossing import Crossing, CrossingGuard
+from chestnutshift.forwarding.heads import HiddenRequest, hide_request
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import (
     CallerRequest,
@@ -16,7 +17,6 @@
 from chestnutshift.invariants.registry import KEYED_REQUEST, verify
 from chestnutshift.keys import credentials
 from chestnutshift.keys.authentication import Identity, KeyRing
-from chestnutshift.keys.hiding import KeyDetector, hide_key
 
 ANONYMOUS = Identity(account='', digest='')
 
@@ -35,9 +35,13 @@
 
 @attrs.frozen
 class Accepted:
-    """A request that may run, for whom, and until when."""
+    """A request that may run, for whom, and until when.
+
+    hidden is the request as upstreams may see it, without the key.
+    """
 
     request: CallerRequest
+    hidden: HiddenRequest
     service: Service
     preset: Preset
     identity: Identity
@@ -67,7 +71,7 @@
     _guard: CrossingGuard
 
     def accept(self, request: CallerRequest, now: float) -> Accepted:
-        """Return the request without its key.
+        """Return the request if it may run.
 
         Raises a coded error for a request to refuse; it has not run.
         """
@@ -78,12 +82,13 @@
         _check_length(request, preset.body_limit_b)
         crossing = self._guard.read(request)
         if crossing is None:
-            identity, request = self._identify(request, service, now)
+            identity = self._identify(request, service, now)
             self._admit(identity, now)
         else:
             identity = Identity(crossing.account, '')
         return Accepted(
             request=request,
+            hidden=hide_request(request),
             service=service,
             preset=preset,
             identity=identity,
@@ -101,19 +106,16 @@
         request: CallerRequest,
         service: Service,
         now: float,
-    ) -> tuple[Identity, CallerRequest]:
-        key = credentials.read_key(request.headers)
-        identity = ANONYMOUS
-        if not service.open:
-            identity = self._key_ring.authenticate(key, now)
-            verify(
-                KEYED_REQUEST,
-                holds=bool(identity.account),
-                detail=request.request_id,
-            )
-        if key is not None:
-            request = _without_key(request, key)
-        return identity, request
+    ) -> Identity:
+        if service.open:
+            return ANONYMOUS
+        identity = self.identify_caller(request, now)
+        verify(
+            KEYED_REQUEST,
+            holds=bool(identity.account),
+            detail=request.request_id,
+        )
+        return identity
 
     def _admit(self, identity: Identity, now: float) -> None:
         if identity is ANONYMOUS:
@@ -126,13 +128,6 @@
             )
 
 
-def _without_key(request: CallerRequest, key: str) -> CallerRequest:
-    path, mark, query = request.target.partition(b'?')
-    hidden = hide_key(KeyDetector(key), path, query, request.headers)
-    target = path + mark + hidden.query if hidden.query else path
-    return attrs.evolve(request, target=target, headers=hidden.headers)
-
-
 def _check_length(request: CallerRequest, limit_b: int) -> None:
     announced = request.header(b'content-length') or b'0'
     if not announced.isdigit():
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
-import trio
 
 from chestnutshift.configuration.model import Configuration, Service
 from chestnutshift.exceptions import CodedError
@@ -13,6 +12,7 @@
 REQUEST_ID_MAX = 64
 REQUEST_ID_B = 8
 DEADLINE_HEADER = b'chestnutshift-deadline-ms'
+DEADLINE_DIGITS_MAX = 12
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _ID_CHARACTERS = frozenset(
     b'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.',
@@ -59,7 +59,7 @@
         asked = self.header(DEADLINE_HEADER)
         if asked is None:
             return preset_s
-        if not asked.isdigit():
+        if not asked.isdigit() or len(asked) > DEADLINE_DIGITS_MAX:
             raise RefusalError(
                 Problem(
                     400,
@@ -71,8 +71,8 @@
 
 
 def read_request(scope: dict) -> CallerRequest:
-    """Return the head that an ASGI scope carries."""
-    headers = [(name.lower(), text) for name, text in scope['headers']]
+    """Return the head that an ASGI scope carries, names in lower case."""
+    headers = scope['headers']
     target = scope.get('raw_path') or scope['path'].encode()
     if scope['query_string']:
         target = b'%b?%b' % (target, scope['query_string'])
@@ -115,7 +115,7 @@
         self._held: list[bytes] = []
         self._whole: bytes | None = None
         self._passing = False
-        self._finished = trio.Event()
+        self._is_read = False
 
     @property
     def whole(self) -> bytes | None:
@@ -132,9 +132,9 @@
 
         Raises CallerGoneError, and RefusalError for a body over the limit.
         """
-        while self._seen_b <= held_b and not self._finished.is_set():
+        while self._seen_b <= held_b and not self._is_read:
             self._held.append(await self._next())
-        if self._finished.is_set():
+        if self._is_read:
             self._whole = b''.join(self._held)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -143,18 +143,11 @@
         for chunk in self._held:
             yield chunk
         self._held.clear()
-        while not self._finished.is_set():
+        while not self._is_read:
             chunk = await self._next()
             if chunk:
                 yield chunk
 
-    async def wait_gone(self) -> None:
-        """Return when the caller has closed after sending its body."""
-        await self._finished.wait()
-        message = await self._receive()
-        while message['type'] != 'http.disconnect':
-            message = await self._receive()
-
     async def _next(self) -> bytes:
         message = await self._receive()
         if message['type'] == 'http.disconnect':
@@ -164,7 +157,7 @@
         if self._seen_b > self._limit_b:
             raise RefusalError(body_too_large(self._limit_b))
         if not message.get('more_body', False):
-            self._finished.set()
+            self._is_read = True
         return chunk
 
 
--- a/chestnutshift/forwarding/targets.py
+++ b/chestnutshift/forwarding/targets.py
@@ -19,7 +19,7 @@
 from chestnutshift.forwarding.requests import RequestBody
 from chestnutshift.forwarding.vm_connections import VmConnections
 from chestnutshift.regions.model import Place
-from chestnutshift.upstreams.connections import UpstreamAnswer
+from chestnutshift.upstreams.connection import UpstreamAnswer
 from chestnutshift.upstreams.dispatch import Held
 from chestnutshift.upstreams.health import LeavingNews, NewsSource
 from chestnutshift.vms.work import LocalWork
@@ -119,6 +119,7 @@
             extra_headers=crossing_headers(
                 crossing,
                 job.accepted.request,
+                job.accepted.hidden.target,
                 self._secret,
                 other.incarnation,
             ),
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -8,6 +8,8 @@
 from hypercorn.trio import serve
 
 from chestnutshift.callers.application import CallersApplication
+from chestnutshift.callers.limits import CallerLimits
+from chestnutshift.callers.listener import CallersListener, open_listeners
 from chestnutshift.callers.steering import make_steering
 from chestnutshift.conf.loader import read_secret
 from chestnutshift.conf.settings import TlsSettings
@@ -63,14 +65,33 @@
 async def serve_callers(state: VmState, stopping: trio.Event) -> None:
     """Serve until stopping is set, then end what is in flight."""
     callers = state.settings.callers
-    config = _server_config(callers.address, callers.port, callers.tls)
-    config.h11_max_incomplete_size = callers.header_limit_b
-    config.graceful_timeout = state.settings.grace_s
-    await serve(
-        make_callers_application(state),
-        config,
-        shutdown_trigger=stopping.wait,
+    application = make_callers_application(state)
+    limits = CallerLimits(
+        header_limit_b=callers.header_limit_b,
+        header_timeout_s=callers.header_timeout_s,
+        connections_max=callers.connections_max,
+        grace_s=state.settings.grace_s,
     )
+    listeners = await open_listeners(
+        callers.address,
+        callers.port,
+        callers.tls.certificate_file,
+        callers.tls.key_file,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_claimed, application, stopping, limits.grace_s)
+        await CallersListener(application, limits).serve(listeners, stopping)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_claimed(
+    application: CallersApplication,
+    stopping: trio.Event,
+    grace_s: float,
+) -> None:
+    await stopping.wait()
+    await trio.sleep(grace_s)
+    application.forwarder.stop_claimed()
 
 
 async def serve_operators(state: VmState) -> None:
