Account for replaced and started VMs before keys are trusted

Change: Knowledge keeps which incarnations are lost until the platform confirmed something later, and whether this VM heard a complete one since it started; an answer whose content isn't held yet leaves what was known in force, so that being behind for a moment cancels nothing.

--- a/chestnutshift/keys/freshness.py
+++ b/chestnutshift/keys/freshness.py
@@ -32,8 +32,8 @@
     answer. `age_s` is how old the peer's own confirmation by the platform
     was when it answered, None if it never had one. `is_held` says that this
     VM holds at least the configuration and withdrawals that the peer had.
-    `is_gone` says that the VM is known to run no longer: it said so when
-    it stopped, or an operator declared it dead. Silence is no such proof.
+    `is_gone` says that the VM runs no longer and has passed on everything:
+    it said so when it stopped, or an operator did. Silence is no proof.
     """
 
     asked_at: float | None = None
@@ -44,11 +44,16 @@
 
 @attrs.frozen
 class KnowledgeView:
-    """What a VM knows of the platform and of the other VMs."""
+    """What a VM knows of the platform and of the other VMs.
+
+    `is_complete` says that no withdrawal which waits to be written down can
+    be missing here.
+    """
 
     trust_s: float
     confirmed_at: float | None = None
     peers: tuple[PeerView, ...] = ()
+    is_complete: bool = True
 
 
 def confirmed_at(view: KnowledgeView) -> float:
@@ -68,6 +73,8 @@
 
 def assess(view: KnowledgeView, now: float) -> Freshness:
     """Tell how far the keys may be trusted at the time `now`, in seconds."""
+    if not view.is_complete:
+        return Freshness.UNCERTAIN
     if now - confirmed_at(view) <= view.trust_s:
         return Freshness.FRESH
     if now - _all_heard_at(view) <= view.trust_s:
@@ -77,6 +84,8 @@
 
 def trusted_until(view: KnowledgeView) -> float:
     """Return the time at which `assess` turns to UNCERTAIN."""
+    if not view.is_complete:
+        return -math.inf
     return view.trust_s + max(confirmed_at(view), _all_heard_at(view))
 
 
--- /dev/null
+++ b/chestnutshift/keys/knowledge.py
@@ -0,0 +1,151 @@
+"""What one VM heard from the platform and from the other VMs.
+
+Freshness is worked out from it. Two cases need more than the last answers:
+
+- A VM that was replaced may have written a withdrawal to the platform that
+  no other VM heard of. It counts as silent until the platform confirmed
+  something after its loss became known, or it is known to have passed on
+  everything.
+- A VM that just started doesn't know the withdrawals that the others took
+  during an outage and haven't written down. It trusts nothing until it heard
+  a VM that is complete in this sense, or all of them.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutshift.keys.freshness import (
+    KnowledgeView,
+    PeerView,
+    confirmed_at,
+)
+
+
+@attrs.frozen
+class PeerAnswer:
+    """What a VM answers about its keys.
+
+    `age_s`, `is_complete` and `lost` are the answering VM's own; `is_held`
+    says that the asking VM now holds at least its configuration and
+    withdrawals.
+    """
+
+    incarnation: str
+    age_s: float | None
+    is_held: bool
+    is_complete: bool
+    lost: frozenset[str] = frozenset()
+
+
+@attrs.define
+class Knowledge:
+    """The answers of the platform and of the VMs with these names."""
+
+    _names: frozenset[str]
+    _confirmed_at: float | None = None
+    _is_complete: bool = False
+    _incarnations: dict[str, str] = attrs.field(factory=dict)
+    _peers: dict[str, PeerView] = attrs.field(factory=dict)
+    _lost: dict[str, float] = attrs.field(factory=dict)
+    _settled: set[str] = attrs.field(factory=set)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether withdrawals not written down yet can't be missing here."""
+        return self._is_complete or not self._names
+
+    @property
+    def confirmed_at(self) -> float:
+        """When the platform last confirmed the keys, in seconds."""
+        return confirmed_at(self.view(0))
+
+    @property
+    def lost(self) -> frozenset[str]:
+        """Incarnations that may have taken what nobody else heard of."""
+        return frozenset(self._lost)
+
+    @property
+    def settled(self) -> frozenset[str]:
+        """Incarnations that are gone and have passed on everything."""
+        return frozenset(self._settled)
+
+    def confirm(self, asked_at: float) -> None:
+        """Take note of an answer of the platform to a question asked then.
+
+        To be called once the answer's configuration is adopted.
+        """
+        if self._confirmed_at is None or asked_at > self._confirmed_at:
+            self._confirmed_at = asked_at
+        self._clear_lost()
+
+    def hear(
+        self,
+        name: str,
+        asked_at: float,
+        answer: PeerAnswer,
+        now: float,
+    ) -> None:
+        """Take note of a VM's answer, received at the time `now`."""
+        known = self._peers.get(name, PeerView()).asked_at
+        if known is not None and asked_at < known:
+            return
+        self._note_incarnation(name, answer.incarnation, now)
+        for incarnation in answer.lost - self._settled:
+            self._lost.setdefault(incarnation, now)
+        # What this VM doesn't hold yet is no reason to doubt what it held.
+        if answer.is_held:
+            self._peers[name] = PeerView(asked_at, answer.age_s)
+            self._note_completeness(answer)
+            self._clear_lost()
+
+    def settle(self, incarnations: Iterable[str]) -> None:
+        """Don't wait for these: they said that they stop, or an operator did.
+
+        The set only grows, and VMs exchange it.
+        """
+        self._settled.update(incarnations)
+        for incarnation in self._settled:
+            self._lost.pop(incarnation, None)
+
+    def view(self, trust_s: float) -> KnowledgeView:
+        """Return what freshness is worked out from."""
+        peers = [self._view_of(name) for name in sorted(self._names)]
+        peers += [PeerView() for _ in self._lost]
+        return KnowledgeView(
+            trust_s,
+            self._confirmed_at,
+            tuple(peers),
+            self.is_complete,
+        )
+
+    def _view_of(self, name: str) -> PeerView:
+        view = self._peers.get(name, PeerView())
+        is_gone = self._incarnations.get(name) in self._settled
+        return attrs.evolve(view, is_gone=is_gone)
+
+    def _note_incarnation(self, name: str, current: str, now: float) -> None:
+        previous = self._incarnations.get(name, current)
+        self._incarnations[name] = current
+        if previous != current and previous not in self._settled:
+            self._lost.setdefault(previous, now)
+
+    def _note_completeness(self, answer: PeerAnswer) -> None:
+        if self._is_complete:
+            return
+        views = [self._view_of(name) for name in self._names]
+        all_heard = all(
+            view.is_gone or view.asked_at is not None for view in views
+        )
+        self._is_complete = answer.is_complete or all_heard
+
+    def _clear_lost(self) -> None:
+        """Forget losses that the platform's answers came after."""
+        if not self._lost:
+            return
+        confirmed = self.confirmed_at
+        self._lost = {
+            incarnation: since
+            for incarnation, since in self._lost.items()
+            if since >= confirmed
+        }
--- /dev/null
+++ b/tests/keys/test_flooding.py
@@ -0,0 +1,292 @@
+"""Random runs of VMs, cuts and withdrawals: none is missed for long."""
+
+import copy
+import functools
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+from nose2.tools import params
+
+from chestnutshift.configuration.model import Configuration, KeyRecord
+from chestnutshift.keys.authentication import KeyRing
+from chestnutshift.keys.freshness import Freshness, assess
+from chestnutshift.keys.knowledge import Knowledge, PeerAnswer
+from tests.keys import TRUST_S, make_configuration
+
+NAMES = ('a1', 'a2', 'b1', 'b2')
+PLATFORM = 'platform'
+KEYS = tuple(f'{number:064x}' for number in range(1, 13))
+END_S = 120
+STEP_S = 0.5
+DELAY_MAX_S = 1.5
+HELD_CHANCE = 0.8
+
+
+@attrs.define
+class SimulatedVm:
+    """One VM: its ring and what it heard."""
+
+    name: str
+    incarnation: str
+    knowledge: Knowledge
+    ring: KeyRing = attrs.field(factory=KeyRing)
+    configuration: Configuration | None = None
+    frozen_until: float = 0
+
+    def learn(self) -> None:
+        """Let the ring work from what was heard."""
+        self.ring.learn(self.knowledge.view(TRUST_S))
+
+    def adopt(self, configuration: Configuration | None) -> None:
+        """Take over a configuration that some VM or the platform holds."""
+        if configuration is None:
+            return
+        self.ring.adopt(configuration)
+        known = self.configuration
+        if known is None or configuration.number > known.number:
+            self.configuration = configuration
+
+
+class Simulation:
+    """Four VMs and a platform whose links come and go."""
+
+    def __init__(self, seed: int, *, cuts: bool) -> None:
+        """Start connected; `cuts` lets links, VMs and clocks fail."""
+        self.rng = random.Random(seed)
+        self.now: float = 0
+        self.states: Counter[Freshness] = Counter()
+        self.accepted: dict[str, float] = {}
+        self._cuts = cuts
+        self._groups = dict.fromkeys((*NAMES, PLATFORM), 0)
+        self._pending: set[str] = set()
+        self._queue: list = []
+        self._order = itertools.count()
+        records = {key: KeyRecord('konya', 'test') for key in KEYS}
+        self._written = attrs.evolve(make_configuration(), keys=records)
+        self._vms = {name: self._start(name) for name in NAMES}
+
+    def run(self, until: float) -> None:
+        """Play until then, checking every VM at every step."""
+        while self.now < until:
+            self.now += STEP_S
+            self._disturb()
+            while self._queue and self._queue[0][0] <= self.now:
+                _, _, act = heapq.heappop(self._queue)
+                act()
+            for vm in self._vms.values():
+                if vm.frozen_until <= self.now:
+                    self._ask_all(vm)
+                    self._check(vm)
+
+    def platform_down(self) -> None:
+        """Cut the platform off from every VM, and leave it so."""
+        self._groups[PLATFORM] = 1
+
+    def _start(self, name: str) -> SimulatedVm:
+        others = frozenset(NAMES) - {name}
+        incarnation = f'{name}/{next(self._order)}'
+        return SimulatedVm(name, incarnation, Knowledge(others))
+
+    def _disturb(self) -> None:
+        if self.rng.random() < STEP_S / 10:
+            name = self.rng.choice(NAMES)
+            self._withdraw(self.rng.choice(KEYS), self._vms[name])
+        if not self._cuts:
+            return
+        if self.rng.random() < STEP_S / 15:
+            # Often only the platform is out of reach.
+            sides = self.rng.choice((1, 1, 2, 3))
+            groups = {name: self.rng.randrange(sides) for name in NAMES}
+            self._groups = {**groups, PLATFORM: self.rng.choice((0, sides))}
+        if self.rng.random() < STEP_S / 30:
+            frozen = self._vms[self.rng.choice(NAMES)]
+            frozen.frozen_until = self.now + self.rng.uniform(0, 20)
+        if self.rng.random() < STEP_S / 20:
+            name = self.rng.choice(NAMES)
+            self._vms[name] = self._start(name)
+
+    def _withdraw(self, key: str, vm: SimulatedVm) -> None:
+        if vm.frozen_until > self.now:
+            return
+        if self._connected(vm.name, PLATFORM):
+            self._write({key})
+            vm.adopt(self._written)
+            return
+        vm.ring.withdrawals.add([key])
+        self._pending.add(key)
+
+    def _write(self, digests: frozenset[str] | set[str]) -> None:
+        record = KeyRecord('konya', 'test', withdrawn=True)
+        self._written = attrs.evolve(
+            self._written,
+            number=self._written.number + 1,
+            keys={**self._written.keys, **dict.fromkeys(digests, record)},
+        )
+        for digest in digests:
+            self.accepted.setdefault(digest, self.now)
+
+    def _ask_all(self, vm: SimulatedVm) -> None:
+        read = functools.partial(self._read, vm, self.now)
+        self._send(vm.name, PLATFORM, read)
+        for other in NAMES:
+            answer = functools.partial(self._answer, vm, other, self.now)
+            if other != vm.name:
+                self._send(vm.name, other, answer)
+
+    def _read(self, vm: SimulatedVm, asked_at: float) -> None:
+        found = self._written
+
+        def take() -> None:
+            vm.adopt(found)
+            vm.knowledge.confirm(asked_at)
+            vm.learn()
+            unwritten = vm.ring.withdrawals.unwritten
+            if unwritten and self._connected(vm.name, PLATFORM):
+                self._write(unwritten)
+                vm.adopt(self._written)
+
+        self._send(PLATFORM, vm.name, take)
+
+    def _answer(self, vm: SimulatedVm, other: str, asked_at: float) -> None:
+        peer = self._vms[other]
+        knowledge = peer.knowledge
+        is_held = self.rng.random() < HELD_CHANCE
+        answer = PeerAnswer(
+            peer.incarnation,
+            self.now - knowledge.confirmed_at,
+            is_held,
+            knowledge.is_complete,
+            knowledge.lost,
+        )
+        digests = peer.ring.withdrawals.digests
+        configuration = peer.configuration
+
+        def take() -> None:
+            if is_held:
+                vm.adopt(configuration)
+                vm.ring.withdrawals.add(digests)
+            vm.knowledge.hear(other, asked_at, answer, self.now)
+            vm.learn()
+
+        self._send(other, vm.name, take)
+
+    def _send(self, sender: str, taker: str, act: Callable) -> None:
+        """Deliver later if both ends are connected now and then."""
+        if not self._connected(sender, taker):
+            return
+        vm = self._vms.get(taker)
+
+        def deliver() -> None:
+            if vm is not None and vm.frozen_until > self.now:
+                self._enqueue(vm.frozen_until, deliver)
+            elif vm is self._vms.get(taker):
+                act()
+
+        delay_s = self.rng.uniform(0, DELAY_MAX_S)
+        self._enqueue(self.now + delay_s, deliver)
+
+    def _enqueue(self, when: float, act: Callable) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), act))
+
+    def _connected(self, one: str, other: str) -> bool:
+        return self._groups[one] == self._groups[other]
+
+    def _check(self, vm: SimulatedVm) -> None:
+        holders = [each.ring.withdrawals for each in self._vms.values()]
+        for pending in self._pending:
+            if all(pending in held for held in holders):
+                self.accepted.setdefault(pending, self.now)
+        self.states[vm.ring.freshness(self.now)] += 1
+        for key, accepted_at in self.accepted.items():
+            if self.now > accepted_at + TRUST_S:
+                assert not vm.ring.is_live(key, self.now), key
+
+
+@params(*range(40))
+def test_withdrawals_are_in_force_in_time(seed):
+    """No VM honours a key for longer than trust_s after its withdrawal."""
+    simulation = Simulation(seed, cuts=True)
+    simulation.run(END_S)
+    assert simulation.accepted
+    assert simulation.states[Freshness.FRESH]
+    assert simulation.states[Freshness.UNCERTAIN]
+
+
+def test_shared_outage_stops_nothing():
+    """While every VM hears every other, an outage has no effect."""
+    simulation = Simulation(0, cuts=False)
+    simulation.run(END_S)
+    simulation.platform_down()
+    simulation.states.clear()
+    simulation.run(2 * END_S)
+    assert simulation.states[Freshness.SHARED_OUTAGE]
+    assert not simulation.states[Freshness.UNCERTAIN]
+
+
+def test_answer_not_held_changes_nothing():
+    """A VM that is ahead for a moment leaves earlier knowledge in force."""
+    knowledge = Knowledge(frozenset(('a2',)))
+    answer = PeerAnswer('a2/1', None, is_held=True, is_complete=False)
+    knowledge.hear('a2', 1, answer, now=2)
+    assert knowledge.is_complete
+    assert assess(knowledge.view(TRUST_S), 6) is Freshness.SHARED_OUTAGE
+    ahead = attrs.evolve(answer, is_held=False)
+    knowledge.hear('a2', 4, ahead, now=5)
+    assert assess(knowledge.view(TRUST_S), 6) is Freshness.SHARED_OUTAGE
+    assert assess(knowledge.view(TRUST_S), 7) is Freshness.UNCERTAIN
+
+
+def test_replaced_vm_must_be_accounted_for():
+    """Its successor's answers don't tell what it took before it died."""
+    knowledge = Knowledge(frozenset(('a2',)))
+    answer = PeerAnswer('a2/1', None, is_held=True, is_complete=False)
+    knowledge.hear('a2', 1, answer, now=2)
+    knowledge.hear('a2', 3, attrs.evolve(answer, incarnation='a2/2'), now=4)
+    assert knowledge.lost == {'a2/1'}
+    assert assess(knowledge.view(TRUST_S), 5) is Freshness.UNCERTAIN
+    # Asked before the loss was known: the platform may have been too early.
+    knowledge.confirm(3)
+    assert assess(knowledge.view(1), 5) is Freshness.UNCERTAIN
+    confirmed = copy.deepcopy(knowledge)
+    confirmed.confirm(5)
+    assert not confirmed.lost
+    knowledge.hear('a2', 4, attrs.evolve(answer, incarnation='a2/2'), now=4)
+    knowledge.settle(['a2/1'])
+    assert assess(knowledge.view(1), 5) is Freshness.SHARED_OUTAGE
+
+
+def test_started_vm_must_hear_a_complete_one():
+    """The platform doesn't tell of withdrawals not written down yet."""
+    knowledge = Knowledge(frozenset(('a2', 'b1')))
+    knowledge.confirm(1)
+    assert assess(knowledge.view(TRUST_S), 2) is Freshness.UNCERTAIN
+    started = PeerAnswer('a2/2', 0, is_held=True, is_complete=False)
+    knowledge.hear('a2', 1, started, now=2)
+    assert assess(knowledge.view(TRUST_S), 2) is Freshness.UNCERTAIN
+    among_started = copy.deepcopy(knowledge)
+    among_started.hear('b1', 1, started, now=2)
+    assert among_started.is_complete
+    complete = attrs.evolve(started, is_complete=True)
+    knowledge.hear('a2', 2, complete, now=3)
+    assert assess(knowledge.view(TRUST_S), 3) is Freshness.FRESH
+
+
+def test_losses_are_passed_on():
+    """A VM that never heard the lost one waits for the platform as well."""
+    knowledge = Knowledge(frozenset(('a2',)))
+    answer = PeerAnswer(
+        'a2/1',
+        None,
+        is_held=True,
+        is_complete=True,
+        lost=frozenset(('b1/1',)),
+    )
+    knowledge.hear('a2', 1, answer, now=2)
+    assert assess(knowledge.view(TRUST_S), 2) is Freshness.UNCERTAIN
+    knowledge.settle(('b1/1',))
+    knowledge.hear('a2', 2, answer, now=2)
+    assert assess(knowledge.view(TRUST_S), 2) is Freshness.SHARED_OUTAGE
--- a/tests/keys/test_freshness.py
+++ b/tests/keys/test_freshness.py
@@ -28,6 +28,7 @@
     trust_s=st.just(TRUST_S),
     confirmed_at=st.none() | times,
     peers=st.lists(peers, max_size=4).map(tuple),
+    is_complete=st.booleans(),
 )
 
 
