--- a/chestnutshift/idempotency/events.py
+++ b/chestnutshift/idempotency/events.py
@@ -46,3 +46,8 @@
     'A caller got a ticket of this VM.',
     logging.DEBUG,
 )
+RECORDS_DELETED = define(
+    4007,
+    'idempotency-records-deleted',
+    'Records older than their retention were deleted; fact: count.',
+)
--- /dev/null
+++ b/chestnutshift/idempotency/retention.py
@@ -0,0 +1,100 @@
+"""Delete records that no caller may ask for any longer.
+
+Every VM reads a page of the table now and then; two that read the same page
+do no harm, as each deletion has the row's version as its condition. A claim
+older than its deadline is never sent, so nothing runs for want of a record.
+"""
+
+import random
+
+import attrs
+import trio
+
+from chestnutshift.events.log import EventLog
+from chestnutshift.idempotency import events
+from chestnutshift.idempotency.records import TABLE, Record, State, make_id
+from chestnutshift.idempotency.settling import STORE_ERRORS
+from chestnutshift.idempotency.verdicts import HolderIsGone
+from chestnutshift.platform.backends.base import Platform
+from chestnutshift.platform.exceptions import ConflictError
+from chestnutshift.platform.records import Condition, Row, Transaction, Write
+
+RETENTION_S = 172_800
+PAGE_ROWS = 500
+PAGE_PERIOD_S = 30
+
+
+def is_expired(
+    record: Record,
+    wall_s: float,
+    holder_is_gone: HolderIsGone,
+) -> bool:
+    """Tell whether the record may be deleted at the wall time, in seconds.
+
+    A running one only once its holder is gone, so that a live VM never
+    finds its claim missing.
+    """
+    if wall_s - record.started_s <= RETENTION_S:
+        return False
+    return record.state is not State.RUNNING or holder_is_gone(record.holder)
+
+
+@attrs.define
+class Sweeper:
+    """Read the table page by page, again and again."""
+
+    _platform: Platform
+    _rng: random.Random
+    _event_log: EventLog
+    _holder_is_gone: HolderIsGone
+    _after: str = ''
+
+    async def run(self) -> None:
+        """Sweep until cancelled; an outage only delays it.
+
+        The time is the platform's, whatever this VM's clock says.
+        """
+        while True:
+            await trio.sleep(PAGE_PERIOD_S * self._rng.uniform(0, 2))
+            try:
+                listed = await self._platform.list_vms()
+            except STORE_ERRORS:
+                continue
+            await self.sweep_page(listed.as_of)
+
+    async def sweep_page(self, wall_s: float) -> int:
+        """Delete what has expired in the next page; return how many.
+
+        Errors of the store leave the page to a later round.
+        """
+        try:
+            deleted = await self._sweep_page(wall_s)
+        except STORE_ERRORS:
+            return 0
+        except ConflictError:
+            return 0
+        if deleted:
+            self._event_log.emit(events.RECORDS_DELETED, count=deleted)
+        return deleted
+
+    async def _sweep_page(self, wall_s: float) -> int:
+        rows = await self._platform.scan(TABLE, '', self._after, PAGE_ROWS)
+        is_last = len(rows) < PAGE_ROWS
+        self._after = '' if is_last else rows[-1].key
+        expired = [row for row in rows if self._is_expired(row, wall_s)]
+        if expired:
+            await self._platform.commit(self._deletion(expired))
+        return len(expired)
+
+    def _is_expired(self, row: Row, wall_s: float) -> bool:
+        record = Record.from_row(row.value)
+        return is_expired(record, wall_s, self._holder_is_gone)
+
+    def _deletion(self, rows: list[Row]) -> Transaction:
+        return Transaction(
+            operation_id=make_id(self._rng),
+            conditions=tuple(
+                Condition(TABLE, row.key, row.version) for row in rows
+            ),
+            writes=tuple(Write(TABLE, row.key, None) for row in rows),
+        )
