--- a/chestnutshift/idempotency/records.py
+++ b/chestnutshift/idempotency/records.py
@@ -5,6 +5,7 @@
 tell callers from the record and never write.
 """
 
+import base64
 import enum
 import random
 
@@ -21,6 +22,17 @@
 _CONVERTER = make_converter()
 
 
+# The converter's own form of bytes, base 85, is slow: it is pure Python.
+@_CONVERTER.register_unstructure_hook
+def _encode(raw: bytes) -> str:
+    return base64.b64encode(raw).decode('ascii')
+
+
+@_CONVERTER.register_structure_hook
+def _decode(text: str, _: type) -> bytes:
+    return base64.b64decode(text)
+
+
 def make_id(rng: random.Random) -> str:
     """Return a random id for an operation or a claim."""
     return f'{rng.getrandbits(ID_BITS):024x}'
