--- a/bench/capacity/account_slopes.py
+++ b/bench/capacity/account_slopes.py
@@ -2,6 +2,7 @@
 
 import functools
 import importlib
+import random
 
 from bench.capacity import probes
 from bench.capacity.fits import Point
@@ -10,10 +11,14 @@
 
 ADMISSION = 'chestnutshift.accounts.admission'
 SEATS = 'chestnutshift.accounts.seats'
-NEEDS = (ADMISSION, SEATS)
+LOANS = 'chestnutshift.accounts.loans'
+NEEDS = (ADMISSION, SEATS, LOANS)
 ACCOUNT_COUNTS = (1_000, 2_000, 4_000)
 REQUEST_COUNTS = (2_000, 4_000, 8_000)
 SEAT_COUNT = 12
+PEERS = 11
+PLANS = 5
+PLAN_S = 0.05
 
 
 def make_admission(count: int):
@@ -21,10 +26,11 @@
     limits = {
         f'account-{place}': AccountLimit(50, 100) for place in range(count)
     }
-    admission = importlib.import_module(ADMISSION).Admission('vm', SEAT_COUNT)
+    make = importlib.import_module(ADMISSION).Admission
+    admission = make('vm', SEAT_COUNT, random.Random(1))
     admission.configure(limits, 0)
     right = importlib.import_module(SEATS).SeatRight(0, 0, 1_000)
-    admission.tick(0)
+    admission.plan(0)
     admission.renewed(right, 0)
     return admission
 
@@ -53,6 +59,28 @@
     return probes.cpu_seconds(functools.partial(admission.renewed, right, 0))
 
 
+@slope('share_plan', 'one plan of loans', 'account', SECONDS, NEEDS)
+def measure_share_plan() -> list[Point]:
+    """Plan the loans of accounts with demand, with all peers known."""
+    return [Point(count, _time_plan(count)) for count in ACCOUNT_COUNTS]
+
+
+def _time_plan(count: int) -> float:
+    admission = make_admission(count)
+    make_peer = importlib.import_module(LOANS).Peer
+    admission.connect(
+        tuple(make_peer(f'vm-{place}', near=True) for place in range(PEERS)),
+    )
+    for place in range(count):
+        admission.admit(f'account-{place}', 0)
+    moments = iter(range(1, PLANS + 1))
+
+    def work() -> None:
+        admission.plan(next(moments) * PLAN_S)
+
+    return probes.cpu_seconds(work, repeats=PLANS)
+
+
 @slope('admission', 'admission of requests', 'request', SECONDS, NEEDS)
 def measure_admission() -> list[Point]:
     """Admit requests of many accounts."""
--- /dev/null
+++ b/bench/capacity/estimates.py
@@ -0,0 +1,118 @@
+"""What the target's size costs, summed up from slopes and assumptions."""
+
+import enum
+from collections.abc import Callable
+
+import attrs
+
+from bench.capacity.fits import Fit
+from bench.capacity.slopes import Measured
+from chestnutshift.exceptions import CodedError
+
+
+class MissingSlopeError(CodedError):
+    """A sum needs a slope that was not measured in this run."""
+
+    code = 'capacity.missing_slope'
+
+
+class Status(enum.StrEnum):
+    """How a figure came about."""
+
+    MEASURED = 'measured'
+    EXTRAPOLATED = 'extrapolated'
+    ARGUED = 'argued'
+    MISSING = 'not measured yet'
+
+
+class Budget(enum.StrEnum):
+    """What parts add up to."""
+
+    MEMORY = 'memory'
+    TRAFFIC = 'traffic'
+    PEAK_TRAFFIC = 'peak traffic'
+    PROCESSOR = 'processor'
+    WRITES = 'writes'
+    READS = 'reads'
+    IN_FORCE = 'in force'
+
+
+@attrs.frozen
+class Sums:
+    """The slopes and the full-size figures of one run."""
+
+    measured: dict[str, Measured]
+    full: dict[str, float]
+
+    def per(self, name: str) -> float:
+        """Return the amount per unit of size; raise MissingSlopeError."""
+        return self.fit(name).slope
+
+    def at(self, name: str, size: float) -> float:
+        """Return the amount at a size; raise MissingSlopeError."""
+        return self.fit(name).at(size)
+
+    def fit(self, name: str) -> Fit:
+        """Return the line of a slope; raise MissingSlopeError."""
+        if name not in self.measured:
+            raise MissingSlopeError(name)
+        return self.measured[name].fit
+
+
+Compute = Callable[[Sums], float]
+
+
+@attrs.frozen
+class Part:
+    """One part of a budget: how it is computed, from what."""
+
+    budget: Budget
+    name: str
+    status: Status
+    basis: str
+    compute: Compute
+
+    def amount(self, sums: Sums) -> float | None:
+        """Return the amount, None where a slope was not measured."""
+        try:
+            return self.compute(sums)
+        except MissingSlopeError:
+            return None
+
+
+PARTS: list[Part] = []
+
+
+def part(
+    budget: Budget,
+    name: str,
+    status: Status,
+    basis: str,
+) -> Callable[[Compute], Compute]:
+    """Return a decorator that adds its function as a part of a budget."""
+
+    def decorator(compute: Compute) -> Compute:
+        PARTS.append(Part(budget, name, status, basis, compute))
+        return compute
+
+    return decorator
+
+
+def parts_of(budget: Budget) -> list[Part]:
+    """Return the parts of a budget."""
+    return [one for one in PARTS if one.budget is budget]
+
+
+def total(budget: Budget, sums: Sums) -> float | None:
+    """Return the sum of a budget, None if any part was not measured."""
+    amounts = [one.amount(sums) for one in parts_of(budget)]
+    known = [amount for amount in amounts if amount is not None]
+    return sum(known) if len(known) == len(amounts) else None
+
+
+def whole(budget: Budget, sums: Sums) -> float:
+    """Return the sum of a budget; raise MissingSlopeError."""
+    amount = total(budget, sums)
+    if amount is None:
+        raise MissingSlopeError(budget)
+    return amount
--- a/bench/capacity/full_size.py
+++ b/bench/capacity/full_size.py
@@ -10,6 +10,7 @@
     time_answer,
     time_locate,
 )
+from bench.capacity.start import measure_start
 from chestnutshift.lookup.deltas import BlockChange, Delta
 from chestnutshift.lookup.prefixes import Family, Prefix
 from chestnutshift.lookup.table import ClientTable, load_table
@@ -38,6 +39,7 @@
         'locate_s': time_locate(table),
         'answer_s': time_answer(make_directory(targets.VMS_PER_DOMAIN, table)),
         'change_s': _time_change(table),
+        'start_s': measure_start(packed),
     }
     measured['allocated_b'] = probes.allocated_bytes(
         lambda: load_table(packed),
--- /dev/null
+++ b/bench/capacity/node_parts.py
@@ -0,0 +1,271 @@
+"""What one node spends on control at the target: memory, bytes, processor.
+
+The node is one inside a distribution tree, which has the most links: its
+parents and its children. Bytes count what it sends and what it receives.
+"""
+
+from bench.capacity import targets
+from bench.capacity.estimates import Budget, Status, Sums, part
+from chestnutshift.events.log import KEPT_EVENTS
+
+LINKS = targets.CHILDREN.amount + targets.PARENTS.amount
+# One from the first parent, one to each child that has this node as first.
+COPIES = 1 + targets.FIRST_CHILDREN.amount
+HEADERS_B = 2 * targets.PACKET_B.amount
+CHANGES_PER_S = targets.CHANGES_PER_DAY / targets.DAY_S
+MEMBER_CHANGES_PER_S = (
+    2 * (targets.RESTARTS_PER_DAY + targets.FAILURES_PER_DAY) / targets.DAY_S
+)
+# An answer of the shares' keeper is as long as the question.
+LOAN_DIRECTIONS = 2
+
+
+def accounts_of_presets() -> float:
+    """Return how many account limits the configuration holds."""
+    return targets.ACCOUNTS.amount * targets.PRESETS.amount
+
+
+def exchanges_per_s() -> float:
+    """Return the heartbeats that a node asks or answers in a second."""
+    return LINKS / targets.HEARTBEAT_S.amount
+
+
+@part(
+    Budget.MEMORY,
+    'process with all modules',
+    Status.MEASURED,
+    'resident after import (`start`)',
+)
+def _base_memory(sums: Sums) -> float:
+    return sums.full['base_b']
+
+
+@part(
+    Budget.MEMORY,
+    'table of client blocks',
+    Status.MEASURED,
+    'resident at full size (`full_size`)',
+)
+def _table_memory(sums: Sums) -> float:
+    return sums.full['resident_b']
+
+
+@part(
+    Budget.MEMORY,
+    'entry VMs',
+    Status.EXTRAPOLATED,
+    '`view_memory` at 7,000 VMs',
+)
+def _view_memory(sums: Sums) -> float:
+    return sums.at('view_memory', targets.NODES)
+
+
+@part(
+    Budget.MEMORY,
+    'counts of cached answers',
+    Status.EXTRAPOLATED,
+    '`outstanding_memory` for the VMs of three regions',
+)
+def _outstanding_memory(sums: Sums) -> float:
+    named = 3 * targets.NODES / targets.REGIONS
+    return sums.at('outstanding_memory', named)
+
+
+@part(
+    Budget.MEMORY,
+    'configuration',
+    Status.EXTRAPOLATED,
+    '`key_memory`, `account_memory`; twice while a new one replaces it',
+)
+def _configuration_memory(sums: Sums) -> float:
+    keys = sums.per('key_memory') * targets.KEYS.amount
+    accounts = sums.per('account_memory') * accounts_of_presets()
+    return 2 * (keys + accounts)
+
+
+@part(
+    Budget.MEMORY,
+    'shares of accounts',
+    Status.EXTRAPOLATED,
+    '`share_memory` for every account',
+)
+def _share_memory(sums: Sums) -> float:
+    return sums.per('share_memory') * targets.ACCOUNTS.amount
+
+
+@part(
+    Budget.MEMORY,
+    'kept events',
+    Status.EXTRAPOLATED,
+    '`event_memory` for the events kept',
+)
+def _event_memory(sums: Sums) -> float:
+    return sums.at('event_memory', KEPT_EVENTS)
+
+
+@part(
+    Budget.TRAFFIC,
+    'heartbeats on tree links',
+    Status.EXTRAPOLATED,
+    '`short_heartbeat_size` and headers',
+)
+def _heartbeat_traffic(sums: Sums) -> float:
+    exchange = sums.per('short_heartbeat_size') + HEADERS_B
+    return exchanges_per_s() * exchange
+
+
+@part(
+    Budget.TRAFFIC,
+    'changes of configuration and blocks',
+    Status.EXTRAPOLATED,
+    '`change_size`: one copy in, one to each first child',
+)
+def _change_traffic(sums: Sums) -> float:
+    change = sums.per('change_size') + HEADERS_B
+    return CHANGES_PER_S * COPIES * change
+
+
+@part(
+    Budget.TRAFFIC,
+    'VMs that come and go',
+    Status.ARGUED,
+    'news of one VM, passed on like changes',
+)
+def _member_traffic(_sums: Sums) -> float:
+    return MEMBER_CHANGES_PER_S * COPIES * (targets.MEMBER_B.amount + HEADERS_B)
+
+
+@part(
+    Budget.TRAFFIC,
+    'summaries of the failure domains',
+    Status.ARGUED,
+    'changed ones only, in one frame, passed on like changes',
+)
+def _summary_traffic(_sums: Sums) -> float:
+    changed = targets.FAILURE_DOMAINS * targets.CHANGED_SHARE.amount
+    frame = changed * targets.SUMMARY_B.amount + HEADERS_B
+    return COPIES * frame / targets.SUMMARY_S.amount
+
+
+@part(
+    Budget.TRAFFIC,
+    'loans of shares',
+    Status.ARGUED,
+    'batches with the first parent and first children, in heartbeats',
+)
+def _loan_traffic(_sums: Sums) -> float:
+    batch = targets.LOAN_ACCOUNTS.amount * targets.LOAN_ENTRY_B.amount
+    return COPIES * LOAN_DIRECTIONS * batch / targets.LOAN_S.amount
+
+
+@part(
+    Budget.TRAFFIC,
+    "tables of restarts, a day's mean",
+    Status.EXTRAPOLATED,
+    'bytes of the whole table (`full_size`) for 2,000 restarts',
+)
+def _restart_traffic(sums: Sums) -> float:
+    restarts = targets.RESTARTS_PER_DAY / targets.NODES
+    return restarts * sums.full['compressed_b'] / targets.DAY_S
+
+
+@part(
+    Budget.PEAK_TRAFFIC,
+    'changes in a peak',
+    Status.EXTRAPOLATED,
+    '`change_size`, as above',
+)
+def _peak_traffic(sums: Sums) -> float:
+    return _change_traffic(sums) * targets.PEAK.amount
+
+
+@part(
+    Budget.PEAK_TRAFFIC,
+    'everything else',
+    Status.EXTRAPOLATED,
+    'the parts above',
+)
+def _other_traffic(sums: Sums) -> float:
+    return (
+        _heartbeat_traffic(sums)
+        + _member_traffic(sums)
+        + _summary_traffic(sums)
+        + _loan_traffic(sums)
+        + _restart_traffic(sums)
+    )
+
+
+@part(
+    Budget.PROCESSOR,
+    'heartbeats on tree links',
+    Status.EXTRAPOLATED,
+    '`heartbeat_time`, both sides of each exchange',
+)
+def _heartbeat_processor(sums: Sums) -> float:
+    return exchanges_per_s() * sums.per('heartbeat_time')
+
+
+@part(
+    Budget.PROCESSOR,
+    'changes passed on',
+    Status.EXTRAPOLATED,
+    '`hop_time`, `child_time`, in a peak',
+)
+def _change_processor(sums: Sums) -> float:
+    hop = sums.per('hop_time') + COPIES * sums.per('child_time')
+    return CHANGES_PER_S * targets.PEAK.amount * hop
+
+
+@part(
+    Budget.PROCESSOR,
+    'changes put in force',
+    Status.EXTRAPOLATED,
+    '`key_adoption`: each as a whole document, as today',
+)
+def _adoption_processor(sums: Sums) -> float:
+    adoption = sums.at('key_adoption', targets.KEYS.amount)
+    return CHANGES_PER_S * adoption
+
+
+@part(
+    Budget.PROCESSOR,
+    'blocks changed in the table',
+    Status.MEASURED,
+    'one change at full size (`full_size`), in a peak',
+)
+def _block_processor(sums: Sums) -> float:
+    return CHANGES_PER_S * targets.PEAK.amount * sums.full['change_s']
+
+
+@part(
+    Budget.PROCESSOR,
+    'ranks after VMs came and went',
+    Status.EXTRAPOLATED,
+    '`rank` for every region, with every bucket asked for',
+)
+def _rank_processor(sums: Sums) -> float:
+    rank = sums.at('rank', targets.NODES / targets.REGIONS)
+    return MEMBER_CHANGES_PER_S * rank
+
+
+@part(
+    Budget.PROCESSOR,
+    'plans and renewals of shares',
+    Status.EXTRAPOLATED,
+    '`share_plan`, `share_renewal` of the accounts with demand',
+)
+def _share_processor(sums: Sums) -> float:
+    plans = sums.per('share_plan') / targets.PLAN_S.amount
+    renewals = sums.per('share_renewal') / targets.LOAN_S.amount
+    return targets.ACTIVE_ACCOUNTS.amount * (plans + renewals)
+
+
+@part(
+    Budget.PROCESSOR,
+    'numbered events of control',
+    Status.EXTRAPOLATED,
+    '`event_time`, one for each message',
+)
+def _event_processor(sums: Sums) -> float:
+    messages = exchanges_per_s() + LINKS * CHANGES_PER_S * targets.PEAK.amount
+    return messages * sums.per('event_time')
--- a/bench/capacity/start_slopes.py
+++ b/bench/capacity/start.py
@@ -1,16 +1,11 @@
 """The start of a VM from nothing: time and memory."""
 
 import importlib
-import pathlib
 import subprocess  # noqa: S404
 import sys
 import tempfile
 import time
 
-from bench.capacity.fits import Point
-from bench.capacity.lookup_slopes import BLOCK_COUNTS, dumped_table
-from bench.capacity.slopes import SECONDS, slope
-
 # The process module pulls in everything that a VM runs.
 PROCESS = 'chestnutshift.vms.process'
 FALLBACK = 'chestnutshift.lookup.directory'
@@ -29,15 +24,6 @@
 """
 
 
-def _start_once(module: str, path: str) -> float:
-    started = time.perf_counter()
-    subprocess.run(  # noqa: S603
-        [sys.executable, '-c', PROGRAM, module, path],
-        check=True,
-    )
-    return time.perf_counter() - started
-
-
 def started_module() -> str:
     """Return the module that a start imports: all of a VM if it is there."""
     try:
@@ -57,16 +43,20 @@
     return int(finished.stdout)
 
 
-@slope('start', 'start from nothing, table in memory', 'client block', SECONDS)
-def measure_start() -> list[Point]:
-    """Start an interpreter, import the program, load and ask a table."""
-    points = []
-    with tempfile.TemporaryDirectory() as directory:
-        path = pathlib.Path(directory) / 'table'
-        for count in BLOCK_COUNTS:
-            path.write_bytes(dumped_table(count))
-            spent = [
-                _start_once(started_module(), str(path)) for _ in range(STARTS)
-            ]
-            points.append(Point(count, min(spent)))
-    return points
+def measure_start(packed: bytes) -> float:
+    """Return the seconds of a start that ends with an answer of the table.
+
+    The least of several starts, by the wall clock: an interpreter starts,
+    imports the program, loads the packed table and asks it.
+    """
+    with tempfile.NamedTemporaryFile() as table:
+        table.write(packed)
+        table.flush()
+        command = [sys.executable, '-c', PROGRAM, started_module(), table.name]
+        return min(_run(command) for _ in range(STARTS))
+
+
+def _run(command: list[str]) -> float:
+    started = time.perf_counter()
+    subprocess.run(command, check=True)  # noqa: S603
+    return time.perf_counter() - started
--- /dev/null
+++ b/bench/capacity/tables.py
@@ -0,0 +1,190 @@
+"""The tables of the capacity page, in Markdown."""
+
+from collections.abc import Callable, Iterable
+
+from bench.capacity import targets
+from bench.capacity.breaks import BREAKS
+from bench.capacity.budgets import LINES
+from bench.capacity.estimates import (
+    Budget,
+    Status,
+    Sums,
+    parts_of,
+    total,
+)
+from bench.capacity.slopes import SECONDS
+from chestnutshift.registry import Registry
+
+MISSING = str(Status.MISSING)
+PREFIXES = ((1, ''), (1e-3, 'm'), (1e-6, 'µ'), (1e-9, 'n'), (1e-12, 'p'))
+DIGITS = 3
+
+Render = Callable[[Sums], str]
+TABLES: Registry[Render] = Registry('table')
+
+
+def render(header: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
+    """Return a Markdown table."""
+    titles = tuple(header)
+    lines = [titles, tuple('---' for _ in titles), *rows]
+    return '\n'.join(f'| {" | ".join(cells)} |' for cells in lines)
+
+
+def number(amount: float | None) -> str:
+    """Return an amount with three digits, thousands apart."""
+    if amount is None:
+        return MISSING
+    if abs(amount) >= 10**DIGITS:
+        return f'{round(amount):,}'
+    return f'{amount:.{DIGITS}g}'
+
+
+def seconds(amount: float) -> str:
+    """Return a time with the prefix that suits it."""
+    for factor, prefix in PREFIXES:
+        if abs(amount) >= factor:
+            return f'{number(amount / factor)} {prefix}s'
+    return f'{number(amount)} s'
+
+
+def quantity(amount: float, unit: str) -> str:
+    """Return an amount of seconds or of bytes."""
+    if unit == SECONDS:
+        return seconds(amount)
+    return f'{number(amount)} {unit}'
+
+
+def megabytes(amount: float) -> str:
+    """Return bytes as MB."""
+    return f'{number(amount / targets.MB)} MB'
+
+
+@TABLES.register('slopes')
+def slopes_table(sums: Sums) -> str:
+    """Return every slope of the run."""
+    rows = []
+    for name, one in sorted(sums.measured.items()):
+        sizes = ', '.join(number(point.size) for point in one.points)
+        slope = quantity(one.fit.slope, one.slope.unit)
+        rows.append(
+            (
+                f'`{name}`',
+                one.slope.title,
+                sizes,
+                f'{slope} per {one.slope.per}',
+                quantity(one.fit.intercept, one.slope.unit),
+                f'{one.fit.residual * 100:.1f}%',
+            ),
+        )
+    header = ('name', 'what', 'sizes', 'slope', 'at none', 'residual')
+    return render(header, rows)
+
+
+@TABLES.register('full')
+def full_table(sums: Sums) -> str:
+    """Return the figures of the table at full size."""
+    full = sums.full
+    rows = (
+        ('client blocks', number(full['blocks'])),
+        ('build from blocks, with making them', seconds(full['build_s'])),
+        ('resident memory of the table', megabytes(full['resident_b'])),
+        ('largest while building and after', megabytes(full['peak_b'])),
+        ('allocated by a loaded table', megabytes(full['allocated_b'])),
+        ('bytes of the whole table', megabytes(full['packed_b'])),
+        ('the same compressed', megabytes(full['compressed_b'])),
+        ('load and check of the digest', seconds(full['load_s'])),
+        ('start of a VM, the table in memory', seconds(full['start_s'])),
+        ('one change in place', seconds(full['change_s'])),
+        ('one look-up in the table', seconds(full['locate_s'])),
+        ('look-ups in the table', f'{number(1 / full["locate_s"])}/s'),
+        ('one answer, chosen and counted', seconds(full['answer_s'])),
+        ('answers', f'{number(1 / full["answer_s"])}/s'),
+    )
+    return render(('at full size, one process', 'figure'), rows)
+
+
+@TABLES.register('assumptions')
+def assumptions_table(_sums: Sums) -> str:
+    """Return what the sums assume beside the target."""
+    rows = [
+        (one.name, f'{number(one.amount)} {one.unit}'.strip(), one.reason)
+        for one in targets.ASSUMPTIONS
+    ]
+    return render(('assumption', 'amount', 'reason'), rows)
+
+
+@TABLES.register('budgets')
+def budgets_table(sums: Sums) -> str:
+    """Return every line of the target with figure and ratio."""
+    rows = []
+    for line in LINES:
+        figure = line.figure(sums)
+        ratio = None if figure is None else figure / line.limit
+        status = MISSING if figure is None else str(line.status)
+        verdict = ' **over**' if ratio is not None and ratio > 1 else ''
+        rows.append(
+            (
+                line.name,
+                _with_unit(figure, line.unit),
+                _with_unit(line.limit, line.unit),
+                f'{number(ratio)}{verdict}',
+                status,
+                line.basis,
+            ),
+        )
+    header = ('line of the target', 'figure', 'limit', 'ratio', 'how', 'from')
+    return render(header, rows)
+
+
+@TABLES.register('breaks')
+def breaks_table(sums: Sums) -> str:
+    """Return where each of today's choices stops holding."""
+    rows = [
+        (
+            one.choice,
+            one.module,
+            one.budget,
+            _with_unit(one.size(sums), one.unit),
+            str(one.status),
+            one.carried_by,
+        )
+        for one in BREAKS
+    ]
+    header = ('today', 'module', 'budget', 'used up at', 'how', 'carried by')
+    return render(header, rows)
+
+
+def _register_parts(budget: Budget, name: str, unit: str, scale: float) -> None:
+    @TABLES.register(name)
+    def parts_table(sums: Sums) -> str:
+        rows = [
+            (
+                one.name,
+                _scaled(one.amount(sums), scale, unit),
+                str(one.status),
+                one.basis,
+            )
+            for one in parts_of(budget)
+        ]
+        summed = _scaled(total(budget, sums), scale, unit)
+        rows.append(('**sum**', f'**{summed}**', '', ''))
+        return render(('part', 'at the target', 'how', 'from'), rows)
+
+
+def _scaled(amount: float | None, scale: float, unit: str) -> str:
+    return _with_unit(None if amount is None else amount / scale, unit)
+
+
+def _with_unit(amount: float | None, unit: str) -> str:
+    if amount is None:
+        return MISSING
+    return f'{number(amount)} {unit}'
+
+
+_register_parts(Budget.MEMORY, 'memory', 'MB', targets.MB)
+_register_parts(Budget.TRAFFIC, 'traffic', 'B/s', 1)
+_register_parts(Budget.PEAK_TRAFFIC, 'peak-traffic', 'B/s', 1)
+_register_parts(Budget.PROCESSOR, 'processor', '% of a core', 1 / 100)
+_register_parts(Budget.WRITES, 'writes', '/s', 1)
+_register_parts(Budget.READS, 'reads', '/s', 1)
+_register_parts(Budget.IN_FORCE, 'in-force', 's', 1)
--- a/bench/capacity/targets.py
+++ b/bench/capacity/targets.py
@@ -59,12 +59,23 @@
     '',
     'one may die and one may leave at the same time',
 )
-FANOUT = _assume('children of one relay', 4, '', 'bounded by 2 KB/s, see below')
+CHILDREN = _assume(
+    'children of one node',
+    4,
+    '',
+    'bounded by 2 KB/s; the first parent of two, the second one of two',
+)
+FIRST_CHILDREN = _assume(
+    'children that a node sends changes to',
+    2,
+    '',
+    'the others ask when its heartbeat names a newer number',
+)
 PARENTS = _assume(
     'parents of one node',
     2,
     '',
-    'a change comes by both, so that a dead parent costs no detection time',
+    'with a dead first parent, a change comes one heartbeat later',
 )
 HEARTBEAT_S = _assume('heartbeat on a tree link', 2, 's', 'today 0.25 s')
 SUMMARY_S = _assume(
@@ -107,6 +118,13 @@
     'B',
     "account's index and three small integers; today's message names it",
 )
+ACTIVE_ACCOUNTS = _assume(
+    'accounts with demand at a node',
+    100,
+    '',
+    'the others are neither planned nor renewed there',
+)
+PLAN_S = _assume('plan of loans', 0.25, 's', 'today each few 10 ms')
 SILENT_BEATS = _assume('beats missed before silence', 2, '', 'on a tree link')
 GROUP_COMMIT_S = _assume(
     'group commit of records of runs',
