Hold callers in a drained region while the cap of its shift is reached

Cause: a view with both a shift and the drained source region fell back to the next region, uncapped, for every caller that the cap held at home. Held callers are now answered from a view in which no region is drained, so that a drain waits for its cap.

--- a/chestnutshift/lookup/directory.py
+++ b/chestnutshift/lookup/directory.py
@@ -31,13 +31,13 @@
     outstanding: OutstandingAnswers
     log: EventLog
     budgets: dict[Move, MoveBudget] = attrs.field(factory=dict)
-    _unshifted: LookupView = attrs.field(init=False)
+    _at_home: LookupView = attrs.field(init=False)
     _held: set[Move] = attrs.field(factory=set, init=False)
     _without_live: bool = attrs.field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Prepare the view for callers that a cap holds at home."""
-        self._unshifted = self.view.without_shifts
+        self._at_home = self.view.at_home
 
     @property
     def table(self) -> ClientTable:
@@ -48,7 +48,7 @@
         """Answer from this view from now on."""
         view.reuse_rankings(self.view)
         self.view = view
-        self._unshifted = view.without_shifts
+        self._at_home = view.at_home
 
     def load(self, source: bytes) -> bool:
         """Take a whole table; return False if it is not newer.
@@ -93,7 +93,7 @@
         """Answer one look-up and count the answer; raise as choose does."""
         answer = choose(question, self.view, preset, now)
         if answer.shift and not self._may_move(answer, now):
-            answer = choose(question, self._unshifted, preset, now)
+            answer = choose(question, self._at_home, preset, now)
         self.outstanding.record(answer)
         if answer.shift:
             move = (answer.home, answer.region)
--- a/chestnutshift/lookup/view.py
+++ b/chestnutshift/lookup/view.py
@@ -69,11 +69,14 @@
     )
 
     @property
-    def without_shifts(self) -> 'LookupView':
-        """The same view with every caller answered at home."""
+    def at_home(self) -> 'LookupView':
+        """The view for callers whom the cap of a shift holds at home.
+
+        A drained region goes on to serve them: the cap goes before the drain.
+        """
         if not self.shifts:
             return self
-        at_home = attrs.evolve(self, shifts=())
+        at_home = attrs.evolve(self, shifts=(), drained_regions=frozenset())
         at_home.reuse_rankings(self)
         return at_home
 
--- a/tests/lookup/test_outstanding.py
+++ b/tests/lookup/test_outstanding.py
@@ -137,3 +137,18 @@
         events.TABLE_LOADED.number,
         events.NO_LIVE_ENTRY.number,
     ]
+
+
+def test_drained_region_stays_under_cap():
+    """Callers that the cap holds stay at home, also in a drained region."""
+    drained = make_view(
+        shifts=(SHIFT,),
+        drained_regions=frozenset(('east',)),
+    )
+    budget = MoveBudget(cap_rate=3, answer_rate=1)
+    directory = make_directory(drained, budgets={('east', 'west'): budget})
+    regions = [
+        directory.answer(Question(f'10.2.{block}.1'), PRESET, 0).region
+        for block in range(100)
+    ]
+    assert regions == ['west'] * 3 + ['east'] * 97
