Trust keys by what the platform and every VM confirmed

Cause: counts of withdrawals can't tell two sets apart, and a replaced VM may have taken a withdrawal that nobody heard of. Change: heartbeats carry a fingerprint of the withdrawals, the lost and settled incarnations and whether the sender's knowledge is complete; keys.knowledge decides by them.

--- a/chestnutshift/configuration/follow.py
+++ b/chestnutshift/configuration/follow.py
@@ -29,14 +29,8 @@
         self._platform = platform
         self._holder = holder
         self._event_log = event_log
-        self._confirmed_at: float | None = None
         self._reachable = False
 
-    @property
-    def confirmed_at(self) -> float | None:
-        """Start of the latest read that the platform answered, or None."""
-        return self._confirmed_at
-
     @property
     def reachable(self) -> bool:
         """Whether the platform answered the latest question."""
@@ -45,35 +39,35 @@
     async def run(
         self,
         poll_s: float,
-        on_poll: Callable[[], None],
+        on_confirmed: Callable[[float], None],
         on_vms: Callable[[VmList], None],
     ) -> None:
-        """Poll forever; on_poll is called after each answer or failure."""
+        """Poll forever; on_confirmed gets when an answered question was asked."""
         while True:
             asked_at = trio.current_time()
             try:
-                await self._poll(asked_at, on_vms)
+                await self._poll(asked_at, on_confirmed, on_vms)
             except CodedError as error:
                 self._note_failure(error)
-            on_poll()
             await trio.sleep_until(asked_at + poll_s)
 
     async def refresh(self) -> None:
         """Read the configuration now; raise the platform's errors."""
-        asked_at = trio.current_time()
         stored = await store.read_current(self._platform)
         self._take(stored.configuration)
-        self._note_answer(asked_at)
+        self._note_answer()
 
     async def _poll(
         self,
         asked_at: float,
+        on_confirmed: Callable[[float], None],
         on_vms: Callable[[VmList], None],
     ) -> None:
         try:
             await self.refresh()
         except NoConfigurationError:
-            self._note_answer(asked_at)
+            self._note_answer()
+        on_confirmed(asked_at)
         on_vms(await self._platform.list_vms())
 
     def _take(self, configuration: Configuration) -> None:
@@ -87,8 +81,7 @@
             )
         self._holder.offer(configuration)
 
-    def _note_answer(self, asked_at: float) -> None:
-        self._confirmed_at = asked_at
+    def _note_answer(self) -> None:
         if not self._reachable:
             self._event_log.emit(events.PLATFORM_BACK)
         self._reachable = True
--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -1,5 +1,8 @@
 """The ASGI application that serves callers' requests."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import attrs
 import trio
 
@@ -34,6 +37,7 @@
 from chestnutshift.idempotency.ledger import Ledger
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.idempotency.verdicts import Replay, Verdict
+from chestnutshift.keys.authentication import Identity
 from chestnutshift.keys.watch import Watch
 
 
@@ -93,11 +97,8 @@
         accepted = self._intake.accept(attempt.request, now)
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
-        with self._watch.subscribe(accepted.identity.digest, scope) as watched:
-            with scope:
-                await self._run(accepted, attempt, body)
-        if watched.cause is not None:
-            raise watched.cause
+        with self._watching(accepted.identity, scope), scope:
+            await self._run(accepted, attempt, body)
         if scope.cancelled_caught:
             raise RefusalError(_too_late(attempt.ran))
         self._event_log.emit(
@@ -107,6 +108,23 @@
             status=attempt.status,
         )
 
+    @contextmanager
+    def _watching(
+        self,
+        identity: Identity,
+        scope: trio.CancelScope,
+    ) -> Iterator[None]:
+        """Cancel the scope, and raise why, when the key stops working."""
+        if not identity.digest:
+            # An open route, or a crossing, which its sender watches.
+            yield
+            return
+        now = trio.current_time()
+        with self._watch.subscribe(identity, scope, now) as watched:
+            yield
+        if watched.cause is not None:
+            raise watched.cause
+
     async def _run(
         self,
         accepted: Accepted,
@@ -132,11 +150,10 @@
         Its repeat gets the outcome then. A withdrawn key and the end of the
         VM's grace still stop it.
         """
-        digest = job.accepted.identity.digest
         shield = trio.CancelScope(deadline=deadline, shield=True)
         self._shields.add(shield)
         try:
-            with self._watch.subscribe(digest, shield), shield:
+            with self._watching(job.accepted.identity, shield), shield:
                 await self._placer.run(job)
         finally:
             self._shields.discard(shield)
--- a/chestnutshift/vms/assembly.py
+++ b/chestnutshift/vms/assembly.py
@@ -14,6 +14,7 @@
 from chestnutshift.idempotency.ledger import Ledger
 from chestnutshift.idempotency.records import Holder
 from chestnutshift.keys.authentication import KeyRing
+from chestnutshift.keys.knowledge import Knowledge
 from chestnutshift.keys.watch import Watch
 from chestnutshift.platform.backends.base import Platform
 from chestnutshift.vms import seats
@@ -46,7 +47,10 @@
         follower=PlatformFollower(platform, holder, event_log),
         membership=membership,
         key_ring=key_ring,
-        watch=Watch(key_ring.withdrawals),
+        knowledge=Knowledge(
+            frozenset(peer.name for peer in membership.peers),
+        ),
+        watch=Watch(key_ring),
         keeper=seats.make_keeper(name, seat_holder, platform, event_log),
         admission=Admission(
             seat_holder,
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -1,5 +1,7 @@
 """Heartbeats between VMs, and what follows from their answers."""
 
+import math
+
 import trio
 
 from chestnutshift.configuration.codec import from_bytes, to_bytes
@@ -13,15 +15,18 @@
 
 def to_heartbeat(state: VmState, now: float) -> ttypes.Heartbeat:
     """Return what this VM says of itself at the time now."""
-    confirmed_at = state.follower.confirmed_at
-    age_s = None if confirmed_at is None else now - confirmed_at
+    knowledge = state.knowledge
+    age_s = now - knowledge.confirmed_at
     return ttypes.Heartbeat(
         state=state.phase,
         configuration_number=state.holder.number,
         platform_reachable=state.follower.reachable,
-        knowledge_age_s=age_s,
+        knowledge_age_s=None if math.isinf(age_s) else age_s,
         headroom=state.work.headroom(now),
-        withdrawal_count=len(state.key_ring.withdrawals.digests),
+        withdrawals_fingerprint=state.key_ring.withdrawals.fingerprint,
+        knowledge_complete=knowledge.is_complete,
+        lost=sorted(knowledge.lost),
+        settled=sorted(knowledge.settled),
         loads=[
             ttypes.ServiceLoad(service_=service, slots=slots, in_use=in_use)
             for service, (slots, in_use) in state.work.loads(now).items()
@@ -37,7 +42,10 @@
         platform_reachable=bool(heartbeat.platform_reachable),
         knowledge_age_s=heartbeat.knowledge_age_s,
         headroom=heartbeat.headroom or 0,
-        withdrawal_count=heartbeat.withdrawal_count or 0,
+        withdrawals_fingerprint=heartbeat.withdrawals_fingerprint or 0,
+        is_complete=bool(heartbeat.knowledge_complete),
+        lost=frozenset(heartbeat.lost or ()),
+        settled=frozenset(heartbeat.settled or ()),
         loads={
             load.service_: (load.slots or 0, load.in_use or 0)
             for load in heartbeat.loads or []
@@ -49,7 +57,8 @@
     """Add the handlers of heartbeats and of what they lead to."""
 
     @handlers.register('heartbeat')
-    async def answer_heartbeat(_peer: str, _message: object) -> ttypes.Body:
+    async def answer_heartbeat(_peer: str, message: object) -> ttypes.Body:
+        state.knowledge.settle(message.settled or ())
         heartbeat = to_heartbeat(state, trio.current_time())
         return ttypes.Body(heartbeat=heartbeat)
 
@@ -87,7 +96,8 @@
     report = from_heartbeat(answer.heartbeat)
     if report.configuration_number > state.holder.number:
         await fetch_configuration(state, link, silence_s)
-    if report.withdrawal_count > len(state.key_ring.withdrawals.digests):
+    withdrawals = state.key_ring.withdrawals
+    if report.withdrawals_fingerprint != withdrawals.fingerprint:
         await exchange_withdrawals(state, link, silence_s)
     peer = state.membership.note_answer(
         link.name,
@@ -101,7 +111,7 @@
         asked_at,
         trio.current_time(),
     )
-    state.refresh_knowledge()
+    state.hear(peer, asked_at, trio.current_time())
 
 
 async def exchange_withdrawals(
--- a/chestnutshift/vms/membership.py
+++ b/chestnutshift/vms/membership.py
@@ -23,7 +23,8 @@
 
     knowledge_age_s is how old its confirmation by the platform was, None if
     it never had one; headroom is the free share of its slots; loads has the
-    slots that it may use and those in use, by service.
+    slots that it may use and those in use, by service; is_complete, lost and
+    settled are those of keys.knowledge.
     """
 
     phase: str
@@ -31,7 +32,10 @@
     platform_reachable: bool
     knowledge_age_s: float | None
     headroom: float
-    withdrawal_count: int
+    withdrawals_fingerprint: int
+    is_complete: bool = False
+    lost: frozenset[str] = frozenset()
+    settled: frozenset[str] = frozenset()
     loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -65,7 +65,7 @@
         nursery.start_soon(
             state.follower.run,
             state.settings.platform.poll_s,
-            state.refresh_knowledge,
+            state.confirm,
             self._take_vms,
         )
         rng = random.Random(state.incarnation)
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -1,6 +1,7 @@
 """Everything that one VM knows; its tasks share it."""
 
 import attrs
+import trio
 
 from chestnutshift.accounts.admission import Admission
 from chestnutshift.accounts.keeper import SeatKeeper
@@ -13,7 +14,8 @@
 from chestnutshift.idempotency.ledger import Ledger
 from chestnutshift.keys import events as key_events
 from chestnutshift.keys.authentication import KeyRing
-from chestnutshift.keys.freshness import Freshness, KnowledgeView, PeerView
+from chestnutshift.keys.freshness import Freshness
+from chestnutshift.keys.knowledge import Knowledge, PeerAnswer
 from chestnutshift.keys.watch import Watch
 from chestnutshift.links.peer import PeerLink
 from chestnutshift.platform.backends.base import Platform
@@ -36,6 +38,7 @@
     follower: PlatformFollower
     membership: Membership
     key_ring: KeyRing
+    knowledge: Knowledge
     watch: Watch
     keeper: SeatKeeper
     admission: Admission
@@ -89,7 +92,7 @@
                 digest=digest[:12],
                 source=source,
             )
-        count = self.watch.withdrawn(digests)
+        count = self.watch.ended(digests, trio.current_time())
         if count:
             self.event_log.emit(
                 key_events.KEY_STREAMS_CANCELLED,
@@ -101,15 +104,32 @@
         """Let the key ring know how fresh this VM's knowledge is."""
         if not self.holder.number:
             return
-        preset = self.holder.current.preset
-        knowledge = KnowledgeView(
-            trust_s=preset.keys.trust_s,
-            confirmed_at=self.follower.confirmed_at,
-            peers=tuple(
-                self._peer_view(peer) for peer in self.membership.peers
-            ),
+        trust_s = self.holder.current.preset.keys.trust_s
+        self.key_ring.learn(self.knowledge.view(trust_s))
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the platform answered a question asked at asked_at."""
+        self.knowledge.confirm(asked_at)
+        self.refresh_knowledge()
+
+    def hear(self, peer: Peer, asked_at: float, now: float) -> None:
+        """Note what a VM knows of keys, from its report."""
+        report = peer.report
+        own = self.key_ring.withdrawals.fingerprint
+        held = (
+            report.configuration_number <= self.holder.number
+            and report.withdrawals_fingerprint == own
+        )
+        self.knowledge.settle(report.settled)
+        answer = PeerAnswer(
+            incarnation=peer.incarnation,
+            age_s=report.knowledge_age_s,
+            is_held=held,
+            is_complete=report.is_complete,
+            lost=report.lost,
         )
-        self.key_ring.learn(knowledge)
+        self.knowledge.hear(peer.name, asked_at, answer, now)
+        self.refresh_knowledge()
 
     def note_freshness(self, now: float) -> None:
         """End keyed work when the keys can't be trusted any longer."""
@@ -124,19 +144,4 @@
             after=after.value,
         )
         if not after.is_trusted:
-            self.watch.stale()
-
-    def _peer_view(self, peer: Peer) -> PeerView:
-        report = peer.report
-        if report is None:
-            return PeerView()
-        withdrawn = len(self.key_ring.withdrawals.digests)
-        held = (
-            report.configuration_number <= self.holder.number
-            and report.withdrawal_count <= withdrawn
-        )
-        return PeerView(
-            asked_at=peer.asked_at,
-            age_s=report.knowledge_age_s,
-            is_held=held,
-        )
+            self.watch.check_all(now)
--- a/chestnutshift/wire/links.thrift
+++ b/chestnutshift/wire/links.thrift
@@ -31,9 +31,11 @@
   3: optional bool platform_reachable
   4: optional double knowledge_age_s
   5: optional double headroom
-  6: optional i32 withdrawal_count
+  6: optional i64 withdrawals_fingerprint
   7: optional list<ServiceLoad> loads
-  8: optional list<string> leaving_upstreams
+  8: optional bool knowledge_complete
+  9: optional list<string> lost
+  10: optional list<string> settled
 }
 
 struct ConfigurationRequest {
