--- a/chestnutshift/configuration/follow.py
+++ b/chestnutshift/configuration/follow.py
@@ -42,7 +42,7 @@
         on_confirmed: Callable[[float], None],
         on_vms: Callable[[VmList], None],
     ) -> None:
-        """Poll forever; on_confirmed gets when an answered question was asked."""
+        """Poll forever; on_confirmed gets when each answer was asked for."""
         while True:
             asked_at = trio.current_time()
             try:
