Free recalled shares at once; let a request wait for a loan

Cause of refusals under even load: up to 8% of an account's rate belonged to nobody. A giver that renewed less than the whole had to keep the rest reserved until the old expiry, while the taker dropped it at once. Now the giver asks the taker to reduce first; the taker's next request says that it did, and the giver frees the rest on receipt. A lost message still only loses. A refused request may be held for 0.1 s where peers probably have tokens (Decision.wait_s); a peer's refusal ends this for 2 s.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -116,6 +116,8 @@
     """The product's code: shares of seats under leases, and loans."""
 
     lends = True
+    holds = False
+    wait_s: float = 0
     shares = SharesPreset()
     lost_answers: float = 0
 
@@ -127,6 +129,7 @@
         self.vms: dict[str, Admission] = {}
         self.keepers: dict[str, SeatKeeper] = {}
         self.now: float = 0
+        self.wait_s: float = 0
         self._started = 0
         self._renew_at = {
             seat: index * RENEW_S / len(self.seats)
@@ -139,7 +142,13 @@
 
     def admit(self, seat: str, account: str, now: float) -> bool:
         """Ask the VM at the seat."""
-        return self.vms[seat].admit(account, now).admitted
+        decision = self.vms[seat].admit(account, now)
+        self.wait_s = decision.wait_s if self.holds else 0
+        return decision.admitted
+
+    def admit_held(self, seat: str, account: str, now: float) -> bool:
+        """Ask again for a request that the VM holds."""
+        return self.vms[seat].admit(account, now, repeated=True).admitted
 
     def advance(self, now: float) -> None:
         """Deliver messages, renew leases, plan loans."""
@@ -216,6 +225,13 @@
                 self.network.send(target, source, grant, self.now)
 
 
+@ADMISSIONS.register('escrow-hold')
+class EscrowHold(Escrow):
+    """As above; a VM holds a request while it asks peers for tokens."""
+
+    holds = True
+
+
 @ADMISSIONS.register('static')
 class Static(Escrow):
     """Equal division under leases; nothing moves."""
--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -16,6 +16,7 @@
 LOAD = 0.9
 GREEDY = 5.0
 JUMP_S = 10.0
+RESTART_S = 10.0
 
 REGIONS = ('marmara', 'ege', 'ic-anadolu')
 DOMAINS = tuple(f'{region}-{part}' for region in REGIONS for part in 'ab')
@@ -33,7 +34,7 @@
     """What a case needs of a policy; see bench.admission."""
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Case:
     """Which seat a request goes to, the load, and faults at moments."""
 
@@ -153,12 +154,10 @@
 class Restart(Case):
     """Every 10 s the VM at one seat is replaced."""
 
-    due: float = WARM_UP_S
-
     def disturb(self, now: float) -> None:
         """Replace the VM at a random seat."""
-        if now >= self.due:
-            self.due = now + 10
+        tick = round(now / TICK_S)
+        if now >= WARM_UP_S and tick % round(RESTART_S / TICK_S) == 0:
             self.fleet.restart(self.rng.choice(SEATS), now)
 
 
@@ -175,22 +174,41 @@
     wrongful: int = 0
     over: int = 0
 
-    def note(self, admitted: bool, now: float, counted: bool) -> None:
-        """Compare one decision with the perfect bucket's."""
+    held: int = 0
+
+    def expect(self, now: float) -> bool:
+        """Tell whether the perfect bucket admits a request."""
         due = self.perfect.take(1, now)
+        if now >= WARM_UP_S:
+            self.offered += 1
+            self.due += due
+        return due
+
+    def note(
+        self, admitted: bool, due: bool, arrived: float, now: float
+    ) -> None:
+        """Compare one decision with the perfect bucket's."""
         if admitted and not self.oracle.take(1, now):
             self.over += 1
-        if not counted:
-            return
-        self.offered += 1
-        self.due += due
-        self.admitted += admitted
-        self.wrongful += due and not admitted
+        if arrived >= WARM_UP_S:
+            self.admitted += admitted
+            self.wrongful += due and not admitted
+
+
+@attrs.frozen
+class Held:
+    """A request that a VM holds while it asks for tokens."""
+
+    arrived: float
+    ends: float
+    seat: str
+    account: str
+    due: bool
 
 
 HEADING = (
     f'{"case":16}{"policy":16}{"wrongful %":>11}{"worst share":>12}'
-    f'{"over":>7}{"msg/s/VM":>10}{"B/s/VM":>9}  wrongful % by account'
+    f'{"over":>7}{"msg/s/VM":>10}{"B/s/VM":>9}{"held %":>8}  wrongful % by account'
 )
 
 
@@ -210,13 +228,14 @@
             tally.admitted / tally.due for tally in self.tallies.values()
         )
         over = sum(tally.over for tally in self.tallies.values())
+        held = sum(tally.held for tally in self.tallies.values())
         parts = ' '.join(
             f'{name}={100 * tally.wrongful / tally.due:.3f}'
             for name, tally in self.tallies.items()
         )
         return (
             f'{case:16}{policy:16}{100 * wrongful / due:11.3f}{worst:12.4f}'
-            f'{over:7d}{self.messages:10.1f}{self.sent_b:9.0f}  {parts}'
+            f'{over:7d}{self.messages:10.1f}{self.sent_b:9.0f}{100 * held / due:8.2f}  {parts}'
         )
 
 
@@ -233,13 +252,23 @@
         )
         for account, limit in LIMITS.items()
     }
+    held: list[Held] = []
     for tick in range(int((WARM_UP_S + CASE_S) / TICK_S)):
         now = tick * TICK_S
         case.disturb(now)
         fleet.advance(now)
+        held = [one for one in held if not _retry(fleet, one, tallies, now)]
         for moment, account in _arrivals(case, now, rng):
-            admitted = fleet.admit(case.seat(account, now), account, moment)
-            tallies[account].note(admitted, moment, now >= WARM_UP_S)
+            tally = tallies[account]
+            due = tally.expect(moment)
+            seat = case.seat(account, now)
+            admitted = fleet.admit(seat, account, moment)
+            wait_s = getattr(fleet, 'wait_s', 0)
+            if not admitted and wait_s > 0:
+                tally.held += 1
+                held.append(Held(moment, moment + wait_s, seat, account, due))
+                continue
+            tally.note(admitted, due, moment, moment)
     traffic = fleet.network.traffic
     vm_seconds = (WARM_UP_S + CASE_S) * len(SEATS)
     return Outcome(
@@ -263,3 +292,17 @@
             arrivals.append((moment, account))
             moment += rng.expovariate(rate)
     return iter(sorted(arrivals))
+
+
+def _retry(
+    fleet: Fleet,
+    held: Held,
+    tallies: dict[str, Tally],
+    now: float,
+) -> bool:
+    """Try a held request again; tell whether it is decided."""
+    admitted = fleet.admit_held(held.seat, held.account, now)
+    if not admitted and now < held.ends:
+        return False
+    tallies[held.account].note(admitted, held.due, held.arrived, now)
+    return True
--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -26,6 +26,11 @@
 # A VM that did not run its plan for so long counts as paused, in seconds.
 PAUSE_S = 2.0
 
+# How long a request may be held for a loan, in seconds, and how many requests
+# of one account at once.
+LOAN_WAIT_S = 0.1
+WAITERS_MAX = 8
+
 # What a refused caller is told when no token is in sight, in seconds.
 RETRY_DEFAULT_S = 1.0
 RETRY_MAX_S = 30.0
@@ -34,15 +39,21 @@
 UNKNOWN_ACCOUNT = 'unknown_account'
 OVER_RATE = 'over_rate'
 NO_SHARE = 'no_share'
+WAIT = 'wait_for_loan'
 
 
 @attrs.frozen
 class Decision:
-    """Whether a request is admitted; if not, why and when to come back."""
+    """Whether a request is admitted; if not, why and when to come back.
+
+    wait_s over zero says that peers probably have tokens, which are asked
+    for: the VM may hold the request and ask again until wait_s is over.
+    """
 
     admitted: bool
     retry_after_s: float = 0
     reason: str = ADMITTED
+    wait_s: float = 0
 
 
 @attrs.frozen
@@ -66,6 +77,18 @@
     limit: AccountLimit = AccountLimit(0, 0)
     share: AccountShare = attrs.field(factory=AccountShare)
     demand: DemandEstimate = attrs.field(factory=DemandEstimate)
+    waiters: int = 0
+    waiters_since: float = -math.inf
+
+    def wait_s(self, now: float) -> float:
+        """Return how long one more request may be held for a loan."""
+        if now - self.waiters_since > LOAN_WAIT_S:
+            self.waiters = 0
+            self.waiters_since = now
+        if self.waiters >= WAITERS_MAX or not self.borrower.is_hopeful(now):
+            return 0
+        self.waiters += 1
+        return LOAN_WAIT_S
 
 
 class Admission:
@@ -109,8 +132,17 @@
         """How long loans may run on; the seat's row must say so."""
         return self._loan_s + 2 * LOAN_MARGIN_S
 
-    def admit(self, account: str, now: float) -> Decision:
-        """Decide about one request of the account at now (seconds)."""
+    def admit(
+        self,
+        account: str,
+        now: float,
+        *,
+        repeated: bool = False,
+    ) -> Decision:
+        """Decide about one request of the account at now (seconds).
+
+        repeated says that the request was held and is tried again.
+        """
         held = self._accounts.get(account)
         if held is None or held.limit.rate <= 0:
             return Decision(
@@ -119,9 +151,14 @@
                 reason=UNKNOWN_ACCOUNT,
             )
         self._check_pause(now)
-        held.demand.count()
+        if not repeated:
+            held.demand.count()
         if held.share.spend(now):
             return Decision(admitted=True)
+        if not repeated and self._peers:
+            wait_s = held.wait_s(now)
+            if wait_s > 0:
+                return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
         return self._refuse(account, held.share)
 
     def configure(
--- a/chestnutshift/accounts/borrower.py
+++ b/chestnutshift/accounts/borrower.py
@@ -1,5 +1,6 @@
 """The taker's side of loans: which peers are asked for how much, and when."""
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -22,7 +23,10 @@
 
 # A peer that had nothing to lend is left alone for so long, in seconds.
 BACKOFF_FIRST_S = 0.1
-BACKOFF_MAX_S = 1.6
+BACKOFF_MAX_S = 0.4
+
+# So long after a refusal without a later loan peers count as empty, seconds.
+HOPELESS_S = 2.0
 
 # A loan is renewed once this part of its life is over.
 RENEW_AFTER = 0.5
@@ -50,6 +54,14 @@
     _asks: dict[int, OpenAsk] = attrs.field(factory=dict)
     _delays: dict[str, float] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
+    _refused_at: float = -math.inf
+
+    def is_hopeful(self, now: float) -> bool:
+        """Tell whether peers are likely to have tokens for this VM.
+
+        They are unless the newest answer was a refusal not long ago.
+        """
+        return now - self._refused_at > HOPELESS_S
 
     def plan(
         self,
@@ -82,14 +94,15 @@
             return False
         share.refresh(now)
         expires = ask.asked + grant.life_s
-        if expires <= now:
-            return False
         if ask.loan != NEW_LOAN:
             return self._extend(grant, share, expires, now)
+        if expires <= now:
+            return False
         if grant.loan == NEW_LOAN:
             self._note_refusal(peer, now)
             return False
         self._delays.pop(peer, None)
+        self._refused_at = -math.inf
         share.borrowed[grant.giver, grant.loan] = BorrowedLoan(
             peer,
             grant.giver,
@@ -114,16 +127,22 @@
         loan = share.borrowed.get(key)
         if loan is None:
             return False
+        if grant.life_s <= 0:
+            share.borrowed[key] = attrs.evolve(
+                loan,
+                allowed_rate=grant.rate,
+                allowed_burst=grant.burst,
+            )
+            return True
         share.borrowed[key] = attrs.evolve(
             loan,
-            rate=min(loan.rate, grant.rate),
-            burst=min(loan.burst, grant.burst),
             expires=max(loan.expires, expires),
         )
         share.resize(now)
         return True
 
     def _note_refusal(self, peer: str, now: float) -> None:
+        self._refused_at = now
         delay_s = self._delays.get(peer, BACKOFF_FIRST_S)
         self._delays[peer] = min(BACKOFF_MAX_S, delay_s * 2)
         self._silent_until[peer] = now + delay_s * (0.5 + self._rng.random())
@@ -176,8 +195,8 @@
         spare_burst = max(0, share.bucket.capacity - targets.high)
         kept = attrs.evolve(
             loan,
-            rate=max(0, loan.rate - spare_rate),
-            burst=max(0, loan.burst - spare_burst),
+            rate=max(0, min(loan.rate - spare_rate, loan.allowed_rate)),
+            burst=max(0, min(loan.burst - spare_burst, loan.allowed_burst)),
         )
         level = share.bucket.level
         share.borrowed[key] = kept
@@ -289,6 +308,8 @@
     targets: Targets,
     now: float,
 ) -> bool:
+    if loan.rate > loan.allowed_rate or loan.burst > loan.allowed_burst:
+        return True
     if loan.burst > EPSILON:
         rest = share.bucket.capacity - loan.burst
         if rest >= targets.high:
--- a/chestnutshift/accounts/lender.py
+++ b/chestnutshift/accounts/lender.py
@@ -125,12 +125,20 @@
             return None
         if life_s <= 0 or not share.right.covers(now + life_s + LOAN_MARGIN_S):
             return None
-        amounts = _Amounts(
+        allowed = _Amounts(
             max(0, lent.rate - max(0, targets.held_rate - share.bucket.rate)),
             max(0, lent.burst - max(0, targets.low - share.bucket.capacity)),
         )
-        self._extend(request.loan, lent, amounts, share, now + life_s)
-        return self._grant(request, request.loan, amounts, life_s)
+        if _is_less(allowed, lent):
+            # The taker gives up the rest first; only then is it free here.
+            return self._grant(request, request.loan, allowed, 0)
+        share.lent[request.loan] = attrs.evolve(
+            lent,
+            expires=max(lent.expires, now + life_s + LOAN_MARGIN_S),
+        )
+        share.resize(now)
+        kept = _Amounts(lent.rate, lent.burst)
+        return self._grant(request, request.loan, kept, life_s)
 
     def _take_back(
         self,
@@ -152,29 +160,6 @@
         share.bucket.add(_within(request.tokens, lent.burst - kept.burst))
         return kept
 
-    def _extend(
-        self,
-        number: int,
-        lent: LentLoan,
-        amounts: _Amounts,
-        share: AccountShare,
-        ends: float,
-    ) -> None:
-        # What is not renewed stays reserved as long as the taker may use it.
-        share.lent[next(self._numbers)] = attrs.evolve(
-            lent,
-            rate=lent.rate - amounts.rate,
-            burst=lent.burst - amounts.burst,
-        )
-        share.lent[number] = attrs.evolve(
-            lent,
-            rate=amounts.rate,
-            burst=amounts.burst,
-            expires=max(lent.expires, ends + LOAN_MARGIN_S),
-        )
-        share.resize(share.bucket.updated)
-        _verify_lent(share)
-
     def _is_repeated(self, request: LoanRequest) -> bool:
         newest = self._newest_asks.pop(request.taker, 0)
         self._newest_asks[request.taker] = max(newest, request.ask)
@@ -206,6 +191,13 @@
     return max(0, min(asked, *bounds))
 
 
+def _is_less(allowed: _Amounts, lent: LentLoan) -> bool:
+    least = 1 - LEAST_PART
+    return (
+        allowed.rate < lent.rate * least or allowed.burst < lent.burst * least
+    )
+
+
 def _verify_lent(share: AccountShare) -> None:
     # A smaller limit may come into force while loans out of the larger one
     # run; then the seat itself has nothing left.
--- a/chestnutshift/accounts/loans.py
+++ b/chestnutshift/accounts/loans.py
@@ -7,6 +7,8 @@
 tokens and never doubles them. Rates are tokens per second.
 """
 
+import math
+
 import attrs
 
 # Seconds by which the giver counts a loan longer than the taker does.
@@ -42,7 +44,9 @@
 class LoanGrant:
     """Answer to a request: what the taker may use for life_s since it asked.
 
-    All amounts are zero where the giver has nothing to lend.
+    All amounts are zero where the giver has nothing to lend. An answer to a
+    renewal with a life_s of zero renews nothing: the giver wants the taker to
+    reduce the loan to these amounts, and to ask again.
     """
 
     giver: str
@@ -69,7 +73,10 @@
 
 @attrs.frozen
 class BorrowedLoan:
-    """What the taker remembers of a loan."""
+    """What the taker remembers of a loan.
+
+    allowed_rate and allowed_burst are what the giver is ready to renew.
+    """
 
     peer: str
     giver: str
@@ -78,6 +85,8 @@
     burst: float
     since: float
     expires: float
+    allowed_rate: float = math.inf
+    allowed_burst: float = math.inf
 
 
 @attrs.frozen
--- a/chestnutshift/accounts/targets.py
+++ b/chestnutshift/accounts/targets.py
@@ -20,7 +20,7 @@
 
     low_s: float = 0.3
     low_part: float = 0.35
-    low_tokens: float = 2.0
+    low_tokens: float = 1.3
     high_s: float = 0.7
     idle_part: float = 0.6
     refill_s: float = 2.0
