--- a/bench/capacity/full_size.py
+++ b/bench/capacity/full_size.py
@@ -1,6 +1,7 @@
 """Build the table of the target's size in this process and look up in it."""
 
 import json
+import os
 import time
 import zlib
 
@@ -41,6 +42,7 @@
         'change_s': _time_change(table),
         'start_s': measure_start(packed),
     }
+    measured['load_average'] = os.getloadavg()[0]
     measured['allocated_b'] = probes.allocated_bytes(
         lambda: load_table(packed),
     )
--- /dev/null
+++ b/tests/capacity/test_page.py
@@ -0,0 +1,54 @@
+"""Lines fit their points, and a page gets exactly the tables of its run."""
+
+import pathlib
+import unittest
+
+from bench.capacity.estimates import Sums
+from bench.capacity.fits import Point, fit_line
+from bench.capacity.page import PageError, replace_tables
+from bench.capacity.tables import TABLES
+
+CASE = unittest.TestCase()
+PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'CAPACITY.md'
+FULL = ('resident_b', 'peak_b', 'allocated_b', 'packed_b', 'compressed_b')
+TIMES = ('build_s', 'load_s', 'locate_s', 'answer_s', 'change_s', 'start_s')
+
+
+def make_tables() -> dict[str, str]:
+    """Return all tables of a run in which no slope was measured."""
+    full = dict.fromkeys((*FULL, *TIMES, 'base_b', 'load_average'), 1)
+    sums = Sums({}, {**full, 'blocks': 2_300_000})
+    return {name: TABLES.get(name)(sums) for name in TABLES}
+
+
+def test_fit():
+    """A line through points on a line is that line; others leave a rest."""
+    exact = fit_line([Point(size, 5 + 2 * size) for size in (1, 2, 4)])
+    CASE.assertAlmostEqual(exact.slope, 2)
+    CASE.assertAlmostEqual(exact.at(100), 205)
+    CASE.assertAlmostEqual(exact.residual, 0)
+    bent = fit_line([Point(1, 1), Point(2, 4), Point(3, 1)])
+    CASE.assertAlmostEqual(bent.slope, 0)
+    CASE.assertGreater(bent.residual, 0.5)
+
+
+def test_page_has_a_place_for_each_table():
+    """Every table has its markers, and remaking twice changes nothing."""
+    tables = make_tables()
+    once = replace_tables(PAGE.read_text(), tables)
+    assert replace_tables(once, tables) == once
+    for table in tables.values():
+        assert table in once
+
+
+def test_page_without_place_is_refused():
+    """A missing or an unknown marker raises a coded error."""
+    for text in ('', '<!-- table:other -->\n<!-- end -->'):
+        with CASE.assertRaises(PageError):
+            replace_tables(text, {'one': 'table'})
+
+
+def test_sums_without_slopes_say_so():
+    """A sum with an unmeasured part is no figure."""
+    assert 'not measured yet' in make_tables()['traffic']
+    assert '**sum** | **not measured yet**' in make_tables()['memory']
