Keep the settling task awake, and bear rows of another release

Cause: settling by hand, as before a planned stop, left the run loop waiting for an event that nobody set any more, and a row that this release can't read would have ended the task that writes outcomes down, and the process with it. Change: only the run loop replaces its event; an unreadable row is a coded refusal to repeats and is left alone by settling and by deletion. Seen to fail first: test_settling_by_hand_leaves_the_loop_running and test_unreadable_record_is_left_alone.

--- a/chestnutshift/idempotency/claims.py
+++ b/chestnutshift/idempotency/claims.py
@@ -7,7 +7,10 @@
 
 from chestnutshift.events.catalogue import EventKind
 from chestnutshift.events.log import EventLog
-from chestnutshift.idempotency.exceptions import ClaimExpiredError
+from chestnutshift.idempotency.exceptions import (
+    ClaimExpiredError,
+    UnreadableRecordError,
+)
 from chestnutshift.idempotency.moments import Moment
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.idempotency.records import (
@@ -214,12 +217,16 @@
     """Compare a closed claim with a row that another version was expected of.
 
     Return whether the claim still has to be written, under the version that
-    it has now. A row of a later claim is left alone.
+    it has now. A row of a later claim, or one that can't be read, is left
+    alone.
     """
     if row.value is None:
         claim.version = ABSENT_VERSION
         return True
-    stored = Record.from_row(row.value)
+    try:
+        stored = Record.from_row(row.value)
+    except UnreadableRecordError:
+        return False
     if stored.claim == claim.record.claim:
         claim.version = row.version
         return stored != claim.record
--- a/chestnutshift/idempotency/exceptions.py
+++ b/chestnutshift/idempotency/exceptions.py
@@ -100,6 +100,14 @@
     code = 'idempotency.too_many'
 
 
+class UnreadableRecordError(IdempotencyError):
+    """The operation's row is not in the form that this release reads."""
+
+    code = 'idempotency.record_unreadable'
+    status = UNAVAILABLE
+    may_have_run = True
+
+
 class ClaimExpiredError(IdempotencyError):
     """The claim is too old to send the request; it was not sent."""
 
--- a/chestnutshift/idempotency/records.py
+++ b/chestnutshift/idempotency/records.py
@@ -10,9 +10,13 @@
 import random
 
 import attrs
+from cattrs.errors import BaseValidationError
 from cattrs.preconf.json import make_converter
 
-from chestnutshift.idempotency.exceptions import KeyReusedError
+from chestnutshift.idempotency.exceptions import (
+    KeyReusedError,
+    UnreadableRecordError,
+)
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.invariants.registry import AT_MOST_ONCE, verify
 
@@ -76,8 +80,13 @@
 
     @classmethod
     def from_row(cls, row_value: object) -> 'Record':
-        """Read a row's value."""
-        return _CONVERTER.structure(row_value, cls)
+        """Read a row's value; raise UnreadableRecordError."""
+        try:
+            return _CONVERTER.structure(row_value, cls)
+        except (BaseValidationError, AttributeError, TypeError) as error:
+            raise UnreadableRecordError(
+                'not run: the record of this key is not readable here',
+            ) from error
 
     def to_row(self) -> object:
         """Return what the row holds: plain JSON."""
--- a/chestnutshift/idempotency/retention.py
+++ b/chestnutshift/idempotency/retention.py
@@ -12,6 +12,7 @@
 
 from chestnutshift.events.log import EventLog
 from chestnutshift.idempotency import events
+from chestnutshift.idempotency.exceptions import UnreadableRecordError
 from chestnutshift.idempotency.records import TABLE, Record, State, make_id
 from chestnutshift.idempotency.settling import STORE_ERRORS
 from chestnutshift.idempotency.verdicts import HolderIsGone
@@ -87,7 +88,10 @@
         return len(expired)
 
     def _is_expired(self, row: Row, wall_s: float) -> bool:
-        record = Record.from_row(row.value)
+        try:
+            record = Record.from_row(row.value)
+        except UnreadableRecordError:
+            return False
         return is_expired(record, wall_s, self._holder_is_gone)
 
     def _deletion(self, rows: list[Row]) -> Transaction:
--- a/chestnutshift/idempotency/settling.py
+++ b/chestnutshift/idempotency/settling.py
@@ -82,13 +82,14 @@
                 delay_s = min(2 * delay_s, DELAY_MAX_S)
                 continue
             delay_s = DELAY_MIN_S
+            # Nothing waits now, and nothing is awaited before the next loop.
+            self._wake = trio.Event()
 
     async def settle(self) -> None:
         """Write everything that waits; raise one of STORE_ERRORS."""
         while self._waiting:
             group = list(self._waiting.values())[:GROUP_MAX]
             await self._settle_group(group)
-        self._wake = trio.Event()
 
     async def settle_claim(self, claim: Claim) -> None:
         """Write one claim at once; raise one of STORE_ERRORS."""
--- a/tests/idempotency/test_ledger.py
+++ b/tests/idempotency/test_ledger.py
@@ -1,10 +1,15 @@
 """A repeat never runs twice, whatever the store and the holder do."""
 
+import random
+
 import trio
-from trio.testing import trio_test
+from trio.testing import trio_test, wait_all_tasks_blocked
 
+from chestnutshift.events.log import EventLog
 from chestnutshift.idempotency import exceptions
 from chestnutshift.idempotency.claims import Claim, NotRunProof
+from chestnutshift.idempotency.records import TABLE
+from chestnutshift.idempotency.retention import Sweeper
 from chestnutshift.idempotency.verdicts import (
     HOLDER_MARGIN_S,
     NotRun,
@@ -15,6 +20,7 @@
     refusal_of,
 )
 from chestnutshift.invariants.registry import InvariantViolationError
+from chestnutshift.platform.records import Transaction, Write
 from tests.idempotency import (
     START,
     TIMEOUT_S,
@@ -23,6 +29,7 @@
     make_outcome,
     make_platforms,
     make_request,
+    nobody_gone,
     raises,
 )
 
@@ -195,6 +202,37 @@
     assert await there.begin(REQUEST, START) == Replay(make_outcome())
 
 
+@trio_test
+async def test_settling_by_hand_leaves_the_loop_running():
+    """The run loop still wakes up after someone else settled everything."""
+    ledger = make_ledger(make_platforms(1)[0])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ledger.settler.run)
+        await wait_all_tasks_blocked()
+        await ledger.settler.settle()
+        ledger.not_run(await ledger.begin(REQUEST, START))
+        await wait_all_tasks_blocked()
+        assert len(ledger.settler) == 0
+        nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_unreadable_record_is_left_alone():
+    """A row of another release refuses repeats and stops no task."""
+    platform = make_platforms(1)[0]
+    ledger = make_ledger(platform)
+    claim = await ledger.begin(REQUEST, START)
+    write = Write(TABLE, REQUEST.table_key, {'version': 9})
+    await platform.commit(Transaction('other', (), (write,)))
+    with raises(exceptions.UnreadableRecordError):
+        await make_ledger(platform, 'm2').begin(REQUEST, START)
+    ledger.not_run(claim)
+    await ledger.settler.settle()
+    rng = random.Random(1)
+    sweeper = Sweeper(platform, rng, EventLog('m1'), nobody_gone)
+    assert await sweeper.sweep_page(2 * START.wall_s) == 0
+
+
 @trio_test
 async def test_claim_is_sent_once():
     """A second sending needs proof that the first ran nothing."""
