--- /dev/null
+++ b/bench/entry_vm.py
@@ -0,0 +1,238 @@
+"""An entry VM of the experiment: the product's decisions, faked transport."""
+
+import functools
+import random
+
+import attrs
+
+from bench.world import FakeUpstream, Request
+from chestnutshift.configuration.model import (
+    RetriesPreset,
+    ShiftPreset,
+    UpstreamsPreset,
+)
+from chestnutshift.regions.loads import LoadTable
+from chestnutshift.regions.model import Demand, Place
+from chestnutshift.regions.steering import Steering, Surroundings
+from chestnutshift.retries.budget import RetryBudget
+from chestnutshift.retries.deadline import Deadline
+from chestnutshift.retries.decision import Failure, decide_retry
+from chestnutshift.upstreams.choice import POLICIES
+from chestnutshift.upstreams.division import Seat
+from chestnutshift.upstreams.exceptions import RefusedError
+from chestnutshift.upstreams.exchange import SlotExchange
+from chestnutshift.upstreams.health import (
+    HealthTable,
+    LeavingNews,
+    NewsSource,
+)
+from chestnutshift.upstreams.model import Candidate
+from chestnutshift.upstreams.queueing import ServiceQueue, Waiting
+from chestnutshift.upstreams.slots import SlotLease, SlotTable
+from chestnutshift.upstreams.warmup import ConnectionPacer, WarmUp
+
+CONNECT_S = 0.001
+RAMP_S = 5.0
+
+
+@attrs.frozen
+class Policies:
+    """The policy of each decision."""
+
+    choice: str = 'observed'
+    slots: str = 'divided'
+    retries: str = 'budget'
+    admission: str = 'escrow'
+
+
+@attrs.define
+class Link:
+    """What one VM has with one upstream."""
+
+    upstream: FakeUpstream
+    candidate: Candidate
+    pacer: ConnectionPacer
+    warm_up: WarmUp
+    idle: int = 0
+
+    def connect(self, now: float) -> float:
+        """Return the wait until a connection can be used."""
+        if self.idle:
+            self.idle -= 1
+            return 0
+        return CONNECT_S + (self.pacer.reserve(now) or now) - now
+
+
+class EntryVm:
+    """One entry VM of a fleet."""
+
+    def __init__(self, place: Place, position: int, fleet) -> None:
+        """Know the upstreams of the VM's domain only."""
+        self.place = place
+        self.fleet = fleet
+        self.rng = random.Random(f'{fleet.seed}/{place.vm}')
+        preset = UpstreamsPreset(policy=fleet.policies.choice)
+        self.policy = POLICIES.get(preset.policy)(preset)
+        self.health = HealthTable()
+        self.budget = RetryBudget(RetriesPreset())
+        self.loads = LoadTable(preset.report_age_s)
+        shift = ShiftPreset(ramp_s=RAMP_S)
+        here = Surroundings(place, fleet.deployment.delays_from(place), 4)
+        self.steering = Steering(here, shift, self.loads, 0)
+        self.links = {
+            upstream.spec.name: Link(
+                upstream,
+                Candidate(upstream.spec.name, upstream.domain, place.region, 0),
+                ConnectionPacer(preset, 2),
+                WarmUp(RAMP_S),
+            )
+            for upstream in fleet.upstreams
+            if upstream.domain == place.failure_domain
+        }
+        # Undivided, every VM takes all the slots for its own.
+        vms = 2 if fleet.policies.slots == 'divided' else 1
+        self.table = SlotTable(
+            Seat(place.vm, place.region, position % vms, vms),
+            [link.upstream.spec for link in self.links.values()],
+        )
+        self.exchange = SlotExchange(self.table)
+        self.queues = {
+            service: ServiceQueue(service) for service in self.table.division
+        }
+        self.waiting: dict[Waiting, tuple[Request, EntryVm]] = {}
+
+    def serve(self, request: Request) -> None:
+        """Start a request here, move it or let it wait."""
+        self.budget.record_attempt(
+            request.service,
+            request.account,
+            self.fleet.clock.now,
+        )
+        if not self.queues[request.service] and self.start(request, self):
+            return
+        if request.moved_at is not None or not self.move(request):
+            self.wait(request, self)
+
+    def start(self, request: Request, home: 'EntryVm') -> bool:
+        """Start a request at an upstream of this domain if one is free."""
+        now = self.fleet.clock.now
+        entries = self.table.division.of_service(request.service)
+        links = [self.links[entry.upstream.name] for entry in entries]
+        candidates = [link.candidate for link in links]
+        self.table.fill(candidates, now)
+        self.health.fill(candidates)
+        for link in links:
+            link.candidate.warm = link.warm_up.fraction(now)
+        trials = request.workload.idempotent
+        chosen = self.policy.choose(candidates, now, self.rng, trials=trials)
+        lease = chosen and self.table.acquire(chosen.name, now)
+        if not lease:
+            return False
+        self.health.record_sent(chosen.name, now)
+        link = self.links[chosen.name]
+        done = functools.partial(self.answered, lease, home, now)
+        wait_s = link.connect(now)
+        self.fleet.clock.after(wait_s, link.upstream.receive, request, done)
+        return True
+
+    def answered(
+        self,
+        lease: SlotLease,
+        home: 'EntryVm',
+        started_at: float,
+        request: Request,
+        outcome: str,
+    ) -> None:
+        """Take an upstream's answer, and start what waits."""
+        now = self.fleet.clock.now
+        name = lease.upstream
+        link = self.links[name]
+        took_s = now - started_at
+        link.idle += 1
+        self.table.release(lease, now)
+        link.candidate.record_answer(took_s, now, ok=outcome == 'ok')
+        if outcome == 'ok':
+            self.health.record_success(name, now)
+            link.warm_up.record_work(now)
+            self.queues[request.service].record_duration(took_s)
+        elif outcome != 'shed':
+            refused = outcome == 'refused'
+            self.health.record_failure(name, outcome, now, refused=refused)
+        if link.upstream.leaving:
+            news = LeavingNews(name, NewsSource.ANSWER)
+            self.health.record_leaving(news, now)
+            self.table.closed = self.health.closed()
+        self.fleet.answered(request, outcome, self, home)
+        self.pump(request.service)
+
+    def move(self, request: Request) -> bool:
+        """Move a request to another domain."""
+        now = self.fleet.clock.now
+        service = request.service
+        queue = self.queues[service]
+        slots, _ = self.table.service_load(service, now)
+        wait_s = queue.wait_s(request.account, slots)
+        wait_s += queue.duration_s / max(1, slots)
+        demand = Demand(service, 0, wait_s, request.deadline_at)
+        place = self.steering.choose(demand, now, self.rng, frozenset())
+        if place is None:
+            return False
+        request.moved_at = now
+        self.steering.record_move(place, service, now)
+        self.fleet.send(self, self.fleet.vms[place.vm], request)
+        return True
+
+    def take_foreign(self, request: Request, home: 'EntryVm') -> bool:
+        """Take a request of another domain if this one has room."""
+        now = self.fleet.clock.now
+        region = home.place.region
+        admitted = self.table.admit_foreign(request.service, region, now)
+        return admitted and self.start(request, home)
+
+    def wait(self, request: Request, home: 'EntryVm') -> None:
+        """Queue a request or refuse it at once."""
+        now = self.fleet.clock.now
+        slots, _ = self.table.service_load(request.service, now)
+        waiting = Waiting('', request.account, request.deadline_at)
+        try:
+            pushed_out = self.queues[request.service].offer(waiting, slots, now)
+        except RefusedError:
+            self.fleet.refuse(request)
+            return
+        self.waiting[waiting] = (request, home)
+        if pushed_out:
+            self.fleet.refuse(self.waiting.pop(pushed_out)[0])
+
+    def pump(self, service: str) -> None:
+        """Start what waits while slots are free, and refuse what is late."""
+        now = self.fleet.clock.now
+        queue = self.queues[service]
+        for late in queue.expired(now):
+            self.fleet.refuse(self.waiting.pop(late)[0])
+        while queue:
+            slots, busy = self.table.service_load(service, now)
+            waiting = queue.take(now) if busy < slots else None
+            if waiting is None:
+                return
+            request, home = self.waiting.pop(waiting)
+            if not self.start(request, home):
+                self.wait(request, home)
+                return
+
+    def retry_delay_s(self, request: Request, outcome: str) -> float | None:
+        """Return the delay of a retry, None if there is none."""
+        failure = Failure(
+            service=request.service,
+            account=request.account,
+            idempotent=request.workload.idempotent,
+            not_run=outcome in {'shed', 'refused'},
+            retries_done=request.retries,
+            expected_s=self.queues[request.service].duration_s,
+        )
+        now = self.fleet.clock.now
+        budget = self.budget
+        if self.fleet.policies.retries == 'naive':
+            budget = RetryBudget(RetriesPreset())
+        deadline = Deadline(request.deadline_at)
+        decision = decide_retry(failure, deadline, budget, now, self.rng)
+        return None if decision.denial else decision.delay_s
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,278 @@
+"""One run of a case: twelve entry VMs, their upstreams and their callers."""
+
+import random
+from collections import Counter
+
+import attrs
+
+from bench.admission import ADMISSIONS
+from bench.entry_vm import EntryVm, Policies
+from bench.measures import Measures
+from bench.reporting import Reporting
+from bench.world import Clock, Deployment, FakeUpstream, Request, Workload
+from chestnutshift.accounts.bucket import TokenBucket
+from chestnutshift.configuration.model import AccountLimit
+from chestnutshift.regions.model import Place
+
+SETTLED_S = 1.0
+ADMISSION_LEAD_S = 3.0
+ADMISSION_STEP_S = 0.01
+SAMPLE_S = 0.1
+LIMIT_FACTOR = 1.3
+BURST_S = 0.5
+REDIRECT_S = 0.02
+CALLER_DELAY_S = (0.003, 0.008)
+VM_WEIGHTS = (4, 3, 2, 1)
+
+
+@attrs.define
+class Tally:
+    """What happened to the callers' requests after SETTLED_S."""
+
+    latencies_s: list[float] = attrs.field(factory=list)
+    counts: Counter[str] = attrs.field(factory=Counter)
+    offered: Counter[str] = attrs.field(factory=Counter)
+    served: Counter[str] = attrs.field(factory=Counter)
+    headroom: float = 1
+    drain_s: float | None = None
+
+    def measures(self) -> Measures:
+        """Return the brief's measures."""
+        shares = [
+            self.served[account] / count
+            for account, count in self.offered.items()
+        ]
+        wrongful = self.counts['refused_in_rate'] / self.offered.total()
+        return Measures(
+            latency_p50_ms=self._quantile_ms(0.5),
+            latency_p99_ms=self._quantile_ms(0.99),
+            headroom=round(self.headroom, 3),
+            drain_s=self.drain_s,
+            worst_account_share=round(min(shares), 4),
+            wrongful_refusal_rate=round(wrongful, 4),
+            over_admitted=self.counts['over_admitted'],
+        )
+
+    def _quantile_ms(self, fraction: float) -> float:
+        ordered = sorted(self.latencies_s)
+        return round(1000 * ordered[int(fraction * (len(ordered) - 1))], 1)
+
+
+@attrs.define
+class Callers:
+    """How much comes, of what, where and by whom.
+
+    loads are fractions of each workload's capacity; the weights of the
+    regions need not add up to one, those of accounts above one are more
+    load.
+    """
+
+    loads: dict[str, float]
+    regions: dict[str, float]
+    accounts: dict[str, float]
+
+    def gap_s(self, workload: Workload, rng: random.Random) -> float:
+        """Draw the time to the next request of a workload."""
+        rate = self.loads[workload.name] * workload.capacity
+        return rng.expovariate(rate * sum(self.accounts.values()))
+
+    def draw(self, number: int, workload: Workload, now: float, rng) -> Request:
+        """Draw one request."""
+        names = list(self.accounts)
+        return Request(
+            number,
+            workload,
+            rng.choices(names, weights=self.accounts.values())[0],
+            now,
+            workload.median_s * rng.lognormvariate(0, workload.sigma),
+            rng.random(),
+            rng.uniform(*CALLER_DELAY_S),
+        )
+
+
+def buckets_of(limits: dict[str, AccountLimit]) -> dict[str, TokenBucket]:
+    """Return full buckets that see all VMs at once."""
+    return {
+        name: TokenBucket(limit.rate, limit.burst, updated=0)
+        for name, limit in limits.items()
+    }
+
+
+class Fleet:
+    """The entry VMs and what surrounds them."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        policies: Policies,
+        callers: Callers,
+        seed: str,
+    ) -> None:
+        """Build everything at time 0."""
+        self.deployment = deployment
+        self.policies = policies
+        self.callers = callers
+        self.seed = seed
+        self.clock = Clock()
+        self.tally = Tally()
+        self.reporting = Reporting(self)
+        self.cut: set[str] = set()
+        self.lost: set[str] = set()
+        self.upstreams = deployment.upstreams(self.clock)
+        self.vms = {
+            place.vm: EntryVm(place, number % 2, self)
+            for number, place in enumerate(deployment.places())
+        }
+        rate = LIMIT_FACTOR * sum(
+            callers.loads[workload.name] * workload.capacity
+            for workload in deployment.workloads
+        )
+        limits = {
+            name: AccountLimit(rate * weight, rate * weight * BURST_S)
+            for name, weight in callers.accounts.items()
+        }
+        self.offered = buckets_of(limits)
+        self.admitted = buckets_of(limits)
+        self.admission = ADMISSIONS.get(policies.admission)(
+            tuple(self.vms),
+            {vm.place.vm: vm.place.region for vm in self.vms.values()},
+            limits,
+            random.Random(f'{seed}/admission'),
+        )
+
+    def run(self, duration_s: float) -> Tally:
+        """Run the case and return what happened."""
+        for step in range(int(ADMISSION_LEAD_S / ADMISSION_STEP_S)):
+            self.admission.advance(step * ADMISSION_STEP_S)
+        for index, workload in enumerate(self.deployment.workloads):
+            rng = random.Random(f'{self.seed}/{workload.name}')
+            self._arrive(workload, rng, index * 10_000_000)
+        self.clock.every(
+            ADMISSION_STEP_S,
+            lambda: self.admission.advance(self.clock.now + ADMISSION_LEAD_S),
+        )
+        self.clock.every(SAMPLE_S, self._sample)
+        self.reporting.begin()
+        self.clock.run(duration_s)
+        return self.tally
+
+    def of(self, target: str) -> list[FakeUpstream]:
+        """Return the upstreams of a failure domain or region."""
+        return [
+            upstream
+            for upstream in self.upstreams
+            if target in {upstream.domain, upstream.domain[:-2]}
+        ]
+
+    def reach(self, one: Place, other: Place) -> bool:
+        """Tell whether two VMs reach each other."""
+        if {one.region, other.region} & self.lost:
+            return False
+        domains = {one.failure_domain, other.failure_domain}
+        return len(domains) == 1 or not domains & self.cut
+
+    def send(self, source: EntryVm, target: EntryVm, request: Request) -> None:
+        """Carry a request to a VM of another domain."""
+        self.tally.counts['moved'] += 1
+        delay_s = self.deployment.delay_s(source.place, target.place)
+        self.clock.after(delay_s, self._enter, source, target, request)
+
+    def answered(
+        self,
+        request: Request,
+        outcome: str,
+        vm: EntryVm,
+        home: EntryVm,
+    ) -> None:
+        """Take an upstream's outcome back to the caller, or try again."""
+        delay_s = self.deployment.delay_s(vm.place, home.place)
+        self._end_move(request, vm, home)
+        if outcome == 'ok':
+            self._deliver(request, delay_s)
+            return
+        wait_s = home.retry_delay_s(request, outcome)
+        if wait_s is None and outcome == 'error':
+            self._count('failed', request)
+        elif wait_s is None:
+            self.refuse(request)
+        else:
+            request.retries += 1
+            self.clock.after(delay_s + wait_s, home.serve, request)
+
+    def refuse(self, request: Request) -> None:
+        """Count a refusal."""
+        self._count('refused', request)
+        if request.in_rate:
+            self._count('refused_in_rate', request)
+
+    def _count(self, name: str, request: Request) -> None:
+        self.tally.counts[name] += request.arrived_at >= SETTLED_S
+
+    def _arrive(self, workload, rng: random.Random, number: int) -> None:
+        now = self.clock.now
+        request = self.callers.draw(number, workload, now, rng)
+        regions = self.callers.regions
+        region = rng.choices(list(regions), weights=regions.values())[0]
+        vms = [vm for vm in self.vms.values() if vm.place.region == region]
+        vm = rng.choices(vms, weights=VM_WEIGHTS)[0]
+        request.in_rate = self.offered[request.account].take(1, now)
+        if request.in_rate and now >= SETTLED_S:
+            self.tally.offered[request.account] += 1
+        self.clock.after(request.caller_delay_s, self._admit, request, vm)
+        gap_s = self.callers.gap_s(workload, rng)
+        self.clock.after(gap_s, self._arrive, workload, rng, number + 1)
+
+    def _admit(self, request: Request, vm: EntryVm) -> None:
+        if vm.place.region in self.lost:
+            # The last region is the one that is lost.
+            live = list(self.vms.values())[: -len(VM_WEIGHTS)]
+            other = live[request.number % len(live)]
+            self.clock.after(REDIRECT_S, self._admit, request, other)
+            return
+        now = self.clock.now
+        name = request.account
+        if not self.admission.admit(vm.place.vm, name, now + ADMISSION_LEAD_S):
+            self._count('limited', request)
+            self.refuse(request)
+            return
+        if not self.admitted[name].take(1, now):
+            self._count('over_admitted', request)
+        vm.serve(request)
+
+    def _enter(
+        self, source: EntryVm, target: EntryVm, request: Request
+    ) -> None:
+        reached = self.reach(source.place, target.place)
+        if reached and target.take_foreign(request, source):
+            return
+        delay_s = self.deployment.delay_s(source.place, target.place)
+        self.clock.after(delay_s, self._come_back, source, target, request)
+
+    def _come_back(self, source: EntryVm, target: EntryVm, request) -> None:
+        self._end_move(request, target, source)
+        now = self.clock.now
+        source.loads.record_refusal(target.place.vm, request.service, now)
+        source.serve(request)
+
+    def _end_move(self, request: Request, target: EntryVm, home) -> None:
+        if request.moved_at is not None:
+            name = target.place.vm
+            home.loads.record_end(name, request.service, request.moved_at)
+
+    def _deliver(self, request: Request, delay_s: float) -> None:
+        now = self.clock.now + delay_s
+        if now > request.deadline_at:
+            self._count('failed', request)
+        elif request.arrived_at >= SETTLED_S:
+            latency_s = now - request.arrived_at + request.caller_delay_s
+            self.tally.latencies_s.append(latency_s)
+            self.tally.served[request.account] += request.in_rate
+
+    def _sample(self) -> None:
+        if self.clock.now < SETTLED_S:
+            return
+        for region in set(self.deployment.regions) - self.lost:
+            found = self.of(region)
+            slots = sum(one.spec.slots for one in found if not one.dead)
+            running = sum(upstream.running for upstream in found)
+            self.tally.headroom = min(self.tally.headroom, 1 - running / slots)
--- /dev/null
+++ b/bench/world.py
@@ -0,0 +1,218 @@
+"""What the experiment runs on: a clock, upstreams, callers, deployments."""
+
+import heapq
+import itertools
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from chestnutshift.regions.model import Place
+from chestnutshift.upstreams.division import UpstreamSlots
+
+COLD_FACTOR = 3.0
+WARM_REQUESTS = 150
+REPLY_S = 0.001
+NEAR_S = 0.0005
+
+
+@attrs.frozen
+class Workload:
+    """A service: servers, slots, a request's median time and spread, the
+    callers' timeout in seconds, and whether requests are idempotent.
+    """
+
+    name: str
+    servers: int
+    slots: tuple[int, ...]
+    median_s: float
+    sigma: float
+    timeout_s: float
+    idempotent: bool = True
+
+    @property
+    def capacity(self) -> float:
+        """Requests per second at which every slot would be busy."""
+        mean_s = self.median_s * math.exp(self.sigma**2 / 2)
+        return self.servers * sum(self.slots) / len(self.slots) / mean_s
+
+    def upstreams(self) -> Iterator[UpstreamSlots]:
+        """Iterate over the servers and their slots."""
+        slots = itertools.cycle(self.slots)
+        for number in range(self.servers):
+            name = f'{self.name}-{number}'
+            yield UpstreamSlots(name, self.name, next(slots))
+
+
+@attrs.frozen
+class Deployment:
+    """The regions and workloads of one user."""
+
+    regions: tuple[str, ...]
+    delays_s: tuple[float, ...]
+    probe_s: float
+    workloads: tuple[Workload, ...]
+
+    def delay_s(self, one: Place, other: Place) -> float:
+        """Return the one-way delay between two VMs."""
+        if one.region == other.region:
+            return NEAR_S
+        ends = (self.regions.index(place.region) for place in (one, other))
+        return self.delays_s[sum(ends) - 1]
+
+    def delays_from(self, place: Place) -> dict[str, float]:
+        """Return the one-way delays to the other regions."""
+        return {
+            other.region: self.delay_s(place, other)
+            for other in self.places()
+            if other.region != place.region
+        }
+
+    def places(self) -> list[Place]:
+        """Return the places of the entry VMs."""
+        seats = itertools.product(self.regions, (1, 2), (0, 1))
+        return [
+            Place(f'{region}-{domain}-{vm}', f'{region}-{domain}', region)
+            for region, domain, vm in seats
+        ]
+
+    def upstreams(self, clock: 'Clock') -> list['FakeUpstream']:
+        """Return the upstreams, spread evenly over the domains."""
+        domains = [place.failure_domain for place in self.places()[::2]]
+        turn = itertools.cycle(domains)
+        return [
+            FakeUpstream(clock, spec, next(turn))
+            for workload in self.workloads
+            for spec in workload.upstreams()
+        ]
+
+
+DEPLOYMENTS = {
+    'anadolu': Deployment(
+        ('marmara', 'ege', 'ic-anadolu'),
+        (0.02, 0.028, 0.035),
+        0.001,
+        (
+            Workload('listings', 16, (9,), 0.06, 0.5, 2),
+            Workload('bookings', 12, (5, 6), 0.06, 0.4, 5, idempotent=False),
+            Workload('documents', 12, (3,), 0.15, 0.6, 10, idempotent=False),
+            Workload('reports', 12, (7, 8), 0.4, 0.6, 20),
+        ),
+    ),
+    'salal-row': Deployment(
+        ('lower-mainland', 'island', 'interior'),
+        (0.02, 0.025, 0.03),
+        0.006,
+        (
+            Workload('listings', 16, (9,), 0.05, 0.5, 2),
+            Workload('payments', 12, (5, 6), 0.08, 0.5, 5, idempotent=False),
+            Workload('documents', 12, (3,), 0.12, 0.6, 10, idempotent=False),
+            Workload('rosters', 12, (7, 8), 0.3, 0.6, 20),
+        ),
+    ),
+}
+
+
+@attrs.define(eq=False)
+class Clock:
+    """Simulated time: callbacks in the order of their times."""
+
+    now: float = 0
+    _heap: list[tuple] = attrs.field(factory=list)
+    _order: Iterator[int] = attrs.field(factory=itertools.count)
+
+    def after(self, delay_s: float, callback: Callable, *args: object) -> None:
+        """Call back after a delay."""
+        entry = (self.now + delay_s, next(self._order), callback, args)
+        heapq.heappush(self._heap, entry)
+
+    def every(self, period_s: float, callback: Callable) -> None:
+        """Call back now and after every period."""
+        callback()
+        self.after(period_s, self.every, period_s, callback)
+
+    def run(self, until_s: float) -> None:
+        """Run everything due by a time."""
+        while self._heap[0][0] <= until_s:
+            time_s, _, callback, args = heapq.heappop(self._heap)
+            self.now = time_s
+            callback(*args)
+
+
+@attrs.define(eq=False)
+class Request:
+    """A caller's request, with its random numbers drawn in advance."""
+
+    number: int
+    workload: Workload
+    account: str
+    arrived_at: float
+    work_s: float
+    luck: float
+    caller_delay_s: float
+    in_rate: bool = True
+    retries: int = 0
+    moved_at: float | None = None
+
+    @property
+    def service(self) -> str:
+        """The name of the service."""
+        return self.workload.name
+
+    @property
+    def deadline_at(self) -> float:
+        """When the caller gives up."""
+        return self.arrived_at + self.workload.timeout_s
+
+
+Done = Callable[[Request, str], None]
+
+
+@attrs.define(eq=False)
+class FakeUpstream:
+    """A server that runs as many requests as it has slots, and sheds."""
+
+    clock: Clock
+    spec: UpstreamSlots
+    domain: str
+    running: int = 0
+    slowness: float = 1
+    error_rate: float = 0
+    warm_requests: int = WARM_REQUESTS
+    dead: bool = False
+    leaving: bool = False
+    overload: int = 0
+    last_end_at: float = 0
+    queue: deque[tuple[Request, Done]] = attrs.field(factory=deque)
+
+    def receive(self, request: Request, done: Done) -> None:
+        """Take a request; done is told ok, error, shed or refused."""
+        if self.dead:
+            self.clock.after(REPLY_S, done, request, 'refused')
+            return
+        if self.running >= self.spec.slots:
+            self.overload += 1
+            if len(self.queue) < self.spec.slots:
+                self.queue.append((request, done))
+            else:
+                self.clock.after(REPLY_S, done, request, 'shed')
+            return
+        self._run(request, done)
+
+    def _run(self, request: Request, done: Done) -> None:
+        self.running += 1
+        if request.luck < self.error_rate:
+            self.clock.after(REPLY_S, self._end, request, done, 'error')
+            return
+        cold = max(0, 1 - self.warm_requests / WARM_REQUESTS)
+        took_s = request.work_s * self.slowness * (1 + COLD_FACTOR * cold)
+        self.clock.after(took_s, self._end, request, done, 'ok')
+
+    def _end(self, request: Request, done: Done, outcome: str) -> None:
+        self.running -= 1
+        self.warm_requests += 1
+        self.last_end_at = self.clock.now
+        done(request, 'refused' if self.dead else outcome)
+        if self.queue and self.running < self.spec.slots:
+            self._run(*self.queue.popleft())
--- a/chestnutshift/upstreams/queueing.py
+++ b/chestnutshift/upstreams/queueing.py
@@ -69,12 +69,10 @@
         DeadlineTooNearError or QueueFullError for a request to refuse now;
         a request that is pushed out is to be refused as with QueueFullError.
         """
-        rate = slots / self._duration_s
-        ahead = self._ahead_of(waiting.account)
-        start_at = now + ahead / rate if rate > 0 else math.inf
-        if not self._ends_in_time(waiting, start_at):
+        wait_s = self.wait_s(waiting.account, slots)
+        if not self._ends_in_time(waiting, now + wait_s):
             raise DeadlineTooNearError(
-                f'{self._service}: {ahead} requests at {rate:.1f}/s',
+                f'{self._service}: would wait {wait_s:.3f} s',
                 self.retry_after_s(slots),
             )
         pushed_out = self._make_room(waiting.account, slots)
@@ -117,6 +115,12 @@
         self._remove(waiting)
         return True
 
+    def wait_s(self, account: str, slots: int) -> float:
+        """Return how long the account's next request would wait."""
+        if slots <= 0:
+            return math.inf
+        return self._ahead_of(account) * self._duration_s / slots
+
     def retry_after_s(self, slots: int) -> float:
         """Return after how many seconds a refused caller should come back."""
         return retry_after_s(self._length + 1, slots / self._duration_s)
