Let the domains of a region share the short part of their queues

Cause: in the morning rush one domain refused a tenth of the requests with its queue full, while the other domain of the region had a fifth of its slots free between two reports. Change: a request of the same region may wait where the wait is under half of its own; the owner admits it while its queue is short. The sender applies the owner's rule before it sends, because half of the moves to other regions came back refused.

--- a/chestnutshift/regions/loads.py
+++ b/chestnutshift/regions/loads.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from chestnutshift.regions.model import Place, VmLoad
+from chestnutshift.regions.model import VmLoad
 
 REFUSED_WAIT_S = 0.25
 
@@ -62,12 +62,15 @@
         if known:
             known.refused_until = now + REFUSED_WAIT_S
 
-    def free(self, service: str, now: float) -> dict[Place, int]:
-        """Return the VMs that may take work, with their free slots."""
+    def usable(self, service: str, now: float) -> dict[VmLoad, int]:
+        """Return the reports of VMs that did not just refuse, with their use.
+
+        The slots in use count what was moved there since the report.
+        """
         return {
-            known.load.place: known.load.slots - known.used
+            known.load: known.used
             for known in self._fresh(service, now)
-            if now >= known.refused_until and known.used < known.load.slots
+            if now >= known.refused_until
         }
 
     def region_load(
--- a/chestnutshift/regions/model.py
+++ b/chestnutshift/regions/model.py
@@ -16,6 +16,7 @@
 class VmLoad:
     """The slots that a VM may use for a service, and those in use.
 
+    wait_s is how long a request would wait there for its slot, and
     measured_at is the local time at which the report can have been true at
     the latest: when it arrived, less the known delay.
     """
@@ -25,6 +26,7 @@
     slots: int
     in_use: int
     measured_at: float
+    wait_s: float = 0
 
 
 @attrs.frozen
--- a/chestnutshift/regions/steering.py
+++ b/chestnutshift/regions/steering.py
@@ -7,13 +7,16 @@
 
 from chestnutshift.configuration.model import ShiftPreset
 from chestnutshift.invariants.registry import REGION_LOAD, verify
+from chestnutshift.regions.admission import may_start
 from chestnutshift.regions.caps import CapShare, LinkCap
 from chestnutshift.regions.loads import LoadTable
-from chestnutshift.regions.model import Demand, Place
+from chestnutshift.regions.model import Demand, Place, VmLoad
 from chestnutshift.regions.shift import Shift
 
 ROUND_TRIPS = 2
 NEAR_WAIT_S = 0.002
+WAIT_RATIO = 2
+FULL_WEIGHT = 0.25
 
 
 @attrs.frozen
@@ -86,27 +89,13 @@
 
         avoided names VMs, failure domains and regions that are drained.
         """
-        free = {
-            place: slots
-            for place, slots in self._loads.free(demand.service, now).items()
-            if place.vm != self._here.place.vm
-            and avoided.isdisjoint(attrs.astuple(place))
-        }
-        near = {
-            place: slots
-            for place, slots in free.items()
-            if place.region == self._here.place.region
-        }
+        places = self._open_places(demand, now, avoided)
+        near = places.pop(self._here.place.region, None)
         if near and demand.local_wait_s > NEAR_WAIT_S:
             return _draw(near, rng)
-        for region in sorted(self._here.delays_s, key=self._here.delays_s.get):
-            far = {
-                place: slots
-                for place, slots in free.items()
-                if place.region == region
-            }
-            if far and self._may_shift(region, demand, now):
-                return _draw(far, rng)
+        for region in sorted(places, key=self._here.delays_s.get):
+            if self._may_shift(region, demand, now):
+                return _draw(places[region], rng)
         return None
 
     def record_move(self, place: Place, service: str, now: float) -> None:
@@ -115,6 +104,36 @@
         if place.region != self._here.place.region:
             self._caps[place.region].record_request(now)
 
+    def _open_places(
+        self,
+        demand: Demand,
+        now: float,
+        avoided: frozenset[str],
+    ) -> dict[str, dict[Place, float]]:
+        """Return by region the places that should take one more request."""
+        found: dict[str, dict[Place, float]] = {}
+        for load, in_use in self._loads.usable(demand.service, now).items():
+            place = load.place
+            if place.vm == self._here.place.vm:
+                continue
+            if not avoided.isdisjoint(attrs.astuple(place)):
+                continue
+            if self._should_take(load, in_use, demand):
+                weight = max(FULL_WEIGHT, load.slots - in_use)
+                found.setdefault(place.region, {})[place] = weight
+        return found
+
+    def _should_take(self, load: VmLoad, in_use: int, demand: Demand) -> bool:
+        """Apply the rules of the place, as far as its report goes."""
+        same_region = load.place.region == self._here.place.region
+        ceiling = self._preset.region_ceiling
+        slots = load.slots
+        if may_start(slots, in_use, ceiling, same_region=same_region):
+            return True
+        # A shorter queue has to be worth the way and the work of a move.
+        shorter = load.wait_s * WAIT_RATIO < demand.local_wait_s
+        return same_region and slots > 0 and shorter
+
     def _may_shift(self, region: str, demand: Demand, now: float) -> bool:
         delay_s = ROUND_TRIPS * self._here.delays_s[region]
         if demand.local_wait_s <= delay_s or now + delay_s > demand.deadline_at:
@@ -127,6 +146,6 @@
         return self._caps[region].admits(now, self._shifts[region].fraction)
 
 
-def _draw(free: Mapping[Place, int], rng: random.Random) -> Place:
+def _draw(free: Mapping[Place, float], rng: random.Random) -> Place:
     """Draw a place in proportion to its free slots."""
     return rng.choices(list(free), weights=list(free.values()))[0]
--- a/chestnutshift/upstreams/slots.py
+++ b/chestnutshift/upstreams/slots.py
@@ -6,6 +6,7 @@
 
 from chestnutshift.conf import defaults
 from chestnutshift.invariants.registry import REGION_LOAD, verify
+from chestnutshift.regions.admission import may_start, may_wait
 from chestnutshift.upstreams.division import (
     Division,
     Entry,
@@ -22,8 +23,6 @@
 )
 from chestnutshift.upstreams.model import Candidate
 
-FOREIGN_FREE_SLOTS = 1
-
 
 @attrs.frozen(eq=False)
 class SlotLease:
@@ -114,16 +113,20 @@
     ) -> bool:
         """Tell whether work of another failure domain may come in now.
 
-        Local work goes first: nothing comes in while it waits. Work of the
-        same region leaves FOREIGN_FREE_SLOTS free, work of other regions
-        all above the ceiling on the region's used slots.
+        Work of the same region may start or wait; work of other regions
+        may start, unless local work waits.
         """
-        if self.waiting.get(service, 0):
-            return False
+        waiting = self.waiting.get(service, 0)
         capacity, busy = self.service_load(service, now)
-        if from_region == self.seat.region:
-            return busy < capacity - FOREIGN_FREE_SLOTS
-        admitted = busy + 1 <= capacity * self._ceiling
+        same_region = from_region == self.seat.region
+        if same_region and may_wait(capacity, waiting):
+            return True
+        admitted = not waiting and may_start(
+            capacity,
+            busy,
+            self._ceiling,
+            same_region=same_region,
+        )
         verify(
             REGION_LOAD,
             holds=not admitted or busy < capacity,
