Begin the warm-up of an upstream with half of its slots

Cause: a restarted region refused a tenth of its work while its upstreams had one usable slot each, which also warmed them slowly.

--- a/bench/world.py
+++ b/bench/world.py
@@ -205,7 +205,9 @@
         if request.luck < self.error_rate:
             self.clock.after(REPLY_S, self._end, request, done, 'error')
             return
-        cold = max(0, 1 - self.warm_requests / WARM_REQUESTS)
+        # What is not cached yet is fetched the slower, the more want it.
+        crowd = 2 * self.running / self.spec.slots
+        cold = crowd * max(0, 1 - self.warm_requests / WARM_REQUESTS)
         took_s = request.work_s * self.slowness * (1 + COLD_FACTOR * cold)
         self.clock.after(took_s, self._end, request, done, 'ok')
 
--- a/chestnutshift/upstreams/warmup.py
+++ b/chestnutshift/upstreams/warmup.py
@@ -6,7 +6,7 @@
 
 from chestnutshift.configuration.model import UpstreamsPreset
 
-FRACTION_MIN = 0.1
+FRACTION_MIN = 0.5
 WORK_GAP_S = 1.0
 IDLE_COLD_S = 300.0
 
@@ -29,7 +29,8 @@
             return FRACTION_MIN
         if self._worked_s >= self.warm_up_s:
             return 1
-        return max(FRACTION_MIN, self._worked_s / self.warm_up_s)
+        grown = self._worked_s / self.warm_up_s
+        return FRACTION_MIN + (1 - FRACTION_MIN) * grown
 
     def restart(self, now: float) -> None:
         """Begin again, because the upstream is a new process."""
