Test forwarding against scripted upstreams, and mend an untrue refusal

Failed first: a streamed body that passed the limit after bytes of it had reached an upstream was refused with "ran: no"; the invariant TRUE_REFUSAL raised. A refusal now takes over "unknown" from its attempt, and a refusal that the invariant contradicts goes out as "unknown" in production too. Further: broken, late, early, crossed and unbounded answers, shedding, deadlines, a caller that closes, limits, slow and malformed bodies, frozen connections behind a relay, and key secrecy at the echoing stand-in.

--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -120,11 +120,13 @@
 
     async def answer_problem(self, problem: Problem) -> None:
         """Give the caller its refusal."""
-        verify(
+        is_true = verify(
             TRUE_REFUSAL,
             holds=problem.ran is not Ran.NOT_RUN or not self._exposed_b,
             detail=f'{problem.code} after {self._exposed_b} B',
         )
+        if not is_true:
+            problem = attrs.evolve(problem, ran=Ran.UNKNOWN)
         request_id = self.request.request_id
         body = problem.body(request_id)
         headers = problem.headers(request_id)
--- a/chestnutshift/forwarding/problems.py
+++ b/chestnutshift/forwarding/problems.py
@@ -87,8 +87,14 @@
 
 
 def problem_of(error: CodedError, ran: Ran) -> Problem:
-    """Return the problem that tells a caller of a coded error."""
+    """Return the problem that tells a caller of a coded error.
+
+    `ran` is what is known of the request when the error ended it; a
+    refusal never claims more.
+    """
     if isinstance(error, RefusalError):
+        if ran is Ran.UNKNOWN:
+            return attrs.evolve(error.problem, ran=ran)
         return error.problem
     status = getattr(error, 'status', None)
     status = status or STATUS_BY_CODE.get(error.code)
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding against scripted upstreams, over real sockets."""
--- /dev/null
+++ b/tests/forwarding/test_answers.py
@@ -0,0 +1,157 @@
+"""Callers get the whole answer to their own request, or an error."""
+
+import trio
+from trio.testing import trio_test
+
+from tests.callers.clients import get
+from tests.forwarding.world import (
+    AUTHORIZED,
+    ScriptedUpstream,
+    answering,
+    forwarding,
+    reply,
+)
+
+
+async def _refusal(upstream: ScriptedUpstream) -> tuple[int, str]:
+    async with forwarding(upstream) as world:
+        answer = await world.get()
+        return answer.status, answer.headers['chestnutshift-ran']
+
+
+@trio_test
+async def test_whole_answer():
+    """Status, headers and body pass; headers of one hop don't."""
+    content = reply(b'body', b'x-kept: 1', b'keep-alive: 9', status=b'203 A')
+    upstream = answering(content)
+    async with forwarding(upstream) as world:
+        answer = await world.get('x-request-id: mine')
+        assert (answer.status, answer.body) == (203, b'body')
+        assert answer.headers['x-kept'] == '1'
+        assert answer.headers['x-request-id'] == 'mine'
+        assert 'keep-alive' not in answer.headers
+        await world.get()
+        assert upstream.connections == 1
+
+
+@trio_test
+async def test_broken_answer():
+    """An answer that breaks off is reset towards the caller."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(reply(b'whole body')[:-4])
+
+    async with forwarding(ScriptedUpstream(script)) as world:
+        for version in (b'1.0', b'1.1'):
+            async with world.calling() as caller:
+                head = get('/listings/1', AUTHORIZED)
+                await caller.send(head.replace(b'1.1', version))
+                try:
+                    content = await caller.read_end()
+                except trio.BrokenResourceError:
+                    continue
+                raise AssertionError(f'ended as if whole: {content!r}')
+
+
+@trio_test
+async def test_no_answer():
+    """An upstream that closes instead of answering may have run it."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+
+    assert await _refusal(ScriptedUpstream(script)) == (502, 'unknown')
+
+
+@trio_test
+async def test_unbounded_answer():
+    """An answer without length can't be told from a broken one."""
+    upstream = answering(b'HTTP/1.1 200 OK\r\n\r\nbody')
+    assert await _refusal(upstream) == (502, 'unknown')
+
+
+@trio_test
+async def test_crossed_answer():
+    """An answer that names another request is not passed on."""
+    upstream = answering(reply(b'body', b'x-request-id: another'))
+    assert await _refusal(upstream) == (502, 'unknown')
+
+
+@trio_test
+async def test_late_answer():
+    """An answer after the deadline reaches no later request."""
+
+    async def script(upstream, stream) -> None:
+        head = await upstream.next_head(stream)
+        if b'/late' in head:
+            await trio.sleep(0.4)
+            await stream.send_all(reply(b'late'))
+        await upstream.next_head(stream)
+        await stream.send_all(reply(b'own'))
+
+    upstream = ScriptedUpstream(script)
+
+    async def quick(upstream, stream) -> None:
+        while True:
+            await upstream.next_head(stream)
+            await stream.send_all(reply(b'own'))
+
+    async with forwarding(upstream) as world:
+        late = await world.get(
+            'chestnutshift-deadline-ms: 100', target='/listings/late'
+        )
+        assert late.status == 504
+        assert late.headers['chestnutshift-ran'] == 'unknown'
+        upstream.script = quick
+        await trio.sleep(0.5)
+        assert (await world.get()).body == b'own'
+        assert upstream.connections == 2
+
+
+@trio_test
+async def test_unasked_bytes():
+    """A connection that brings bytes unasked is not used again."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(reply(b'first'))
+        await stream.send_all(reply(b'unasked'))
+        await upstream.next_head(stream)
+
+    upstream = ScriptedUpstream(script)
+    async with forwarding(upstream) as world:
+        assert (await world.get()).body == b'first'
+        await trio.sleep(0.05)
+        assert (await world.get()).body == b'first'
+        assert upstream.connections == 2
+
+
+@trio_test
+async def test_early_answer():
+    """An answer in the middle of an upload reaches the caller at once."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(reply(b'too much', status=b'413 Large'))
+        await trio.sleep_forever()
+
+    upstream = ScriptedUpstream(script)
+    async with forwarding(upstream) as world, world.calling() as caller:
+        head = get('/listings/1', AUTHORIZED, 'content-length: 9000000')
+        await caller.send(head + b'x' * 1000)
+        answer = await caller.answer()
+        assert (answer.status, answer.body) == (413, b'too much')
+        assert answer.headers['connection'] == 'close'
+
+
+@trio_test
+async def test_head_and_empty():
+    """Answers without a body leave the connections usable."""
+    not_modified = b'HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n'
+    async with forwarding(answering(not_modified)) as world:
+        assert (await world.get()).status == 304
+        async with world.calling() as caller:
+            await caller.send(get('/listings/1', AUTHORIZED, method='HEAD'))
+            answer = await caller.answer(b'HEAD')
+            assert answer.headers['content-length'] == '9'
--- /dev/null
+++ b/tests/forwarding/test_refusals.py
@@ -0,0 +1,178 @@
+"""Refusals come at once, are true, and say whether the request ran."""
+
+import json
+
+import trio
+from trio.testing import trio_test
+
+from tests.callers.clients import Answer, get
+from tests.forwarding.world import (
+    AUTHORIZED,
+    KEY,
+    ScriptedUpstream,
+    answering,
+    forwarding,
+    reply,
+)
+
+SHEDDING = reply(
+    b'{}',
+    b'chestnutshift-ran: no',
+    b'retry-after: 3',
+    status=b'503 Busy',
+)
+CHUNK = b'384\r\n%b\r\n' % (b'x' * 900)
+SLOW_BODY = get('/listings/1', AUTHORIZED, 'content-length: 9')
+
+
+def _code(answer: Answer) -> tuple[int, str, str]:
+    document = json.loads(answer.body)
+    assert answer.headers['chestnutshift-ran'] == document['ran']
+    assert KEY not in answer.body.decode()
+    return answer.status, document['code'], document['ran']
+
+
+@trio_test
+async def test_shed_goes_elsewhere():
+    """What an upstream did not run is tried at another one."""
+    busy = answering(SHEDDING)
+    free = answering(reply(b'ran'))
+    async with forwarding(busy, free) as world, world.calling() as caller:
+        for _ in range(4):
+            head = get('/listings/1', AUTHORIZED, 'content-length: 4')
+            await caller.send(b'%bbody' % head)
+            assert (await caller.answer()).body == b'ran'
+    assert busy.heads
+    assert len(free.heads) == 4
+    assert all(head.endswith(b'body') for head in free.heads)
+
+
+@trio_test
+async def test_all_shed():
+    """A request that no upstream ran is refused as not run."""
+    busy = answering(SHEDDING)
+    async with forwarding(busy) as world:
+        answer = await world.get()
+        status, _code_told, ran = _code(answer)
+        assert (status, ran) == (503, 'no')
+        assert int(answer.headers['retry-after']) >= 1
+    assert len(busy.heads) == 1
+
+
+@trio_test
+async def test_shed_amid_upload():
+    """A body that is half gone is not sent to another upstream."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(SHEDDING)
+        await trio.sleep_forever()
+
+    first, second = ScriptedUpstream(script), ScriptedUpstream(script)
+    async with forwarding(first, second) as world, world.calling() as caller:
+        await caller.send(b'%bpart' % SLOW_BODY)
+        answer = await caller.answer()
+        assert _code(answer) == (503, 'upstreams.shed', 'no')
+        assert answer.headers['retry-after'] == '3'
+    assert len(first.heads) + len(second.heads) == 1
+
+
+@trio_test
+async def test_not_connected():
+    """Without a connection to any upstream nothing ran."""
+    async with forwarding() as world:
+        world.add(1)
+        answer = await world.get()
+        assert _code(answer)[::2] == (503, 'no')
+        assert 'retry-after' in answer.headers
+
+
+@trio_test
+async def test_deadline():
+    """Deadlines go upstream, are kept, and end the upstream's work."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await upstream.next_head(stream)
+
+    upstream = ScriptedUpstream(script)
+    async with forwarding(upstream) as world:
+        answer = await world.get('chestnutshift-deadline-ms: 200')
+        assert _code(answer) == (504, 'request.deadline_passed', 'unknown')
+        with trio.fail_after(10):
+            await upstream.closed.wait()
+    sent = (
+        upstream.heads[0].lower().partition(b'chestnutshift-deadline-ms: ')[2]
+    )
+    assert 0 < int(sent.partition(b'\r\n')[0]) <= 200
+    async with forwarding(upstream) as world:
+        answer = await world.get('chestnutshift-deadline-ms: x')
+        assert _code(answer) == (400, 'request.deadline', 'no')
+
+
+@trio_test
+async def test_caller_gone():
+    """The upstream's work ends when the caller closes."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await upstream.next_head(stream)
+
+    upstream = ScriptedUpstream(script)
+    async with forwarding(upstream) as world:
+        async with world.calling() as caller:
+            await caller.send(get('/listings/1', AUTHORIZED))
+            while not upstream.heads:
+                await trio.sleep(0.01)
+        with trio.fail_after(10):
+            await upstream.closed.wait()
+        assert not any(one.in_flight for one in world.forwarder.directory)
+
+
+@trio_test
+async def test_body_limits():
+    """Bodies over the limit are refused, announced or found while sent."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await upstream.next_head(stream)
+
+    upstream = ScriptedUpstream(script)
+    async with forwarding(upstream, body_limit_b=1000) as world:
+        async with world.calling() as caller:
+            head = get('/listings/1', AUTHORIZED, 'content-length: 1001')
+            await caller.send(head)
+            announced = (413, 'request.body', 'no')
+            assert _code(await caller.answer()) == announced
+        async with world.calling() as caller:
+            chunked = 'transfer-encoding: chunked'
+            await caller.send(get('/listings/1', AUTHORIZED, chunked))
+            await caller.send(CHUNK)
+            while not upstream.heads:
+                await trio.sleep(0.01)
+            await caller.send(CHUNK)
+            found = (413, 'request.body', 'unknown')
+            assert _code(await caller.answer()) == found
+
+
+@trio_test
+async def test_slow_body():
+    """A body that stops arriving ends in 408; others are served."""
+    async with forwarding(answering(reply(b'ok'))) as world:
+        async with world.calling() as caller:
+            await caller.send(SLOW_BODY)
+            answer = await caller.answer()
+            assert _code(answer) == (408, 'request.slow_body', 'no')
+        assert (await world.get()).body == b'ok'
+
+
+@trio_test
+async def test_malformed_body():
+    """A body that breaks the rules ends in 400."""
+    async with forwarding(answering(reply(b'ok'))) as world:
+        async with world.calling() as caller:
+            chunked = 'transfer-encoding: chunked'
+            await caller.send(get('/listings/1', AUTHORIZED, chunked))
+            await caller.send(b'zz\r\n')
+            answer = await caller.answer()
+            assert _code(answer) == (400, 'request.malformed', 'no')
--- /dev/null
+++ b/tests/forwarding/test_silence.py
@@ -0,0 +1,97 @@
+"""Connections that went silent for good don't hold up later requests."""
+
+import functools
+
+import trio
+from trio.testing import trio_test
+
+from tests.callers.clients import get
+from tests.forwarding.world import (
+    AUTHORIZED,
+    READ_B,
+    answering,
+    forwarding,
+    listen,
+    reply,
+)
+
+
+class Relay:
+    """Pass bytes on, but for connections that have been frozen."""
+
+    def __init__(self, target: int) -> None:
+        """Relay to the target port."""
+        self._target = target
+        self._is_open = trio.Event()
+        self.connections = 0
+
+    def freeze(self) -> None:
+        """Swallow what the connections so far bring, for good."""
+        self._is_open.set()
+        self._is_open = trio.Event()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Relay one connection until it is frozen."""
+        self.connections += 1
+        frozen = self._is_open
+        upstream = await trio.open_tcp_stream('127.0.0.1', self._target)
+        async with upstream, trio.open_nursery() as nursery:
+            nursery.start_soon(_copy, frozen, stream, upstream, nursery)
+            nursery.start_soon(_copy, frozen, upstream, stream, nursery)
+
+
+async def _copy(frozen, source, target, nursery) -> None:
+    try:
+        while chunk := await source.receive_some(READ_B):
+            if not frozen.is_set():
+                await target.send_all(chunk)
+    except trio.BrokenResourceError:
+        nursery.cancel_scope.cancel()
+    nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_frozen_siblings():
+    """After one stalled exchange its idle siblings are not used."""
+    upstream = answering(reply(b'ok'))
+    async with trio.open_nursery() as nursery, forwarding() as world:
+        relay = Relay(await listen(nursery, upstream.serve))
+        world.add(await listen(nursery, relay.serve))
+        async with trio.open_nursery() as callers:
+            for _ in range(3):
+                callers.start_soon(functools.partial(world.get))
+        assert relay.connections == 3
+        relay.freeze()
+        stalled = await world.get(
+            'chestnutshift-deadline-ms: 700',
+        )
+        assert stalled.status == 504
+        assert (await world.get()).body == b'ok'
+        assert relay.connections == 4
+        nursery.cancel_scope.cancel()
+
+
+@trio_test
+async def test_proven_sibling_stays():
+    """A connection that answered since the stall began is still used."""
+    slow = trio.Event()
+
+    async def script(upstream, stream) -> None:
+        while True:
+            head = await upstream.next_head(stream)
+            if b'/slow' in head:
+                slow.set()
+                await trio.sleep_forever()
+            await stream.send_all(reply(b'ok'))
+
+    upstream = answering(b'')
+    upstream.script = script
+    async with forwarding(upstream) as world, world.calling() as caller:
+        await caller.send(
+            get('/listings/slow', AUTHORIZED, 'chestnutshift-deadline-ms: 700'),
+        )
+        await slow.wait()
+        await world.get()
+        assert (await caller.answer()).status == 504
+        await world.get()
+        assert upstream.connections == 2
