--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -161,6 +161,12 @@
                 return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
         return self._refuse(account, held.share)
 
+    def spend(self, account: str, now: float) -> bool:
+        """Admit a request that was held for a loan, if a token is there."""
+        held = self._accounts.get(account)
+        self._check_pause(now)
+        return held is not None and held.share.spend(now)
+
     def configure(
         self,
         limits: dict[str, AccountLimit],
--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -95,6 +95,7 @@
     async def _serve(self, attempt: Attempt, receive: Receive) -> None:
         now = trio.current_time()
         accepted = self._intake.accept(attempt.request, now)
+        await self._intake.admit(accepted)
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
         with self._watching(accepted.identity, scope), scope:
--- a/chestnutshift/forwarding/intake.py
+++ b/chestnutshift/forwarding/intake.py
@@ -1,6 +1,7 @@
 """Everything that is decided about a request before it gets a place."""
 
 import attrs
+import trio
 
 from chestnutshift.accounts.admission import Admission
 from chestnutshift.configuration.holder import ConfigurationHolder
@@ -18,6 +19,8 @@
 from chestnutshift.keys import credentials
 from chestnutshift.keys.authentication import Identity, KeyRing
 
+# How often a request that waits for a loan looks for a token.
+LOAN_PAUSE_S = 0.005
 ANONYMOUS = Identity(account='', digest='')
 
 
@@ -83,7 +86,6 @@
         crossing = self._guard.read(request)
         if crossing is None:
             identity = self._identify(request, service, now)
-            self._admit(identity, now)
         else:
             identity = Identity(crossing.account, '')
         return Accepted(
@@ -96,6 +98,30 @@
             crossing=crossing,
         )
 
+    async def admit(self, accepted: Accepted) -> None:
+        """Spend a token of the account, or wait for one that is on its way.
+
+        Raises OverRateError.
+        """
+        if accepted.crossing is not None or accepted.identity is ANONYMOUS:
+            return
+        account = accepted.account
+        now = trio.current_time()
+        decision = self._admission.admit(account, now)
+        give_up_at = now + decision.wait_s
+        while not decision.admitted and now < give_up_at:
+            await trio.sleep(LOAN_PAUSE_S)
+            now = trio.current_time()
+            if self._admission.spend(account, now):
+                return
+        if decision.wait_s:
+            decision = self._admission.admit(account, now, repeated=True)
+        if not decision.admitted:
+            raise OverRateError(
+                f'not run: {account}: {decision.reason}',
+                decision.retry_after_s,
+            )
+
     def identify_caller(self, request: CallerRequest, now: float) -> Identity:
         """Return who asks about its own requests; raises as `accept`."""
         key = credentials.read_key(request.headers)
@@ -117,16 +143,6 @@
         )
         return identity
 
-    def _admit(self, identity: Identity, now: float) -> None:
-        if identity is ANONYMOUS:
-            return
-        decision = self._admission.admit(identity.account, now)
-        if not decision.admitted:
-            raise OverRateError(
-                f'not run: {identity.account}: {decision.reason}',
-                decision.retry_after_s,
-            )
-
 
 def _check_length(request: CallerRequest, limit_b: int) -> None:
     announced = request.header(b'content-length') or b'0'
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -27,10 +27,12 @@
 BACKLOG = 512
 
 
-def make_callers_application(state: VmState) -> CallersApplication:
+def make_callers_application(
+    state: VmState,
+    secret: bytes,
+) -> CallersApplication:
     """Join the parts of a VM to the application on its callers' port."""
     rng = random.Random(state.incarnation)
-    secret = read_secret(state.settings.peers.secret_file)
     budget = RetryBudget(RetriesPreset())
 
     def adopt_retries(configuration: Configuration) -> None:
@@ -65,7 +67,8 @@
 async def serve_callers(state: VmState, stopping: trio.Event) -> None:
     """Serve until stopping is set, then end what is in flight."""
     callers = state.settings.callers
-    application = make_callers_application(state)
+    secret = read_secret(state.settings.peers.secret_file)
+    application = make_callers_application(state, secret)
     limits = CallerLimits(
         header_limit_b=callers.header_limit_b,
         header_timeout_s=callers.header_timeout_s,
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -1,6 +1,5 @@
 """One VM's forwarder between real callers and scripted upstreams."""
 
-import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -8,7 +7,15 @@
 import attrs
 import trio
 
-from chestnutshift.configuration.holder import ConfigurationHolder
+from chestnutshift.accounts.seats import SeatRight
+from chestnutshift.conf.settings import (
+    CallersSettings,
+    OperatorsSettings,
+    PeersSettings,
+    PlatformSettings,
+    Settings,
+    VmSettings,
+)
 from chestnutshift.configuration.model import (
     AccountLimit,
     Configuration,
@@ -16,13 +23,13 @@
     Preset,
     Service,
 )
-from chestnutshift.events.log import EventLog
-from chestnutshift.forwarding.application import Forwarder
 from chestnutshift.keys import credentials
-from chestnutshift.keys.authentication import KeyRing
-from chestnutshift.keys.freshness import KnowledgeView
-from chestnutshift.platform.records import VmRecord, VmRole
-from chestnutshift.upstreams.directory import UpstreamDirectory
+from chestnutshift.platform.backends.memory import MemoryPlatform
+from chestnutshift.platform.records import VmList, VmRecord, VmRole
+from chestnutshift.vms.assembly import make_state
+from chestnutshift.vms.membership import VmPhase
+from chestnutshift.vms.serving import make_callers_application
+from chestnutshift.vms.state import VmState
 from tests.callers.clients import Answer, Caller, calling, get
 from tests.callers.serving import LIMITS, Port, serving
 
@@ -32,6 +39,7 @@
 READ_B = 65_536
 OK = b'200 OK'
 TARGET = '/listings/1'
+LONG_S = 1e6
 
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -97,7 +105,7 @@
     """The forwarder, its port and what it knows."""
 
     port: Port
-    forwarder: Forwarder
+    state: VmState
 
     @asynccontextmanager
     async def calling(self) -> AsyncIterator[Caller]:
@@ -113,7 +121,7 @@
 
     def add(self, *ports: int, slots: int = 8) -> None:
         """Know the upstreams that listen on these ports."""
-        self.forwarder.directory.update(
+        records = [
             VmRecord(
                 f'upstream-{port}',
                 VmRole.UPSTREAM,
@@ -124,12 +132,14 @@
                 slots=slots,
             )
             for port in ports
-        )
+        ]
+        self.state.take_list(VmList(0, tuple(records)), trio.current_time())
 
 
-def _forwarder(**preset: Any) -> Forwarder:
+def make_configuration(**preset: Any) -> Configuration:
+    """Return a configuration with one keyed and one open service."""
     limits = {ACCOUNT: AccountLimit(rate=100, burst=100)}
-    configuration = Configuration(
+    return Configuration(
         number=1,
         deployment='test',
         services=(
@@ -140,19 +150,26 @@
         in_force='ordinary',
         keys={credentials.digest(KEY): KeyRecord(ACCOUNT, 'test')},
     )
-    holder = ConfigurationHolder()
-    holder.offer(configuration)
-    key_ring = KeyRing()
-    key_ring.adopt(configuration)
-    key_ring.learn(KnowledgeView(1e9, trio.current_time()))
-    return Forwarder(
-        failure_domain='domain',
-        holder=holder,
-        key_ring=key_ring,
-        directory=UpstreamDirectory(),
-        event_log=EventLog('vm'),
-        rng=random.Random(1),
+
+
+def make_vm(configuration: Configuration) -> VmState:
+    """Return a VM without peers that holds its seat."""
+    settings = Settings(
+        vm=VmSettings('vm', 'region', 'domain'),
+        callers=CallersSettings('127.0.0.1', 1, 'http://127.0.0.1:1'),
+        operators=OperatorsSettings('127.0.0.1', 2, 'none'),
+        peers=PeersSettings('127.0.0.1', 3, 'none'),
+        platform=PlatformSettings('http://127.0.0.1:4'),
     )
+    state = make_state(settings, MemoryPlatform())
+    now = trio.current_time()
+    state.holder.offer(configuration)
+    state.adopt(configuration, now)
+    state.confirm(now + LONG_S)
+    state.admission.renewed(SeatRight(now, now, now + LONG_S), now)
+    state.work.follow_seat(1, now)
+    state.phase = VmPhase.LIVE
+    return state
 
 
 @asynccontextmanager
@@ -165,9 +182,10 @@
         ports = [
             await listen(nursery, upstream.serve) for upstream in upstreams
         ]
-        forwarder = _forwarder(**preset)
-        async with serving(forwarder, LIMITS) as port:
-            world = World(port, forwarder)
+        state = make_vm(make_configuration(**preset))
+        application = make_callers_application(state, b'secret')
+        async with serving(application, LIMITS) as port:
+            world = World(port, state)
             world.add(*ports)
             yield world
         nursery.cancel_scope.cancel()
