Leave the refusals of repeats to forwarding

Cause: forwarding has meanwhile a description of each verdict of its own, so refusal_of stood twice, with other codes.

--- a/chestnutshift/idempotency/exceptions.py
+++ b/chestnutshift/idempotency/exceptions.py
@@ -9,9 +9,7 @@
 
 from chestnutshift.exceptions import CodedError
 
-BAD_GATEWAY = 502
 BAD_REQUEST = 400
-CONFLICT = 409
 MISDIRECTED = 421
 UNPROCESSABLE = 422
 UNAVAILABLE = 503
@@ -22,41 +20,12 @@
     """A request refused, not run, to keep it from running twice.
 
     `status` is the HTTP status of the answer; `retry_after_s`, where set,
-    tells the caller when to repeat the request with the same key. Where
-    `may_have_run` is set, an earlier request runs, or may have run.
+    tells the caller when to repeat the request with the same key.
     """
 
     code = 'idempotency.refused'
     status: ClassVar[int] = BAD_REQUEST
     retry_after_s: float | None = None
-    may_have_run: ClassVar[bool] = False
-
-
-class OperationRunningError(IdempotencyError):
-    """An earlier request with this key is under way."""
-
-    code = 'idempotency.running'
-    status = CONFLICT
-    may_have_run = True
-
-    def __init__(self, retry_after_s: float) -> None:
-        """Keep the seconds after which to repeat the request."""
-        super().__init__('an earlier request with this key is under way')
-        self.retry_after_s = retry_after_s
-
-
-class OperationUnknownError(IdempotencyError):
-    """An earlier request with this key may have run."""
-
-    code = 'idempotency.unknown'
-    status = BAD_GATEWAY
-    may_have_run = True
-
-    def __init__(self) -> None:
-        """Tell the caller what is left to it."""
-        super().__init__(
-            'an earlier request with this key may have run; ask the service',
-        )
 
 
 class MissingIdempotencyKeyError(IdempotencyError):
@@ -105,7 +74,6 @@
 
     code = 'idempotency.record_unreadable'
     status = UNAVAILABLE
-    may_have_run = True
 
 
 class ClaimExpiredError(IdempotencyError):
--- a/chestnutshift/idempotency/verdicts.py
+++ b/chestnutshift/idempotency/verdicts.py
@@ -4,11 +4,6 @@
 
 import attrs
 
-from chestnutshift.idempotency.exceptions import (
-    IdempotencyError,
-    OperationRunningError,
-    OperationUnknownError,
-)
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.idempotency.records import Holder, Record, State
 
@@ -74,12 +69,3 @@
     if is_overdue or holder_is_gone(record.holder):
         return OutcomeUnknown()
     return StillRunning()
-
-
-def refusal_of(verdict: Verdict) -> IdempotencyError | None:
-    """Return how to refuse a repeat, None if it is answered by a replay."""
-    if isinstance(verdict, Replay):
-        return None
-    if isinstance(verdict, StillRunning):
-        return OperationRunningError(verdict.retry_after_s)
-    return OperationUnknownError()
--- a/tests/idempotency/test_ledger.py
+++ b/tests/idempotency/test_ledger.py
@@ -17,7 +17,6 @@
     OutcomeUnknown,
     Replay,
     StillRunning,
-    refusal_of,
 )
 from chestnutshift.invariants.registry import InvariantViolationError
 from chestnutshift.platform.records import Transaction, Write
@@ -113,7 +112,6 @@
     assert await there.begin(REQUEST, late) == OutcomeUnknown()
     gone.add(claim.record.holder)
     assert await there.begin(REQUEST, START) == OutcomeUnknown()
-    assert refusal_of(OutcomeUnknown()).may_have_run
     # The holder was only paused: what it tells in the end is the truth.
     here.finish(claim, make_outcome())
     await here.settler.settle()
