Start a fleet whose settings name a VM that never comes

Cause: a VM that just started waited to hear a complete VM or all; when a whole fleet starts anew and one VM is missing, none would ever be complete, and keyed requests would be refused without end. Change: it waits only for the VMs that the platform lists as live or leaving; what an unlisted VM knew is lost in any case.

--- a/chestnutshift/keys/knowledge.py
+++ b/chestnutshift/keys/knowledge.py
@@ -8,7 +8,7 @@
   everything.
 - A VM that just started doesn't know the withdrawals that the others took
   during an outage and haven't written down. It trusts nothing until it heard
-  a VM that is complete in this sense, or all of them.
+  a VM that is complete in this sense, or all that the platform lists.
 """
 
 from collections.abc import Iterable
@@ -49,6 +49,7 @@
     _peers: dict[str, PeerView] = attrs.field(factory=dict)
     _lost: dict[str, float] = attrs.field(factory=dict)
     _settled: set[str] = attrs.field(factory=set)
+    _unlisted: frozenset[str] = frozenset()
 
     @property
     def is_complete(self) -> bool:
@@ -79,6 +80,17 @@
             self._confirmed_at = asked_at
         self._clear_lost()
 
+    def note_list(self, listed: Iterable[str]) -> None:
+        """Take note of the VMs that the platform lists as live or leaving.
+
+        What a VM that isn't listed knew is lost, so a VM that just started
+        doesn't wait for it. An empty list tells nothing.
+        """
+        live = frozenset(listed)
+        if live:
+            self._unlisted = self._names - live
+            self._note_completeness()
+
     def hear(
         self,
         name: str,
@@ -96,7 +108,8 @@
         # What this VM doesn't hold yet is no reason to doubt what it held.
         if answer.is_held:
             self._peers[name] = PeerView(asked_at, answer.age_s)
-            self._note_completeness(answer)
+            self._is_complete |= answer.is_complete
+            self._note_completeness()
             self._clear_lost()
 
     def settle(self, incarnations: Iterable[str]) -> None:
@@ -130,14 +143,14 @@
         if previous != current and previous not in self._settled:
             self._lost.setdefault(previous, now)
 
-    def _note_completeness(self, answer: PeerAnswer) -> None:
+    def _note_completeness(self) -> None:
         if self._is_complete:
             return
-        views = [self._view_of(name) for name in self._names]
-        all_heard = all(
+        awaited = self._names - self._unlisted
+        views = [self._view_of(name) for name in awaited]
+        self._is_complete = all(
             view.is_gone or view.asked_at is not None for view in views
         )
-        self._is_complete = answer.is_complete or all_heard
 
     def _clear_lost(self) -> None:
         """Forget losses that the platform's answers came after."""
--- a/tests/keys/test_flooding.py
+++ b/tests/keys/test_flooding.py
@@ -270,6 +270,12 @@
     among_started = copy.deepcopy(knowledge)
     among_started.hear('b1', 1, started, now=2)
     assert among_started.is_complete
+    without_lost = copy.deepcopy(knowledge)
+    without_lost.note_list(())
+    without_lost.note_list(('a2', 'b1'))
+    assert not without_lost.is_complete
+    without_lost.note_list(('a1', 'a2'))
+    assert without_lost.is_complete
     complete = attrs.evolve(started, is_complete=True)
     knowledge.hear('a2', 2, complete, now=3)
     assert assess(knowledge.view(TRUST_S), 3) is Freshness.FRESH
