--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -17,6 +17,7 @@
     link_slopes,
     lookup_slopes,
     node_parts,
+    relay_parts,
 )
 from bench.capacity.estimates import Sums
 from bench.capacity.page import replace_tables
@@ -34,6 +35,7 @@
     link_slopes,
     lookup_slopes,
     node_parts,
+    relay_parts,
 )
 OUTPUT = 'build/capacity/slopes.json'
 FULL_SIZE_MODULE = 'bench.capacity.full_size'
--- a/bench/capacity/breaks.py
+++ b/bench/capacity/breaks.py
@@ -94,7 +94,7 @@
     '2,000 reads/s of the platform',
     'VMs',
     Status.ARGUED,
-    'three relays of each failure domain poll',
+    'four relays of each failure domain poll in turns',
 )
 def _polls(_sums: Sums) -> float:
     polls = READS_PER_POLL / defaults.PLATFORM_POLL_S
--- a/bench/capacity/budgets.py
+++ b/bench/capacity/budgets.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bench.capacity import fleet_parts, node_parts, targets
+from bench.capacity import fleet_parts, node_parts, relay_parts, targets
 from bench.capacity.estimates import (
     Budget,
     MissingSlopeError,
@@ -201,6 +201,29 @@
     return whole(Budget.PEAK_TRAFFIC, sums) / targets.KB
 
 
+@_line(
+    'control: bytes of a relay',
+    'KB/s',
+    targets.NODE_BYTES_PER_S / targets.KB,
+    Status.EXTRAPOLATED,
+    'table of the bytes of a relay',
+)
+def _relay_traffic(sums: Sums) -> float:
+    return whole(Budget.RELAY_TRAFFIC, sums) / targets.KB
+
+
+@_line(
+    'control: the same in a peak of changes and restarts',
+    'KB/s',
+    targets.NODE_BYTES_PER_S / targets.KB,
+    Status.EXTRAPOLATED,
+    'its changes and coming and going VMs ten times as many',
+)
+def _relay_peak(sums: Sums) -> float:
+    more = (targets.PEAK.amount - 1) * relay_parts.change_traffic(sums)
+    return (whole(Budget.RELAY_TRAFFIC, sums) + more) / targets.KB
+
+
 @_line(
     'control: bytes of a node in the minute of its start',
     'KB/s',
--- a/bench/capacity/estimates.py
+++ b/bench/capacity/estimates.py
@@ -31,6 +31,7 @@
     MEMORY = 'memory'
     TRAFFIC = 'traffic'
     PEAK_TRAFFIC = 'peak traffic'
+    RELAY_TRAFFIC = 'traffic of a relay'
     PROCESSOR = 'processor'
     WRITES = 'writes'
     READS = 'reads'
--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -81,7 +81,7 @@
             'changes passed on',
             'changes put in force',
         ),
-        'three relays a domain poll, trees pass on changes: `configuration`, '
+        'four relays a domain poll, trees pass on changes: `configuration`, '
         '`links`',
     ),
     Role(
--- a/bench/capacity/tables.py
+++ b/bench/capacity/tables.py
@@ -249,6 +249,7 @@
 _register_parts(Budget.MEMORY, 'memory', 'MB', targets.MB)
 _register_parts(Budget.TRAFFIC, 'traffic', 'B/s', 1)
 _register_parts(Budget.PEAK_TRAFFIC, 'peak-traffic', 'B/s', 1)
+_register_parts(Budget.RELAY_TRAFFIC, 'relay-traffic', 'B/s', 1)
 _register_parts(Budget.PROCESSOR, 'processor', '% of a core', PERCENT)
 _register_parts(Budget.WRITES, 'writes', '/s', 1)
 _register_parts(Budget.READS, 'reads', '/s', 1)
--- a/bench/capacity/targets.py
+++ b/bench/capacity/targets.py
@@ -55,9 +55,9 @@
 PRESETS = _assume('presets', 3, '', 'as today: ordinary, peak, maintenance')
 RELAYS = _assume(
     'relays per failure domain',
-    3,
+    4,
     '',
-    'one may die and one may leave at the same time',
+    'one may die and one may leave; they share the links between domains',
 )
 CHILDREN = _assume(
     'children of one node',
@@ -71,6 +71,12 @@
     '',
     'the others ask when its heartbeat names a newer number',
 )
+RELAY_CHILDREN = _assume(
+    'children of a relay',
+    2,
+    '',
+    'it has the other relays and other domains beside them',
+)
 PARENTS = _assume(
     'parents of one node',
     2,
@@ -91,7 +97,18 @@
     '',
     'accounts whose demand at the node changed within the batch',
 )
-POLL_S = _assume("relay's poll of the platform", 0.5, 's', 'as today')
+POLL_S = _assume(
+    "one relay's poll of the platform",
+    2,
+    's',
+    'the relays of a domain take turns and tell each other; today 0.5 s',
+)
+POLL_B = _assume(
+    'question and answer of a poll',
+    500,
+    'B',
+    'one small row of numbers, with the heads of HTTP',
+)
 READ_S = _assume("the platform's answer", 0.25, 's', 'not measured; slow day')
 PEAK = _assume('peak over mean of changes', 10, '', 'office hours and bursts')
 CHANGED_SHARE = _assume(
