--- a/bench/entry_vm.py
+++ b/bench/entry_vm.py
@@ -106,11 +106,6 @@
 
     def serve(self, request: Request) -> None:
         """Start a request here, move it or let it wait."""
-        self.budget.record_attempt(
-            request.service,
-            request.account,
-            self.fleet.clock.now,
-        )
         if not self.queues[request.service] and self.start(request, self):
             return
         if request.moved_at is not None or not self.move(request):
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -93,7 +93,7 @@
 def buckets_of(limits: dict[str, AccountLimit]) -> dict[str, TokenBucket]:
     """Return full buckets that see all VMs at once."""
     return {
-        name: TokenBucket(limit.rate, limit.burst, updated=0)
+        name: TokenBucket(limit.rate, limit.burst, limit.burst, updated=0)
         for name, limit in limits.items()
     }
 
@@ -237,6 +237,7 @@
             return
         if not self.admitted[name].take(1, now):
             self._count('over_admitted', request)
+        vm.budget.record_attempt(request.service, name, now)
         vm.serve(request)
 
     def _enter(
--- a/bench/world.py
+++ b/bench/world.py
@@ -51,7 +51,6 @@
 
     regions: tuple[str, ...]
     delays_s: tuple[float, ...]
-    probe_s: float
     workloads: tuple[Workload, ...]
 
     def delay_s(self, one: Place, other: Place) -> float:
@@ -92,7 +91,6 @@
     'anadolu': Deployment(
         ('marmara', 'ege', 'ic-anadolu'),
         (0.02, 0.028, 0.035),
-        0.001,
         (
             Workload('listings', 16, (9,), 0.06, 0.5, 2),
             Workload('bookings', 12, (5, 6), 0.06, 0.4, 5, idempotent=False),
@@ -103,7 +101,6 @@
     'salal-row': Deployment(
         ('lower-mainland', 'island', 'interior'),
         (0.02, 0.025, 0.03),
-        0.006,
         (
             Workload('listings', 16, (9,), 0.05, 0.5, 2),
             Workload('payments', 12, (5, 6), 0.08, 0.5, 5, idempotent=False),
--- a/chestnutshift/upstreams/choice.py
+++ b/chestnutshift/upstreams/choice.py
@@ -84,26 +84,27 @@
         now: float,
         rng: random.Random,
     ) -> Candidate:
-        mean_s = _mean_latency_s(candidates, now)
+        memories = [_memory(candidate, now) for candidate in candidates]
+        mean_s = _mean_latency_s(candidates, memories)
         best = candidates[0]
         best_cost = math.inf
-        for candidate in candidates:
-            cost = self._cost(candidate, mean_s, now)
+        for candidate, memory in zip(candidates, memories, strict=True):
+            latency_s = mean_s + memory * (candidate.latency_s - mean_s)
+            errors = min(ERROR_RATE_MAX, candidate.error_rate * memory)
+            load = self._load(candidate, now)
+            cost = max(LATENCY_FLOOR_S, latency_s) * (1 + load) / (1 - errors)
             # The small random factor spreads ties.
             cost *= 1 + rng.random() / 100
             if cost < best_cost:
                 best, best_cost = candidate, cost
         return best
 
-    def _cost(self, candidate: Candidate, mean_s: float, now: float) -> float:
-        """Return the seconds to expect, growing with load and errors."""
-        memory = _memory(candidate, now)
-        latency_s = mean_s + memory * (candidate.latency_s - mean_s)
+    def _load(self, candidate: Candidate, now: float) -> float:
+        """Return the busy fraction with one more request."""
         load = (candidate.in_flight + 1) / candidate.usable_slots
         if now - candidate.reported_at <= self._preset.report_age_s:
-            load = max(load, candidate.reported_load)
-        errors = min(ERROR_RATE_MAX, candidate.error_rate * memory)
-        return max(LATENCY_FLOOR_S, latency_s) * (1 + load) / (1 - errors)
+            return max(load, candidate.reported_load)
+        return load
 
 
 @POLICIES.register('two_choices')
@@ -142,15 +143,17 @@
     return math.exp((candidate.observed_at - now) / MEMORY_S)
 
 
-def _mean_latency_s(candidates: Sequence[Candidate], now: float) -> float:
+def _mean_latency_s(
+    candidates: Sequence[Candidate],
+    memories: Sequence[float],
+) -> float:
     """Return the mean of the fresh observations, to which old ones fade."""
-    total_s = 0
-    weights = 0
-    for candidate in candidates:
-        memory = _memory(candidate, now)
-        total_s += memory * candidate.latency_s
-        weights += memory
-    return total_s / weights if weights else LATENCY_FLOOR_S
+    weights = sum(memories)
+    if not weights:
+        return LATENCY_FLOOR_S
+    pairs = zip(candidates, memories, strict=True)
+    total_s = sum(memory * one.latency_s for one, memory in pairs)
+    return total_s / weights
 
 
 def _own_load(candidate: Candidate) -> float:
