Ask a VM that refused again after 50 ms, not 250 ms

Cause: in the morning rush the second domain of the crowded region had a fifth of its slots free while the first one refused: a refusal kept senders away for 250 ms, in which the short queue there had long been served. Ruled out: fresher loads (tried earlier, no gain), a larger reserve.

--- a/chestnutshift/regions/loads.py
+++ b/chestnutshift/regions/loads.py
@@ -4,7 +4,7 @@
 
 from chestnutshift.regions.model import VmLoad
 
-REFUSED_WAIT_S = 0.25
+REFUSED_WAIT_S = 0.05
 
 
 @attrs.define
