--- a/tests/bench/test_experiment.py
+++ b/tests/bench/test_experiment.py
@@ -1,9 +1,12 @@
 """The experiment gives the same for the same seed, within the invariants."""
 
+from collections import Counter
+
 import attrs
 
 from bench.cases import FAULTS, run_case
 from bench.entry_vm import Policies
+from bench.simulation import Tally
 from bench.world import DEPLOYMENTS
 from tests.enforcement import enforced
 
@@ -34,3 +37,16 @@
     """Every case begins and runs with invariants that raise."""
     for case in FAULTS:
         assert measure(case, 3)['headroom'] >= 0
+
+
+def test_an_account_with_its_rate_is_not_wronged():
+    """Refusals of a greedy account count only below its rate."""
+    tally = Tally(
+        latencies_s=[1],
+        offered=Counter(greedy=10, modest=10),
+        refused=Counter(greedy=8, modest=1),
+        served=Counter(greedy=10, modest=9),
+    )
+    measures = tally.measures()
+    assert round(20 * measures.wrongful_refusal_rate) == 1
+    assert round(10 * measures.worst_account_share) == 9
