--- a/bench/admission.py
+++ b/bench/admission.py
@@ -1,114 +1,23 @@
-"""Policies that admit requests over a fleet of seats, and their comparison.
+"""Policies of admission; `python -m bench.admission SEED` compares them."""
 
-Run `python -m bench.admission SEED` for the table of all policies and cases.
-"""
-
-import random
 import sys
-from collections.abc import Collection, Coroutine
+from collections import defaultdict
 
 import attrs
 
+from bench.admission_base import ADMISSIONS, FleetAdmission
 from bench.admission_cases import CASES, HEADING, run_case
-from bench.admission_network import Network
+from bench.admission_platform import FakeSeatTable, finish
 from chestnutshift.accounts.admission import Admission
 from chestnutshift.accounts.bucket import TokenBucket
 from chestnutshift.accounts.keeper import SeatKeeper, SeatRow
 from chestnutshift.accounts.loans import LoanGrant, LoanRequest, Peer
-from chestnutshift.accounts.seats import SeatRecord
-from chestnutshift.configuration.model import AccountLimit, SharesPreset
+from chestnutshift.configuration.model import SharesPreset
 from chestnutshift.events.log import EventLog
-from chestnutshift.exceptions import CodedError
-from chestnutshift.registry import Registry
 
 PLAN_S = 0.02
 RENEW_S = 2.0
-LIST_LAG_S = 5.0
-
-ADMISSIONS: Registry[type['FleetAdmission']] = Registry('admission policy')
-
-
-class FleetAdmission:
-    """One policy for a whole fleet, driven by simulated time in seconds."""
-
-    def __init__(
-        self,
-        seats: tuple[str, ...],
-        region_of: dict[str, str],
-        limits: dict[str, AccountLimit],
-        rng: random.Random,
-    ) -> None:
-        """Start all seats at time zero."""
-        self.seats = seats
-        self.limits = limits
-        self.rng = rng
-        self.network = Network(region_of, rng)
-        self.platform_up = True
-        self.frozen: set[str] = set()
-
-    def admit(self, seat: str, account: str, now: float) -> bool:
-        """Tell whether the seat admits a request of the account."""
-        raise NotImplementedError
-
-    def advance(self, now: float) -> None:
-        """Let time pass; call it every 10 ms."""
-
-    def cut(self, group_a: Collection[str], group_b: Collection[str]) -> None:
-        """Cut two groups of seats; 'platform' may be a member."""
-        self.network.cut(group_a, group_b)
-
-    def heal(self) -> None:
-        """End all cuts."""
-        self.network.heal()
-
-    def set_platform(self, up: bool) -> None:
-        """Start or end an outage of the platform."""
-        self.platform_up = up
-
-    def restart(self, seat: str, now: float) -> None:
-        """Replace the VM at the seat by a new one at once, as in a crash."""
-
-    def freeze(self, seat: str, now: float) -> None:
-        """Pause the VM at the seat."""
-        self.frozen.add(seat)
-
-    def thaw(self, seat: str, now: float) -> None:
-        """Let the VM at the seat run on."""
-        self.frozen.discard(seat)
-
-
-@attrs.define
-class _Table:
-    """The platform's table of seats, reached from one seat."""
-
-    fleet: 'Escrow'
-    seat: str
-
-    async def read(self, seat: str) -> SeatRow | None:
-        """Return the row; raise CodedError while it can't be reached."""
-        self._check()
-        return self.fleet.rows.get(seat)
-
-    async def write(
-        self,
-        seat: str,
-        record: SeatRecord,
-        version: int | None,
-        operation_id: str,
-    ) -> None:
-        """Write the row; raise CodedError where that fails."""
-        self._check()
-        row = self.fleet.rows.get(seat)
-        if version != (row and row.version):
-            raise CodedError('conflict')
-        self.fleet.rows[seat] = SeatRow(record, (version or 0) + 1)
-        if self.fleet.rng.random() < self.fleet.lost_answers:
-            raise CodedError('outcome unknown')
-
-    def _check(self) -> None:
-        network = self.fleet.network
-        if not self.fleet.platform_up or network.is_cut(self.seat, 'platform'):
-            raise CodedError('unavailable')
+CENTRAL_TIMEOUT_S = 0.2
 
 
 @ADMISSIONS.register('escrow')
@@ -117,9 +26,9 @@
 
     lends = True
     holds = False
-    wait_s: float = 0
     shares = SharesPreset()
     lost_answers: float = 0
+    list_lag_s: float = 5
 
     def __init__(self, *args, **settings) -> None:
         """Start one VM incarnation at each seat."""
@@ -129,21 +38,21 @@
         self.vms: dict[str, Admission] = {}
         self.keepers: dict[str, SeatKeeper] = {}
         self.now: float = 0
-        self.wait_s: float = 0
+        self.waits: dict[str, float] = {}
         self._started = 0
-        self._renew_at = {
-            seat: index * RENEW_S / len(self.seats)
-            for index, seat in enumerate(self.seats)
-        }
+        self._renew_at = dict.fromkeys(self.seats, RENEW_S)
         self._plan_at: float = 0
         for seat in self.seats:
             self._start(seat)
-            self._renew(seat)
+
+    async def is_gone(self, vm: str) -> bool:
+        """Tell whether the platform's list has lost the incarnation."""
+        return self.gone_at.get(vm, self.now + 1) <= self.now
 
     def admit(self, seat: str, account: str, now: float) -> bool:
         """Ask the VM at the seat."""
         decision = self.vms[seat].admit(account, now)
-        self.wait_s = decision.wait_s if self.holds else 0
+        self.waits[account] = decision.wait_s if self.holds else 0
         return decision.admitted
 
     def admit_held(self, seat: str, account: str, now: float) -> bool:
@@ -163,7 +72,7 @@
         for seat in self.seats:
             if now >= self._renew_at[seat] and seat not in self.frozen:
                 self._renew_at[seat] = now + RENEW_S
-                self._renew(seat)
+                self.renew(self.keepers[seat], self.vms[seat])
         if now < self._plan_at:
             return
         self._plan_at = now + PLAN_S
@@ -172,16 +81,20 @@
                 self._plan(seat)
 
     def restart(self, seat: str, now: float) -> None:
-        """Start a new incarnation; the list learns of it LIST_LAG_S later."""
+        """Start a new incarnation; the list learns of it list_lag_s later."""
         self.now = now
-        self.gone_at[self.keepers[seat]._vm] = now + LIST_LAG_S
+        self.gone_at[self.keepers[seat]._vm] = now + self.list_lag_s
         self.frozen.discard(seat)
         self._start(seat)
-        self._renew(seat)
 
-    async def is_gone(self, vm: str) -> bool:
-        """Tell whether the platform's list has lost the incarnation."""
-        return self.gone_at.get(vm, self.now + 1) <= self.now
+    def is_platform_reachable(self, seat: str) -> bool:
+        """Tell whether a VM at the seat reaches the platform."""
+        return self.platform_up and not self.network.is_cut(seat, 'platform')
+
+    def renew(self, keeper: SeatKeeper, admission: Admission) -> None:
+        """Let one VM renew its seat's lease once."""
+        step = keeper.step(self.shares, admission.settle_s)
+        admission.renewed(finish(step), self.now)
 
     def _start(self, seat: str) -> None:
         self._started += 1
@@ -200,16 +113,16 @@
         self.keepers[seat] = SeatKeeper(
             seat,
             vm,
-            _Table(self, seat),
+            FakeSeatTable(
+                self.rows,
+                lambda: self.is_platform_reachable(seat),
+                lambda: self.rng.random() < self.lost_answers,
+            ),
             self.is_gone,
             EventLog(vm),
             clock=lambda: self.now,
         )
-
-    def _renew(self, seat: str) -> None:
-        admission = self.vms[seat]
-        step = self.keepers[seat].step(self.shares, admission.settle_s)
-        admission.renewed(_finish(step), self.now)
+        self.renew(self.keepers[seat], admission)
 
     def _plan(self, seat: str) -> None:
         for request in self.vms[seat].plan(self.now):
@@ -227,7 +140,7 @@
 
 @ADMISSIONS.register('escrow-hold')
 class EscrowHold(Escrow):
-    """As above; a VM holds a request while it asks peers for tokens."""
+    """The same; a VM holds a request while it asks peers for tokens."""
 
     holds = True
 
@@ -257,13 +170,72 @@
         return self._buckets[seat, account].take(1, now)
 
 
-def _finish(step: Coroutine) -> object:
-    """Run a coroutine that never waits."""
-    try:
-        step.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise RuntimeError('the fake platform must not wait')
+@attrs.frozen
+class _Batch:
+    account: str
+    tokens: float
+
+
+@ADMISSIONS.register('central')
+class Central(FleetAdmission):
+    """Every seat fetches batches of tokens from one bucket in the store.
+
+    Room for two batches at each seat is kept out of the central burst.
+    """
+
+    store = 'platform'
+
+    def __init__(self, *args, **settings) -> None:
+        """Start with an empty bucket in the store."""
+        super().__init__(*args, **settings)
+        region_of = self.network.region_of
+        region_of[self.store] = region_of[self.seats[0]]
+        part = 1 / (4 * len(self.seats))
+        self._batch = {
+            account: max(1, limit.burst * part)
+            for account, limit in self.limits.items()
+        }
+        self._central = {
+            account: TokenBucket(
+                limit.rate,
+                limit.burst - 2 * len(self.seats) * self._batch[account],
+                updated=0,
+            )
+            for account, limit in self.limits.items()
+        }
+        self._levels: dict = defaultdict(float)
+        self._asked: dict = {}
+
+    def admit(self, seat: str, account: str, now: float) -> bool:
+        """Take a token of the seat's batch; fetch more under one batch."""
+        key = (seat, account)
+        admitted = self._levels[key] >= 1
+        self._levels[key] -= admitted
+        waiting = now - self._asked.get(key, -1) < CENTRAL_TIMEOUT_S
+        if self._levels[key] < 1 and not waiting:
+            self._asked[key] = now
+            self.network.send(seat, self.store, account, now)
+        return admitted
+
+    def advance(self, now: float) -> None:
+        """Let the store answer, and the answers arrive."""
+        arrived = self.network.deliver(
+            now,
+            lambda name: name not in self.frozen,
+        )
+        for _, source, target, body in arrived:
+            if isinstance(body, _Batch):
+                self._levels[target, body.account] += body.tokens
+                self._asked.pop((target, body.account), None)
+            elif self.platform_up:
+                self._answer(body, source, now)
+
+    def _answer(self, account: str, seat: str, now: float) -> None:
+        bucket = self._central[account]
+        bucket.fill(now)
+        tokens = min(bucket.level, self._batch[account])
+        bucket.take(tokens, now)
+        self.network.send(self.store, seat, _Batch(account, tokens), now)
 
 
 def main(seed: int) -> None:
--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -208,7 +208,8 @@
 
 HEADING = (
     f'{"case":16}{"policy":16}{"wrongful %":>11}{"worst share":>12}'
-    f'{"over":>7}{"msg/s/VM":>10}{"B/s/VM":>9}{"held %":>8}  wrongful % by account'
+    f'{"over":>7}{"msg/s/VM":>10}{"B/s/VM":>9}{"held %":>8}'
+    '  wrongful % by account'
 )
 
 
@@ -235,7 +236,8 @@
         )
         return (
             f'{case:16}{policy:16}{100 * wrongful / due:11.3f}{worst:12.4f}'
-            f'{over:7d}{self.messages:10.1f}{self.sent_b:9.0f}{100 * held / due:8.2f}  {parts}'
+            f'{over:7d}{self.messages:10.1f}{self.sent_b:9.0f}'
+            f'{100 * held / due:8.2f}  {parts}'
         )
 
 
@@ -263,7 +265,7 @@
             due = tally.expect(moment)
             seat = case.seat(account, now)
             admitted = fleet.admit(seat, account, moment)
-            wait_s = getattr(fleet, 'wait_s', 0)
+            wait_s = getattr(fleet, 'waits', {}).get(account, 0)
             if not admitted and wait_s > 0:
                 tally.held += 1
                 held.append(Held(moment, moment + wait_s, seat, account, due))
--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -74,12 +74,22 @@
     """Everything that one VM keeps of one account."""
 
     borrower: Borrower
+    policy: LoanPolicy
     limit: AccountLimit = AccountLimit(0, 0)
     share: AccountShare = attrs.field(factory=AccountShare)
     demand: DemandEstimate = attrs.field(factory=DemandEstimate)
     waiters: int = 0
     waiters_since: float = -math.inf
 
+    def targets(self) -> Targets:
+        """Return what this VM wants to hold now."""
+        return find_targets(
+            self.policy,
+            self.limit,
+            self.share,
+            self.demand,
+        )
+
     def wait_s(self, now: float) -> float:
         """Return how long one more request may be held for a loan."""
         if now - self.waiters_since > LOAN_WAIT_S:
@@ -177,7 +187,8 @@
         for name in sorted(self._accounts.keys() | limits.keys()):
             held = self._accounts.get(name)
             if held is None:
-                held = _Account(Borrower(self._vm, name, self._rng))
+                borrower = Borrower(self._vm, name, self._rng)
+                held = _Account(borrower, self._policy)
                 self._accounts[name] = held
             held.limit = limits.get(name, AccountLimit(0, 0))
             share = held.share
@@ -202,6 +213,15 @@
             return
         self._set_right(right, now)
 
+    def note_neighbour_renewal(self, now: float) -> None:
+        """Note that a VM of the same failure domain reached the platform.
+
+        Then a VM that could not renew for a whole lease is alone in that:
+        its seat may be taken by another VM, and it stops spending.
+        """
+        if now - self._right.started >= self._right.lease_s:
+            self._set_right(NO_RIGHT, now)
+
     def surrender(self, now: float) -> float:
         """Stop spending; return the seconds that loans given still run."""
         self._set_right(NO_RIGHT, now)
@@ -226,7 +246,7 @@
             requests.extend(
                 held.borrower.plan(
                     held.share,
-                    self._targets(held),
+                    held.targets(),
                     self._peers,
                     self._loan_s,
                     self._asks,
@@ -251,7 +271,7 @@
         return self._lender.answer(
             request,
             held.share,
-            self._targets(held),
+            held.targets(),
             life_s,
             now,
         )
@@ -265,21 +285,14 @@
 
     def summary(self, now: float) -> tuple[AccountSummary, ...]:
         """Return every account's state, by name."""
+        self._check_pause(now)
         return tuple(
             _summarise(name, held, now)
             for name, held in sorted(self._accounts.items())
         )
 
-    def _targets(self, held: _Account) -> Targets:
-        return find_targets(
-            self._policy,
-            held.limit,
-            held.share,
-            held.demand,
-        )
-
     def _check_pause(self, now: float) -> None:
-        if now - self._planned <= PAUSE_S:
+        if now - self._planned <= min(PAUSE_S, self._right.lease_s / 2):
             return
         self._planned = now
         self._awake_since = now
--- a/chestnutshift/accounts/keeper.py
+++ b/chestnutshift/accounts/keeper.py
@@ -124,6 +124,7 @@
             starts,
             started + shares.floor_s,
             record.settle_s,
+            shares.lease_s,
         )
 
     async def _choose(self, row: SeatRow | None) -> SeatStep:
--- a/chestnutshift/accounts/seats.py
+++ b/chestnutshift/accounts/seats.py
@@ -54,13 +54,15 @@
     """When the holder of a seat may spend the seat's share, in seconds.
 
     started is when the renewal that gave this right was started; settle_s
-    is how long, by the row, loans may go on after the holder.
+    is how long, by the row, loans may go on after the holder, and lease_s
+    when another VM may take the seat of a holder that the list has lost.
     """
 
     started: float = -math.inf
     starts: float = math.inf
     ends: float = -math.inf
     settle_s: float = 0
+    lease_s: float = math.inf
 
     def covers(self, moment: float) -> bool:
         """Tell whether the share may be spent at this moment."""
--- a/tests/accounts/test_seats.py
+++ b/tests/accounts/test_seats.py
@@ -91,9 +91,13 @@
     """Each renewal extends the right from the moment it was started."""
     world = World()
     keeper = world.keeper('a')
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100, SETTLE_S)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(
+        0, 0, 100, SETTLE_S, 10
+    )
     world.now = 3
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(3, 0, 103, SETTLE_S)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(
+        3, 0, 103, SETTLE_S, 10
+    )
     assert world.table.row.record.fence == 1
 
 
@@ -105,7 +109,9 @@
     await keeper.step(SHARES, SETTLE_S)
     world.now = 3
     world.table.down = True
-    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(0, 0, 100, SETTLE_S)
+    assert await keeper.step(SHARES, SETTLE_S) == SeatRight(
+        0, 0, 100, SETTLE_S, 10
+    )
 
 
 @trio_test
@@ -123,6 +129,7 @@
         1 + SETTLE_S,
         101,
         SETTLE_S,
+        10,
     )
 
 
