Keep no rate whose tokens would not fit the bucket

Cause: a busy VM whose bucket was full up to its capacity kept rate to reach a stock over that capacity; those tokens were lost while idle VMs stayed empty. The cases also start with light load now: new VMs have empty buckets, which the perfect bucket had not, and 20 s at 90% load did not fill them.

--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -11,6 +11,10 @@
 from chestnutshift.registry import Registry
 
 WARM_UP_S = 20.0
+# New VMs have empty buckets: until then the load is light, so that cases
+# start with what a fleet in use has.
+LIGHT_UNTIL_S = 12.0
+LIGHT = 0.2
 CASE_S = 60.0
 TICK_S = 0.01
 LOAD = 0.9
@@ -288,7 +292,8 @@
     """Return Poisson arrivals of one tick in order of time."""
     arrivals = []
     for account, limit in LIMITS.items():
-        rate = limit.rate * case.load(account)
+        load = LIGHT if now < LIGHT_UNTIL_S else case.load(account)
+        rate = limit.rate * load
         moment = now + rng.expovariate(rate)
         while moment < now + TICK_S:
             arrivals.append((moment, account))
--- a/chestnutshift/accounts/targets.py
+++ b/chestnutshift/accounts/targets.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutshift.accounts.bucket import EPSILON
 from chestnutshift.accounts.demand import DemandEstimate
 from chestnutshift.accounts.share import AccountShare
 from chestnutshift.configuration.model import AccountLimit
@@ -15,7 +16,8 @@
     low_part of the seat's burst and low_tokens. high_s is the stock, in
     seconds of demand, that a busy VM aims at, and idle_part the one of an
     idle VM, as a part of its seat's burst. refill_s is the time in which
-    rate brings the tokens to that stock.
+    rate brings the tokens to that stock; a bucket counts as full at full_part
+    of its capacity.
     """
 
     low_s: float = 0.3
@@ -24,6 +26,7 @@
     high_s: float = 0.7
     idle_part: float = 0.6
     refill_s: float = 2.0
+    full_part: float = 0.9
 
 
 @attrs.frozen
@@ -56,14 +59,18 @@
         share.base_burst * policy.low_part,
         policy.low_tokens,
     )
-    refill = (high - share.bucket.level) / policy.refill_s
+    # What does not fit into the bucket would be lost.
+    aim = min(high, share.bucket.capacity * policy.full_part)
+    refill = (aim - share.bucket.level) / policy.refill_s
     if refill > 0:
         # A VM without demand fills up only with what nobody else needs.
         refill *= demand.presence
-    wanted = min(limit.rate, sure + max(0, refill))
+    emptiness = max(0, 1 - share.bucket.level / max(aim, EPSILON))
+    expected = min(demand.slow, demand.at_most)
+    caution = (demand.at_most - expected) * emptiness
     return Targets(
         low=min(high, low) * demand.presence,
         high=high,
-        wanted_rate=wanted if refill > 0 else 0,
-        held_rate=max(0, demand.at_most + refill),
+        wanted_rate=min(limit.rate, sure + refill) if refill > 0 else 0,
+        held_rate=max(0, expected + caution + refill),
     )
