Let idle VMs keep most of their tokens for demand that jumps

An idle VM's stock counts 0.9 of its seat's burst (0.6 before) when tokens are divided between giver and taker.

--- a/chestnutshift/accounts/targets.py
+++ b/chestnutshift/accounts/targets.py
@@ -24,7 +24,7 @@
     low_part: float = 0.35
     low_tokens: float = 1.3
     high_s: float = 0.7
-    idle_part: float = 0.6
+    idle_part: float = 0.9
     refill_s: float = 2.0
     full_part: float = 0.9
 
