Let no old renewal bring a dropped right back

Cause, found by reading: after a release, or after a neighbour showed that this VM is cut off alone, the keeper's last right could be handed in again and counted, because only a pause dropped rights for good. Both now work like a pause: only a renewal that was started later gives a right. The two tests fail without the change.

--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -130,7 +130,7 @@
         self._loan_s = defaults.LOAN_S
         self._right = NO_RIGHT
         self._planned = math.inf
-        self._awake_since = -math.inf
+        self._void_until = -math.inf
 
     @property
     def right(self) -> SeatRight:
@@ -169,7 +169,14 @@
             wait_s = held.wait_s(now)
             if wait_s > 0:
                 return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
-        return self._refuse(account, held.share)
+        refusal = _refuse(held.share)
+        if self._log is not None:
+            self._log.emit(
+                events.REQUEST_REFUSED,
+                account=account,
+                reason=refusal.reason,
+            )
+        return refusal
 
     def configure(
         self,
@@ -205,11 +212,11 @@
     def renewed(self, right: SeatRight, now: float) -> None:
         """Use the right that the platform confirmed.
 
-        A renewal started before a pause of this VM is ignored: the seat may
-        have gone to another VM meanwhile.
+        A renewal started before the right was last dropped is ignored: the
+        seat may have gone to another VM meanwhile.
         """
         self._check_pause(now)
-        if right.started < self._awake_since:
+        if right.started < self._void_until:
             return
         self._set_right(right, now)
 
@@ -220,11 +227,11 @@
         its seat may be taken by another VM, and it stops spending.
         """
         if now - self._right.started >= self._right.lease_s:
-            self._set_right(NO_RIGHT, now)
+            self._void(now)
 
     def surrender(self, now: float) -> float:
         """Stop spending; return the seconds that loans given still run."""
-        self._set_right(NO_RIGHT, now)
+        self._void(now)
         ends = [
             loan.expires
             for held in self._accounts.values()
@@ -295,13 +302,16 @@
         if now - self._planned <= min(PAUSE_S, self._right.lease_s / 2):
             return
         self._planned = now
-        self._awake_since = now
-        if self._right is NO_RIGHT:
-            return
-        self._set_right(NO_RIGHT, now)
-        if self._log is not None:
+        had_right = self._right is not NO_RIGHT
+        self._void(now)
+        if had_right and self._log is not None:
             self._log.emit(events.VM_PAUSED)
 
+    def _void(self, now: float) -> None:
+        """Drop the right; only a renewal started from now on gives one."""
+        self._void_until = now
+        self._set_right(NO_RIGHT, now)
+
     def _set_right(self, right: SeatRight, now: float) -> None:
         self._right = right
         for held in self._accounts.values():
@@ -309,22 +319,16 @@
             held.share.right = right
             held.share.resize(now)
 
-    def _refuse(self, account: str, share: AccountShare) -> Decision:
-        reason = OVER_RATE if share.bucket.capacity > 0 else NO_SHARE
-        wait_s = share.bucket.wait_s(1.0)
-        if math.isinf(wait_s) or share.bucket.capacity < 1:
-            wait_s = RETRY_DEFAULT_S
-        if self._log is not None:
-            self._log.emit(
-                events.REQUEST_REFUSED,
-                account=account,
-                reason=reason,
-            )
-        return Decision(
-            admitted=False,
-            retry_after_s=min(wait_s, RETRY_MAX_S),
-            reason=reason,
-        )
+
+def _refuse(share: AccountShare) -> Decision:
+    wait_s = share.bucket.wait_s(1)
+    if math.isinf(wait_s) or share.bucket.capacity < 1:
+        wait_s = RETRY_DEFAULT_S
+    return Decision(
+        admitted=False,
+        retry_after_s=min(wait_s, RETRY_MAX_S),
+        reason=OVER_RATE if share.bucket.capacity > 0 else NO_SHARE,
+    )
 
 
 def _summarise(name: str, held: _Account, now: float) -> AccountSummary:
--- a/tests/accounts/test_loans.py
+++ b/tests/accounts/test_loans.py
@@ -162,4 +162,13 @@
     admission.note_neighbour_renewal(START_S - 0.5)
     assert admission.admit('pier', START_S - 0.5).admitted
     admission.note_neighbour_renewal(START_S)
-    assert not admission.admit('pier', START_S).admitted
+    admission.renewed(right, START_S)
+    assert not admission.admit('pier', START_S + 1).admitted
+
+
+def test_a_surrendered_right_does_not_come_back():
+    """What the keeper still knows of the lease is void after the release."""
+    admission = _admission('a:1', 'b')
+    admission.surrender(START_S)
+    admission.renewed(SeatRight(0, 0, 1000, settle_s=3), START_S)
+    assert not admission.admit('pier', START_S + 1).admitted
