--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -74,12 +74,22 @@
     """Everything that one VM keeps of one account."""
 
     borrower: Borrower
+    policy: LoanPolicy
     limit: AccountLimit = AccountLimit(0, 0)
     share: AccountShare = attrs.field(factory=AccountShare)
     demand: DemandEstimate = attrs.field(factory=DemandEstimate)
     waiters: int = 0
     waiters_since: float = -math.inf
 
+    def targets(self) -> Targets:
+        """Return what this VM wants to hold now."""
+        return find_targets(
+            self.policy,
+            self.limit,
+            self.share,
+            self.demand,
+        )
+
     def wait_s(self, now: float) -> float:
         """Return how long one more request may be held for a loan."""
         if now - self.waiters_since > LOAN_WAIT_S:
@@ -120,7 +130,7 @@
         self._loan_s = defaults.LOAN_S
         self._right = NO_RIGHT
         self._planned = math.inf
-        self._awake_since = -math.inf
+        self._void_until = -math.inf
 
     @property
     def right(self) -> SeatRight:
@@ -159,7 +169,14 @@
             wait_s = held.wait_s(now)
             if wait_s > 0:
                 return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
-        return self._refuse(account, held.share)
+        refusal = _refuse(held.share)
+        if self._log is not None:
+            self._log.emit(
+                events.REQUEST_REFUSED,
+                account=account,
+                reason=refusal.reason,
+            )
+        return refusal
 
     def spend(self, account: str, now: float) -> bool:
         """Admit a request that was held for a loan, if a token is there."""
@@ -183,7 +200,8 @@
         for name in sorted(self._accounts.keys() | limits.keys()):
             held = self._accounts.get(name)
             if held is None:
-                held = _Account(Borrower(self._vm, name, self._rng))
+                borrower = Borrower(self._vm, name, self._rng)
+                held = _Account(borrower, self._policy)
                 self._accounts[name] = held
             held.limit = limits.get(name, AccountLimit(0, 0))
             share = held.share
@@ -200,17 +218,26 @@
     def renewed(self, right: SeatRight, now: float) -> None:
         """Use the right that the platform confirmed.
 
-        A renewal started before a pause of this VM is ignored: the seat may
-        have gone to another VM meanwhile.
+        A renewal started before the right was last dropped is ignored: the
+        seat may have gone to another VM meanwhile.
         """
         self._check_pause(now)
-        if right.started < self._awake_since:
+        if right.started < self._void_until:
             return
         self._set_right(right, now)
 
+    def note_neighbour_renewal(self, now: float) -> None:
+        """Note that a VM of the same failure domain reached the platform.
+
+        Then a VM that could not renew for a whole lease is alone in that:
+        its seat may be taken by another VM, and it stops spending.
+        """
+        if now - self._right.started >= self._right.lease_s:
+            self._void(now)
+
     def surrender(self, now: float) -> float:
         """Stop spending; return the seconds that loans given still run."""
-        self._set_right(NO_RIGHT, now)
+        self._void(now)
         ends = [
             loan.expires
             for held in self._accounts.values()
@@ -232,7 +259,7 @@
             requests.extend(
                 held.borrower.plan(
                     held.share,
-                    self._targets(held),
+                    held.targets(),
                     self._peers,
                     self._loan_s,
                     self._asks,
@@ -257,7 +284,7 @@
         return self._lender.answer(
             request,
             held.share,
-            self._targets(held),
+            held.targets(),
             life_s,
             now,
         )
@@ -271,30 +298,26 @@
 
     def summary(self, now: float) -> tuple[AccountSummary, ...]:
         """Return every account's state, by name."""
+        self._check_pause(now)
         return tuple(
             _summarise(name, held, now)
             for name, held in sorted(self._accounts.items())
         )
 
-    def _targets(self, held: _Account) -> Targets:
-        return find_targets(
-            self._policy,
-            held.limit,
-            held.share,
-            held.demand,
-        )
-
     def _check_pause(self, now: float) -> None:
-        if now - self._planned <= PAUSE_S:
+        if now - self._planned <= min(PAUSE_S, self._right.lease_s / 2):
             return
         self._planned = now
-        self._awake_since = now
-        if self._right is NO_RIGHT:
-            return
-        self._set_right(NO_RIGHT, now)
-        if self._log is not None:
+        had_right = self._right is not NO_RIGHT
+        self._void(now)
+        if had_right and self._log is not None:
             self._log.emit(events.VM_PAUSED)
 
+    def _void(self, now: float) -> None:
+        """Drop the right; only a renewal started from now on gives one."""
+        self._void_until = now
+        self._set_right(NO_RIGHT, now)
+
     def _set_right(self, right: SeatRight, now: float) -> None:
         self._right = right
         for held in self._accounts.values():
@@ -302,22 +325,16 @@
             held.share.right = right
             held.share.resize(now)
 
-    def _refuse(self, account: str, share: AccountShare) -> Decision:
-        reason = OVER_RATE if share.bucket.capacity > 0 else NO_SHARE
-        wait_s = share.bucket.wait_s(1.0)
-        if math.isinf(wait_s) or share.bucket.capacity < 1:
-            wait_s = RETRY_DEFAULT_S
-        if self._log is not None:
-            self._log.emit(
-                events.REQUEST_REFUSED,
-                account=account,
-                reason=reason,
-            )
-        return Decision(
-            admitted=False,
-            retry_after_s=min(wait_s, RETRY_MAX_S),
-            reason=reason,
-        )
+
+def _refuse(share: AccountShare) -> Decision:
+    wait_s = share.bucket.wait_s(1)
+    if math.isinf(wait_s) or share.bucket.capacity < 1:
+        wait_s = RETRY_DEFAULT_S
+    return Decision(
+        admitted=False,
+        retry_after_s=min(wait_s, RETRY_MAX_S),
+        reason=OVER_RATE if share.bucket.capacity > 0 else NO_SHARE,
+    )
 
 
 def _summarise(name: str, held: _Account, now: float) -> AccountSummary:
