--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -12,7 +12,6 @@
 import time
 from collections.abc import Awaitable, Callable
 
-import attrs
 import httpx
 import trio
 from hypercorn.config import Config
@@ -20,25 +19,10 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from chestnutshift.conf import settings
-from chestnutshift.configuration.model import (
-    AccountLimit,
-    Configuration,
-    KeyRecord,
-    Preset,
-    Service,
-)
-from chestnutshift.keys import credentials
-from chestnutshift.keys.freshness import KnowledgeView
-from chestnutshift.platform.backends.memory import MemoryPlatform
-from chestnutshift.platform.records import VmRecord, VmRole
-from chestnutshift.vms.process import make_state
+from bench.one_vm import HOST, KEY, list_upstreams, start_vm
 from chestnutshift.vms.serving import serve_callers
-from chestnutshift.vms.state import VmState
 
-HOST = '127.0.0.1'
 PORTS = {'direct': 18701, 'naive': 18702, 'ours': 18703}
-KEY = 'bench-key-of-the-only-account'
 ANSWER_B = 1000
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (
     ANSWER_B,
@@ -52,7 +36,6 @@
 LOOKED_UP = REQUEST % (b'/steering/entries', KEY.encode())
 READ_B = 65536
 CONNECT_PATIENCE = 100
-TRUST_S = 1e9
 
 
 async def run_upstream() -> None:
@@ -86,42 +69,12 @@
     await serve(app, config)
 
 
-def make_vm() -> VmState:
-    """Return a VM with one account and the upstream, without platform."""
-    url = f'http://{HOST}:{PORTS["ours"]}'
-    state = make_state(
-        settings.Settings(
-            vm=settings.VmSettings('vm', 'region', 'domain'),
-            callers=settings.CallersSettings(HOST, PORTS['ours'], url),
-            operators=settings.OperatorsSettings(HOST, 0, ''),
-            peers=settings.PeersSettings(HOST, 0, ''),
-            platform=settings.PlatformSettings(''),
-        ),
-        MemoryPlatform(),
-    )
-    limit = AccountLimit(rate=1e9, burst=1e9)
-    preset = Preset(accounts={'bench': limit})
-    configuration = Configuration(
-        number=1,
-        deployment='bench',
-        services=(Service('listings', '/listings'),),
-        presets={'ordinary': preset},
-        in_force='ordinary',
-        keys={credentials.digest(KEY): KeyRecord('bench', 'bench')},
-    )
-    state.holder.offer(configuration)
-    state.key_ring.adopt(configuration)
-    state.key_ring.learn(KnowledgeView(TRUST_S, trio.current_time()))
-    address = f'{HOST}:{PORTS["direct"]}'
-    record = VmRecord('upstream', VmRole.UPSTREAM, 'domain', 'region', address)
-    record = attrs.evolve(record, service='listings', slots=100)
-    state.directory.update([record])
-    return state
-
-
 async def run_ours() -> None:
     """Run the callers' side of one VM."""
-    await serve_callers(make_vm(), trio.Event())
+    async with trio.open_nursery() as nursery:
+        upstreams = list_upstreams([PORTS['direct']])
+        state = await start_vm(nursery, PORTS['ours'], upstreams)
+        await serve_callers(state, trio.Event())
 
 
 async def call(port: int, payload: bytes, until: float) -> list[float]:
--- /dev/null
+++ b/bench/one_vm.py
@@ -0,0 +1,99 @@
+"""One entry VM without platform and peers, for benches and tests."""
+
+import pathlib
+import tempfile
+from collections.abc import Iterable
+from typing import Any
+
+import trio
+
+from chestnutshift.conf import settings
+from chestnutshift.configuration.model import (
+    AccountLimit,
+    Configuration,
+    KeyRecord,
+    Preset,
+    Service,
+    SharesPreset,
+)
+from chestnutshift.keys import credentials
+from chestnutshift.keys.freshness import KnowledgeView
+from chestnutshift.platform.backends.memory import MemoryPlatform
+from chestnutshift.platform.records import VmList, VmRecord, VmRole
+from chestnutshift.vms import ticks
+from chestnutshift.vms.assembly import make_state
+from chestnutshift.vms.state import VmState
+
+KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
+ACCOUNT = 'konya'
+RATE = 1e6
+TRUST_S = 1e9
+SLOTS = 100
+HOST = '127.0.0.1'
+SERVICES = (
+    Service('listings', '/listings'),
+    Service('open', '/open', open=True),
+    Service('bookings', '/bookings', idempotent=False),
+)
+
+
+def _settings(port: int) -> settings.Settings:
+    with tempfile.NamedTemporaryFile(delete=False) as secret:
+        secret.write(b'secret')
+    path = pathlib.Path(secret.name)
+    return settings.Settings(
+        vm=settings.VmSettings('vm', 'region', 'domain'),
+        callers=settings.CallersSettings(HOST, port, f'http://{HOST}:{port}'),
+        operators=settings.OperatorsSettings(HOST, 0, str(path)),
+        peers=settings.PeersSettings(HOST, 0, str(path)),
+        platform=settings.PlatformSettings(''),
+    )
+
+
+def list_upstreams(ports: Iterable[int], service: str = 'listings') -> VmList:
+    """Return the platform's list with upstreams on these ports."""
+    records = [
+        VmRecord(
+            f'upstream-{port}',
+            VmRole.UPSTREAM,
+            'domain',
+            'region',
+            f'{HOST}:{port}',
+            service=service,
+            slots=SLOTS,
+        )
+        for port in ports
+    ]
+    return VmList(trio.current_time(), tuple(records))
+
+
+async def start_vm(
+    nursery: trio.Nursery,
+    port: int,
+    upstreams: VmList,
+    **preset: Any,
+) -> VmState:
+    """Return a VM that holds its seat and uses the upstreams."""
+    state = make_state(_settings(port), MemoryPlatform())
+    shares = SharesPreset()
+    limits = {ACCOUNT: AccountLimit(rate=RATE, burst=RATE)}
+    configuration = Configuration(
+        number=1,
+        deployment='test',
+        services=SERVICES,
+        presets={'ordinary': Preset(accounts=limits, **preset)},
+        in_force='ordinary',
+        keys={credentials.digest(KEY): KeyRecord(ACCOUNT, 'test')},
+    )
+    now = trio.current_time()
+    state.holder.offer(configuration)
+    state.adopt(configuration, now)
+    state.key_ring.learn(KnowledgeView(TRUST_S, now))
+    state.take_list(upstreams, now)
+    right = await state.keeper.step(shares, 0)
+    state.admission.renewed(right, trio.current_time())
+    state.work.follow_seat(state.keeper.fence, trio.current_time())
+    nursery.start_soon(ticks.keep_ticking, state)
+    # A new holder starts with an empty bucket.
+    await trio.sleep(0.01)
+    return state
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -13,7 +13,11 @@
     MalformedBodyError,
     SlowBodyError,
 )
-from chestnutshift.forwarding.requests import CallerGoneError, Headers
+from chestnutshift.forwarding.requests import (
+    DETACH,
+    CallerGoneError,
+    Headers,
+)
 
 if TYPE_CHECKING:
     from chestnutshift.callers.connection import CallerConnection
@@ -55,6 +59,8 @@
     ) -> None:
         """Serve the request whose head was read."""
         self.scope = trio.CancelScope()
+        self._is_detached = False
+        self._is_lost = False
         self._connection = connection
         self._h11 = connection.h11
         self._request = request
@@ -89,6 +95,12 @@
             return False
         return self._request.http_version == b'1.1'
 
+    def abandon(self) -> None:
+        """End what runs: the caller is gone. What is detached goes on."""
+        self._is_lost = True
+        if not self._is_detached:
+            self.scope.cancel()
+
     def asgi_scope(self) -> Message:
         """Return the request's head as ASGI has it."""
         request = self._request
@@ -106,7 +118,7 @@
             'headers': list(request.headers),
             'client': self._connection.transport.peer,
             'server': None,
-            'extensions': {},
+            'extensions': {DETACH: self._detach},
             'state': {},
         }
 
@@ -141,7 +153,7 @@
         if is_last:
             self._pending += self._h11.send(h11.EndOfMessage())
         await self._flush()
-        self._is_whole = is_last
+        self._is_whole = is_last and not self._is_lost
 
     def _start(self, status: int, headers: Headers) -> None:
         self._is_started = True
@@ -163,8 +175,17 @@
     async def _flush(self) -> None:
         pending = self._pending
         self._pending = b''
-        if pending:
+        if not pending or self._is_lost:
+            return
+        try:
             await self._connection.write(pending)
+        except CallerGoneError:
+            self._is_lost = True
+            if not self._is_detached:
+                raise
+
+    def _detach(self) -> None:
+        self._is_detached = True
 
     def _arrived(self) -> bytes:
         chunks = []
--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -1,22 +1,21 @@
 """Put one request on an upstream and pass the answer to the caller."""
 
-import http
+import functools
+from collections.abc import Callable
 
 import attrs
 import trio
 
+from chestnutshift.forwarding.exceptions import PlaceError
 from chestnutshift.forwarding.heads import (
-    HiddenRequest,
     caller_headers,
     find_header,
-    hide_request,
+    upstream_headers,
 )
 from chestnutshift.forwarding.problems import (
-    RAN_HEADER,
     REQUEST_ID_HEADER,
     Problem,
     Ran,
-    RefusalError,
 )
 from chestnutshift.forwarding.requests import (
     CallerRequest,
@@ -33,31 +32,30 @@
     BODILESS_STATUSES,
     AnswerPart,
     ExchangeBrokenError,
+    OutboundRequest,
     UpstreamAnswer,
     UpstreamConnection,
-    UpstreamError,
 )
-from chestnutshift.upstreams.directory import Upstream
-
-SHEDDING_STATUSES = frozenset(
-    (
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        http.HTTPStatus.GATEWAY_TIMEOUT,
-    )
-)
-SHED_RETRY_AFTER_S = 1
+from chestnutshift.upstreams.connections import UpstreamConnections
 
 
-class ShedError(UpstreamError):
-    """The upstream itself said that it did not run the request."""
+@attrs.frozen
+class Target:
+    """Where an attempt goes: an upstream, or a VM of another domain.
 
-    code = 'upstreams.shed'
-    status = http.HTTPStatus.SERVICE_UNAVAILABLE
+    before_send is called directly before the first byte and may raise to
+    stop it; on_answer is given the answer's head, on_chunk its body, and
+    on_whole is called once the whole answer was read.
+    """
 
-    def __init__(self, detail: str, retry_after_s: float) -> None:
-        """Keep the seconds after which the caller may repeat."""
-        super().__init__(detail)
-        self.retry_after_s = retry_after_s
+    name: str
+    host: bytes
+    connections: UpstreamConnections
+    extra_headers: Headers = attrs.field(factory=list)
+    before_send: Callable[[], None] = lambda: None
+    on_answer: Callable[[UpstreamAnswer], None] = lambda _answer: None
+    on_chunk: Callable[[bytes], None] = lambda _chunk: None
+    on_whole: Callable[[], None] = lambda: None
 
 
 @attrs.define
@@ -72,51 +70,29 @@
     status: int = 0
     # Bytes sent to upstreams that did not say that they ran nothing.
     _exposed_b: int = 0
-    _hidden: HiddenRequest | None = None
 
     async def run(
         self,
-        upstream: Upstream,
+        target: Target,
         account: str,
-        body: tuple[RequestBody, bytes | None],
+        body: RequestBody,
         deadline: float,
     ) -> None:
         """Send the request and pass on the whole answer.
 
-        Raises, with `ran` unchanged, NotConnectedError,
-        ConnectionsExhaustedError, ShedError and KeyInTargetError; else
-        ExchangeBrokenError.
+        Raises NotConnectedError and ConnectionsExhaustedError, with `ran`
+        unchanged, ExchangeBrokenError, and what the target's hooks raise; a
+        PlaceError of theirs says that nothing ran.
         """
-        if self._hidden is None:
-            self._hidden = hide_request(self.request)
-        with upstream.working():
-            connection = await upstream.connections.take()
-            sent_b = connection.sent_b
-            try:
-                await self._exchange(
-                    upstream, connection, account, body, deadline
-                )
-            except ShedError:
-                self.ran = Ran.NOT_RUN
-                raise
-            except BaseException:
-                self._exposed_b += connection.sent_b - sent_b
-                raise
-
-    def check_repeatable(
-        self,
-        body: RequestBody,
-        error: UpstreamError,
-    ) -> None:
-        """Return if another upstream may be tried after the error.
-
-        Raises RefusalError when the request may have run, and the error
-        itself when part of its body is passed on and gone.
-        """
-        if self.ran is not Ran.NOT_RUN:
-            raise RefusalError(_broken(error)) from error
-        if body.passed_b:
-            raise error
+        connection = await target.connections.take()
+        sent_b = connection.sent_b
+        try:
+            await self._exchange(target, connection, account, body, deadline)
+        except PlaceError:
+            raise
+        except BaseException:
+            self._exposed_b += connection.sent_b - sent_b
+            raise
 
     async def answer_problem(self, problem: Problem) -> None:
         """Give the caller its refusal."""
@@ -130,66 +106,81 @@
         request_id = self.request.request_id
         body = problem.body(request_id)
         headers = problem.headers(request_id)
-        headers.append((b'content-length', b'%d' % len(body)))
-        await self._start(problem.status, headers)
+        await self.answer_whole(problem.status, headers, body)
+
+    async def answer_whole(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
+        """Give the caller an answer of the system's own."""
+        length = (b'content-length', b'%d' % len(body))
+        await self._start(status, [*headers, length])
         await self._pass_part(AnswerPart(body, is_last=True))
 
     async def _exchange(
         self,
-        upstream: Upstream,
+        target: Target,
         connection: UpstreamConnection,
         account: str,
-        body: tuple[RequestBody, bytes | None],
+        body: RequestBody,
         deadline: float,
     ) -> None:
-        stream, whole = body
-        outbound = self._hidden.outbound(
+        headers = upstream_headers(
+            self.request,
             account,
-            upstream.host,
+            target.host,
             deadline - trio.current_time(),
-            has_stream=whole is None,
+            has_stream=body.whole is None,
+        )
+        outbound = OutboundRequest(
+            method=self.request.method.encode(),
+            target=self.request.target,
+            headers=headers + target.extra_headers,
         )
+        try:
+            target.before_send()
+        except BaseException:
+            target.connections.give_back(connection)
+            raise
         # From here on bytes may reach the upstream.
         self.ran = Ran.UNKNOWN
-        await upstream.connections.exchange(
+        await target.connections.exchange(
             connection,
             outbound,
-            stream.chunks() if whole is None else whole,
-            self._pass_on,
+            body.chunks() if body.whole is None else body.whole,
+            functools.partial(self._pass_on, target),
         )
 
-    async def _pass_on(self, answer: UpstreamAnswer) -> None:
+    async def _pass_on(self, target: Target, answer: UpstreamAnswer) -> None:
         self._check_own(answer)
         part = answer.arrived()
-        self._check_shed(answer)
+        target.on_answer(answer)
         self.status = answer.status
         headers = caller_headers(answer.headers, self.request.request_id)
         await self._start(answer.status, headers)
-        passed_b = len(part.content)
-        await self._pass_part(part)
+        passed_b = await self._pass_content(target, part)
         while not part.is_last:
             part = await answer.receive()
-            passed_b += len(part.content)
-            await self._pass_part(part)
+            passed_b += await self._pass_content(target, part)
         self._check_whole(answer, passed_b)
 
+    async def _pass_content(self, target: Target, part: AnswerPart) -> int:
+        """Pass on a part; return its bytes."""
+        if part.content:
+            target.on_chunk(part.content)
+        if part.is_last:
+            target.on_whole()
+        await self._pass_part(part)
+        return len(part.content)
+
     def _check_own(self, answer: UpstreamAnswer) -> None:
         """Refuse an answer that names another request."""
         named = find_header(answer.headers, REQUEST_ID_HEADER)
         if named not in {None, self.request.request_id.encode()}:
             raise ExchangeBrokenError('the answer is of another request')
 
-    def _check_shed(self, answer: UpstreamAnswer) -> None:
-        """Raise ShedError if the upstream says that it ran nothing."""
-        if answer.status not in SHEDDING_STATUSES:
-            return
-        if find_header(answer.headers, RAN_HEADER) != Ran.NOT_RUN.encode():
-            return
-        raise ShedError(
-            'the upstream ran nothing of the request',
-            _retry_after_s(answer.headers),
-        )
-
     def _check_whole(self, answer: UpstreamAnswer, passed_b: int) -> None:
         announced = find_header(answer.headers, b'content-length')
         if self.request.method == 'HEAD' or answer.status in BODILESS_STATUSES:
@@ -219,17 +210,3 @@
                 'headers': headers,
             }
         )
-
-
-def _broken(error: UpstreamError) -> Problem:
-    return Problem(
-        http.HTTPStatus.BAD_GATEWAY,
-        error.code,
-        'the upstream broke off; the request may have run',
-        Ran.UNKNOWN,
-    )
-
-
-def _retry_after_s(headers: Headers) -> float:
-    asked = find_header(headers, b'retry-after') or b''
-    return int(asked) if asked.isdigit() else SHED_RETRY_AFTER_S
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -21,6 +21,10 @@
 Headers = list[tuple[bytes, bytes]]
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
+# Key of the extension, in an ASGI scope, that lets what runs for a request
+# go on when the caller closes.
+DETACH = 'chestnutshift.detach'
+Detach = Callable[[], None]
 
 
 class CallerGoneError(CodedError):
@@ -80,7 +84,7 @@
         (text for name, text in headers if name == b'x-request-id'), b''
     )
     return CallerRequest(
-        request_id=_request_id(given),
+        request_id=_accept_id(given),
         method=scope['method'],
         path=scope['path'],
         target=target,
@@ -88,10 +92,15 @@
     )
 
 
-def _request_id(given: bytes) -> str:
+def make_request_id() -> str:
+    """Return a new request id."""
+    return secrets.token_hex(REQUEST_ID_B)
+
+
+def _accept_id(given: bytes) -> str:
     if 0 < len(given) <= REQUEST_ID_MAX and _ID_CHARACTERS.issuperset(given):
         return given.decode()
-    return secrets.token_hex(REQUEST_ID_B)
+    return make_request_id()
 
 
 def find_service(configuration: Configuration, path: str) -> Service:
@@ -105,53 +114,60 @@
 
 
 class RequestBody:
-    """The body of a request, passed on as it arrives and counted."""
+    """The body of a request, held while it is short, else passed on."""
 
     def __init__(self, receive: Receive, limit_b: int) -> None:
         """Refuse more than limit_b bytes."""
         self._receive = receive
         self._limit_b = limit_b
-        self._passed_b = 0
-        self._first: dict = {}
+        self._seen_b = 0
+        self._held: list[bytes] = []
+        self._whole: bytes | None = None
+        self._passing = False
+        self._finished = False
 
     @property
-    def passed_b(self) -> int:
-        """Bytes passed on so far."""
-        return self._passed_b
+    def whole(self) -> bytes | None:
+        """The body if it is held whole, so that it can be sent again."""
+        return self._whole
 
-    async def first(self) -> bytes | None:
-        """Return a body that came whole at once, None if more is to come.
+    @property
+    def is_passing(self) -> bool:
+        """Whether `chunks` has begun, so that the body can't be sent again."""
+        return self._passing
+
+    async def hold(self, held_b: int) -> None:
+        """Read until the body is whole, or longer than held_b bytes.
 
-        A body that came whole can be sent again. Only to be called once,
-        before `chunks`.
+        Raises CallerGoneError, and RefusalError for a body over the limit.
         """
-        message = await self._next()
-        if message.get('more_body', False):
-            self._first = message
-            return None
-        if len(message['body']) > self._limit_b:
-            raise RefusalError(body_too_large(self._limit_b))
-        return message.get('body', b'')
+        while self._seen_b <= held_b and not self._finished:
+            self._held.append(await self._next())
+        if self._finished:
+            self._whole = b''.join(self._held)
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body after `first` returned None."""
-        message = self._first
-        while True:
-            chunk = message.get('body', b'')
-            self._passed_b += len(chunk)
-            if self._passed_b > self._limit_b:
-                raise RefusalError(body_too_large(self._limit_b))
+        """Yield the body after `hold` found it too long to hold; once."""
+        self._passing = True
+        for chunk in self._held:
+            yield chunk
+        self._held.clear()
+        while not self._finished:
+            chunk = await self._next()
             if chunk:
                 yield chunk
-            if not message.get('more_body', False):
-                break
-            message = await self._next()
 
-    async def _next(self) -> dict:
+    async def _next(self) -> bytes:
         message = await self._receive()
         if message['type'] == 'http.disconnect':
             raise CallerGoneError('the caller closed within its request')
-        return message
+        chunk = message.get('body', b'')
+        self._seen_b += len(chunk)
+        if self._seen_b > self._limit_b:
+            raise RefusalError(body_too_large(self._limit_b))
+        if not message.get('more_body', False):
+            self._finished = True
+        return chunk
 
 
 def body_too_large(limit_b: int) -> Problem:
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -5,10 +5,10 @@
 import trio
 from trio.testing import trio_test
 
+from bench.one_vm import KEY
 from tests.callers.clients import Answer, get
 from tests.forwarding.world import (
     AUTHORIZED,
-    KEY,
     ScriptedUpstream,
     answering,
     forwarding,
@@ -126,7 +126,7 @@
                 await trio.sleep(0.01)
         with trio.fail_after(10):
             await upstream.closed.wait()
-        assert not any(one.in_flight for one in world.forwarder.directory)
+        assert not any(world.state.work.pool.in_flight.values())
 
 
 @trio_test
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -1,6 +1,5 @@
 """One VM's forwarder between real callers and scripted upstreams."""
 
-import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -8,26 +7,12 @@
 import attrs
 import trio
 
-from chestnutshift.configuration.holder import ConfigurationHolder
-from chestnutshift.configuration.model import (
-    AccountLimit,
-    Configuration,
-    KeyRecord,
-    Preset,
-    Service,
-)
-from chestnutshift.events.log import EventLog
-from chestnutshift.forwarding.application import Forwarder
-from chestnutshift.keys import credentials
-from chestnutshift.keys.authentication import KeyRing
-from chestnutshift.keys.freshness import KnowledgeView
-from chestnutshift.platform.records import VmRecord, VmRole
-from chestnutshift.upstreams.directory import UpstreamDirectory
+from bench.one_vm import KEY, list_upstreams, start_vm
+from chestnutshift.vms.serving import make_callers_application
+from chestnutshift.vms.state import VmState
 from tests.callers.clients import Answer, Caller, calling, get
 from tests.callers.serving import LIMITS, Port, serving
 
-KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
-ACCOUNT = 'konya'
 AUTHORIZED = f'authorization: Bearer {KEY}'
 READ_B = 65_536
 OK = b'200 OK'
@@ -94,10 +79,10 @@
 
 @attrs.define
 class World:
-    """The forwarder, its port and what it knows."""
+    """One VM and its port for callers."""
 
     port: Port
-    forwarder: Forwarder
+    state: VmState
 
     @asynccontextmanager
     async def calling(self) -> AsyncIterator[Caller]:
@@ -111,48 +96,9 @@
             await caller.send(get(target, AUTHORIZED, *headers))
             return await caller.answer()
 
-    def add(self, *ports: int, slots: int = 8) -> None:
-        """Know the upstreams that listen on these ports."""
-        self.forwarder.directory.update(
-            VmRecord(
-                f'upstream-{port}',
-                VmRole.UPSTREAM,
-                'domain',
-                'region',
-                f'127.0.0.1:{port}',
-                service='listings',
-                slots=slots,
-            )
-            for port in ports
-        )
-
-
-def _forwarder(**preset: Any) -> Forwarder:
-    limits = {ACCOUNT: AccountLimit(rate=100, burst=100)}
-    configuration = Configuration(
-        number=1,
-        deployment='test',
-        services=(
-            Service('listings', '/listings'),
-            Service('open', '/open', open=True),
-        ),
-        presets={'ordinary': Preset(accounts=limits, **preset)},
-        in_force='ordinary',
-        keys={credentials.digest(KEY): KeyRecord(ACCOUNT, 'test')},
-    )
-    holder = ConfigurationHolder()
-    holder.offer(configuration)
-    key_ring = KeyRing()
-    key_ring.adopt(configuration)
-    key_ring.learn(KnowledgeView(1e9, trio.current_time()))
-    return Forwarder(
-        failure_domain='domain',
-        holder=holder,
-        key_ring=key_ring,
-        directory=UpstreamDirectory(),
-        event_log=EventLog('vm'),
-        rng=random.Random(1),
-    )
+    def add(self, *ports: int) -> None:
+        """Use the upstreams that listen on these ports."""
+        self.state.take_list(list_upstreams(ports), trio.current_time())
 
 
 @asynccontextmanager
@@ -165,11 +111,10 @@
         ports = [
             await listen(nursery, upstream.serve) for upstream in upstreams
         ]
-        forwarder = _forwarder(**preset)
-        async with serving(forwarder, LIMITS) as port:
-            world = World(port, forwarder)
-            world.add(*ports)
-            yield world
+        state = await start_vm(nursery, 0, list_upstreams(ports), **preset)
+        application = make_callers_application(state)
+        async with serving(application, LIMITS) as port:
+            yield World(port, state)
         nursery.cancel_scope.cancel()
 
 
