--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -14,8 +14,8 @@
 import trio
 
 from chestnutshift.callers import refusals
-from chestnutshift.callers.exchange import CallerExchange, Message
 from chestnutshift.callers.end_watch import EndWatch
+from chestnutshift.callers.exchange import CallerExchange, Message
 from chestnutshift.callers.intake import Intake
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.transport import CallerTransport
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -13,11 +13,7 @@
     MalformedBodyError,
     SlowBodyError,
 )
-from chestnutshift.forwarding.requests import (
-    DETACH,
-    CallerGoneError,
-    Headers,
-)
+from chestnutshift.forwarding.requests import CallerGoneError, Headers
 
 if TYPE_CHECKING:
     from chestnutshift.callers.connection import CallerConnection
@@ -59,7 +55,6 @@
     ) -> None:
         """Serve the request whose head was read."""
         self.scope = trio.CancelScope()
-        self._is_detached = False
         self._is_lost = False
         self._connection = connection
         self._h11 = connection.h11
@@ -96,10 +91,12 @@
         return self._request.http_version == b'1.1'
 
     def abandon(self) -> None:
-        """End what runs: the caller is gone. What is detached goes on."""
+        """Cancel what runs: the caller is gone.
+
+        What is shielded goes on, and what it sends is dropped.
+        """
         self._is_lost = True
-        if not self._is_detached:
-            self.scope.cancel()
+        self.scope.cancel()
 
     def asgi_scope(self) -> Message:
         """Return the request's head as ASGI has it."""
@@ -118,7 +115,7 @@
             'headers': list(request.headers),
             'client': self._connection.transport.peer,
             'server': None,
-            'extensions': {DETACH: self._detach},
+            'extensions': {},
             'state': {},
         }
 
@@ -140,7 +137,7 @@
         return {'type': 'http.request', 'body': body, 'more_body': more}
 
     async def send(self, message: Message) -> None:
-        """Write a part of the answer; raises CallerGoneError."""
+        """Write a part of the answer; cancels the scope of a gone caller."""
         if message['type'] == 'http.response.start':
             self._start(message['status'], list(message.get('headers', ())))
             return
@@ -180,12 +177,7 @@
         try:
             await self._connection.write(pending)
         except CallerGoneError:
-            self._is_lost = True
-            if not self._is_detached:
-                raise
-
-    def _detach(self) -> None:
-        self._is_detached = True
+            self.abandon()
 
     def _arrived(self) -> bytes:
         chunks = []
--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -1,5 +1,8 @@
 """The ASGI application that serves callers' requests."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import attrs
 import trio
 
@@ -22,9 +25,7 @@
     problem_of,
 )
 from chestnutshift.forwarding.requests import (
-    DETACH,
     CallerGoneError,
-    Detach,
     Receive,
     RequestBody,
     Send,
@@ -36,6 +37,7 @@
 from chestnutshift.idempotency.ledger import Ledger
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.idempotency.verdicts import Replay, Verdict
+from chestnutshift.keys.authentication import Identity
 from chestnutshift.keys.watch import Watch
 
 
@@ -48,14 +50,14 @@
     _placer: Placer
     _watch: Watch
     _event_log: EventLog
+    _shields: set[trio.CancelScope] = attrs.field(factory=set)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request; every ending is a whole answer or an abort."""
         request = read_request(scope)
         attempt = Attempt(request, send)
-        detach = scope['extensions'][DETACH]
         try:
-            await self._serve(attempt, receive, detach)
+            await self._serve(attempt, receive)
         except (CallerGoneError, trio.Cancelled):
             # The connection cancels what runs for a caller that closed.
             self._event_log.emit(
@@ -66,6 +68,11 @@
         except CodedError as error:
             await self._refuse(attempt, error)
 
+    def stop_claimed(self) -> None:
+        """Stop the operations that go on for callers that closed."""
+        for shield in self._shields:
+            shield.cancel()
+
     async def _refuse(self, attempt: Attempt, error: CodedError) -> None:
         request_id = attempt.request.request_id
         if attempt.started:
@@ -85,23 +92,13 @@
         )
         await attempt.answer_problem(problem)
 
-    async def _serve(
-        self,
-        attempt: Attempt,
-        receive: Receive,
-        detach: Detach,
-    ) -> None:
+    async def _serve(self, attempt: Attempt, receive: Receive) -> None:
         now = trio.current_time()
         accepted = self._intake.accept(attempt.request, now)
-        # From here on the request goes without the caller's key.
-        attempt.request = accepted.request
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
-        with self._watch.subscribe(accepted.identity, scope, now) as watched:
-            with scope:
-                await self._run(accepted, attempt, body, detach)
-        if watched.cause is not None:
-            raise watched.cause
+        with self._watching(accepted.identity, scope), scope:
+            await self._run(accepted, attempt, body)
         if scope.cancelled_caught:
             raise RefusalError(_too_late(attempt.ran))
         self._event_log.emit(
@@ -111,12 +108,28 @@
             status=attempt.status,
         )
 
+    @contextmanager
+    def _watching(
+        self,
+        identity: Identity,
+        scope: trio.CancelScope,
+    ) -> Iterator[None]:
+        """Cancel the scope, and raise why, when the key stops working."""
+        if not identity.digest:
+            # An open route, or a crossing, which its sender watches.
+            yield
+            return
+        now = trio.current_time()
+        with self._watch.subscribe(identity, scope, now) as watched:
+            yield
+        if watched.cause is not None:
+            raise watched.cause
+
     async def _run(
         self,
         accepted: Accepted,
         attempt: Attempt,
         body: RequestBody,
-        detach: Detach,
     ) -> None:
         await body.hold(BODY_HELD_B)
         if not accepted.needs_claim:
@@ -128,13 +141,25 @@
             await _answer_verdict(attempt, outcome)
             return
         claimed = ClaimedWork(self._ledger, outcome)
-        # A caller that closes does not stop an operation half-way: its
-        # repeat gets the outcome.
-        detach()
+        job = Job(accepted, attempt, body, claimed)
+        await self._run_claimed(job, accepted.deadline)
+
+    async def _run_claimed(self, job: Job, deadline: float) -> None:
+        """Run an operation to its end, also for a caller that closes.
+
+        Its repeat gets the outcome then. A withdrawn key and the end of the
+        VM's grace still stop it.
+        """
+        shield = trio.CancelScope(deadline=deadline, shield=True)
+        self._shields.add(shield)
         try:
-            await self._placer.run(Job(accepted, attempt, body, claimed))
+            with self._watching(job.accepted.identity, shield), shield:
+                await self._placer.run(job)
         finally:
-            claimed.end()
+            self._shields.discard(shield)
+            job.claimed.end()
+        if shield.cancelled_caught and not job.attempt.finished:
+            raise RefusalError(_too_late(job.attempt.ran))
 
     async def _begin(
         self,
@@ -145,7 +170,7 @@
         moment = present_moment()
         digest = digest_request(
             request.method,
-            request.target,
+            accepted.hidden.target,
             request.headers,
             body.whole,
         )
--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -1,16 +1,14 @@
 """Put one request on an upstream and pass the answer to the caller."""
 
-import functools
 from collections.abc import Callable
 
 import attrs
 import trio
 
-from chestnutshift.forwarding.exceptions import PlaceError
 from chestnutshift.forwarding.heads import (
+    HiddenRequest,
     caller_headers,
     find_header,
-    upstream_headers,
 )
 from chestnutshift.forwarding.problems import (
     REQUEST_ID_HEADER,
@@ -32,7 +30,6 @@
     BODILESS_STATUSES,
     AnswerPart,
     ExchangeBrokenError,
-    OutboundRequest,
     UpstreamAnswer,
     UpstreamConnection,
 )
@@ -44,8 +41,8 @@
     """Where an attempt goes: an upstream, or a VM of another domain.
 
     before_send is called directly before the first byte and may raise to
-    stop it; on_answer is given the answer's head, on_chunk its body, and
-    on_whole is called once the whole answer was read.
+    stop it; on_answer is given the answer's head and may raise to refuse it;
+    on_chunk is given its body, and on_whole is called at its end.
     """
 
     name: str
@@ -74,26 +71,37 @@
     async def run(
         self,
         target: Target,
+        hidden: HiddenRequest,
         account: str,
         body: RequestBody,
         deadline: float,
     ) -> None:
         """Send the request and pass on the whole answer.
 
-        Raises NotConnectedError and ConnectionsExhaustedError, with `ran`
-        unchanged, ExchangeBrokenError, and what the target's hooks raise; a
-        PlaceError of theirs says that nothing ran.
+        Raises, with `ran` unchanged, NotConnectedError,
+        ConnectionsExhaustedError, and what the target's before_send raises;
+        else ExchangeBrokenError, and what its on_answer raises.
         """
         connection = await target.connections.take()
         sent_b = connection.sent_b
         try:
-            await self._exchange(target, connection, account, body, deadline)
-        except PlaceError:
-            raise
+            await self._exchange(
+                target,
+                connection,
+                hidden,
+                account,
+                body,
+                deadline,
+            )
         except BaseException:
             self._exposed_b += connection.sent_b - sent_b
             raise
 
+    def note_not_run(self) -> None:
+        """Note that what was sent so far surely ran nothing."""
+        self.ran = Ran.NOT_RUN
+        self._exposed_b = 0
+
     async def answer_problem(self, problem: Problem) -> None:
         """Give the caller its refusal."""
         is_true = verify(
@@ -123,22 +131,22 @@
         self,
         target: Target,
         connection: UpstreamConnection,
+        hidden: HiddenRequest,
         account: str,
         body: RequestBody,
         deadline: float,
     ) -> None:
-        headers = upstream_headers(
-            self.request,
+        outbound = hidden.outbound(
             account,
             target.host,
             deadline - trio.current_time(),
             has_stream=body.whole is None,
+            extra_headers=target.extra_headers,
         )
-        outbound = OutboundRequest(
-            method=self.request.method.encode(),
-            target=self.request.target,
-            headers=headers + target.extra_headers,
-        )
+
+        async def pass_on(answer: UpstreamAnswer) -> None:
+            await self._pass_on(answer, target)
+
         try:
             target.before_send()
         except BaseException:
@@ -150,30 +158,27 @@
             connection,
             outbound,
             body.chunks() if body.whole is None else body.whole,
-            functools.partial(self._pass_on, target),
+            pass_on,
         )
 
-    async def _pass_on(self, target: Target, answer: UpstreamAnswer) -> None:
+    async def _pass_on(self, answer: UpstreamAnswer, target: Target) -> None:
         self._check_own(answer)
         part = answer.arrived()
         target.on_answer(answer)
         self.status = answer.status
         headers = caller_headers(answer.headers, self.request.request_id)
         await self._start(answer.status, headers)
-        passed_b = await self._pass_content(target, part)
-        while not part.is_last:
+        passed_b = 0
+        while True:
+            passed_b += len(part.content)
+            target.on_chunk(part.content)
+            if part.is_last:
+                break
+            await self._pass_part(part)
             part = await answer.receive()
-            passed_b += await self._pass_content(target, part)
         self._check_whole(answer, passed_b)
-
-    async def _pass_content(self, target: Target, part: AnswerPart) -> int:
-        """Pass on a part; return its bytes."""
-        if part.content:
-            target.on_chunk(part.content)
-        if part.is_last:
-            target.on_whole()
+        target.on_whole()
         await self._pass_part(part)
-        return len(part.content)
 
     def _check_own(self, answer: UpstreamAnswer) -> None:
         """Refuse an answer that names another request."""
@@ -197,7 +202,7 @@
                 'type': 'http.response.body',
                 'body': part.content,
                 'more_body': not part.is_last,
-            }
+            },
         )
         self.finished = part.is_last
 
@@ -208,5 +213,5 @@
                 'type': 'http.response.start',
                 'status': int(status),
                 'headers': headers,
-            }
+            },
         )
--- a/chestnutshift/forwarding/crossing.py
+++ b/chestnutshift/forwarding/crossing.py
@@ -39,11 +39,12 @@
 def crossing_headers(
     crossing: Crossing,
     request: CallerRequest,
+    target: bytes,
     secret: bytes,
     incarnation: str,
 ) -> Headers:
     """Return the headers that a crossing carries to that incarnation."""
-    statement = _statement(crossing, request, incarnation)
+    statement = _statement(crossing, request, target, incarnation)
     proof = handshake.prove(secret, 'crossing', statement)
     return [
         (CROSSING_HEADER, crossing.text().encode()),
@@ -54,6 +55,7 @@
 def _statement(
     crossing: Crossing,
     request: CallerRequest,
+    target: bytes,
     incarnation: str,
 ) -> str:
     """Return everything that a proof binds together."""
@@ -62,7 +64,7 @@
         crossing.account,
         request.request_id,
         request.method,
-        request.target.decode('latin-1'),
+        target.decode('latin-1'),
         incarnation,
     )
     return '\n'.join(parts)
@@ -90,7 +92,12 @@
         account = (request.header(ACCOUNT_HEADER) or b'').decode('latin-1')
         crossing = Crossing(*fields, account=account)
         proof = (request.header(PROOF_HEADER) or b'').decode('latin-1')
-        statement = _statement(crossing, request, self._incarnation)
+        statement = _statement(
+            crossing,
+            request,
+            request.target,
+            self._incarnation,
+        )
         try:
             handshake.verify(self._secret, proof, 'crossing', statement)
         except HandshakeError as error:
--- a/chestnutshift/forwarding/intake.py
+++ b/chestnutshift/forwarding/intake.py
@@ -7,17 +7,16 @@
 from chestnutshift.configuration.model import Preset, Service
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.crossing import Crossing, CrossingGuard
+from chestnutshift.forwarding.heads import HiddenRequest, hide_request
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import (
     CallerRequest,
     body_too_large,
     find_service,
-    make_request_id,
 )
 from chestnutshift.invariants.registry import KEYED_REQUEST, verify
 from chestnutshift.keys import credentials
 from chestnutshift.keys.authentication import Identity, KeyRing
-from chestnutshift.keys.hiding import KeyDetector, hide_key, verify_hidden
 
 ANONYMOUS = Identity(account='', digest='')
 
@@ -36,9 +35,13 @@
 
 @attrs.frozen
 class Accepted:
-    """A request that may run, for whom, and until when."""
+    """A request that may run, for whom, and until when.
+
+    hidden is the request as upstreams may see it, without the key.
+    """
 
     request: CallerRequest
+    hidden: HiddenRequest
     service: Service
     preset: Preset
     identity: Identity
@@ -68,7 +71,7 @@
     _guard: CrossingGuard
 
     def accept(self, request: CallerRequest, now: float) -> Accepted:
-        """Return the request without its key.
+        """Return the request if it may run.
 
         Raises a coded error for a request to refuse; it has not run.
         """
@@ -79,12 +82,13 @@
         _check_length(request, preset.body_limit_b)
         crossing = self._guard.read(request)
         if crossing is None:
-            identity, request = self._identify(request, service, now)
+            identity = self._identify(request, service, now)
             self._admit(identity, now)
         else:
             identity = Identity(crossing.account, '')
         return Accepted(
             request=request,
+            hidden=hide_request(request),
             service=service,
             preset=preset,
             identity=identity,
@@ -102,19 +106,16 @@
         request: CallerRequest,
         service: Service,
         now: float,
-    ) -> tuple[Identity, CallerRequest]:
-        key = credentials.read_key(request.headers)
-        identity = ANONYMOUS
-        if not service.open:
-            identity = self._key_ring.authenticate(key, now)
-            verify(
-                KEYED_REQUEST,
-                holds=bool(identity.account),
-                detail=request.request_id,
-            )
-        if key is not None:
-            request = _without_key(request, key)
-        return identity, request
+    ) -> Identity:
+        if service.open:
+            return ANONYMOUS
+        identity = self.identify_caller(request, now)
+        verify(
+            KEYED_REQUEST,
+            holds=bool(identity.account),
+            detail=request.request_id,
+        )
+        return identity
 
     def _admit(self, identity: Identity, now: float) -> None:
         if identity is ANONYMOUS:
@@ -127,24 +128,6 @@
             )
 
 
-def _without_key(request: CallerRequest, key: str) -> CallerRequest:
-    detector = KeyDetector(key)
-    path, mark, query = request.target.partition(b'?')
-    hidden = hide_key(detector, path, query, request.headers)
-    target = path + mark + hidden.query if hidden.query else path
-    verify_hidden(detector, target, hidden.headers)
-    request_id = request.request_id
-    if detector.finds_in(request_id.encode()):
-        # The id goes to upstreams, into the log and back to the caller.
-        request_id = make_request_id()
-    return attrs.evolve(
-        request,
-        request_id=request_id,
-        target=target,
-        headers=hidden.headers,
-    )
-
-
 def _check_length(request: CallerRequest, limit_b: int) -> None:
     announced = request.header(b'content-length') or b'0'
     if not announced.isdigit():
--- a/chestnutshift/forwarding/placing.py
+++ b/chestnutshift/forwarding/placing.py
@@ -22,9 +22,9 @@
 from chestnutshift.retries.budget import RetryBudget
 from chestnutshift.retries.deadline import Deadline
 from chestnutshift.retries.decision import Failure, decide_retry
+from chestnutshift.upstreams.connection import ExchangeBrokenError
 from chestnutshift.upstreams.connections import (
     ConnectionsExhaustedError,
-    ExchangeBrokenError,
     NotConnectedError,
 )
 from chestnutshift.upstreams.dispatch import Wanted
@@ -173,6 +173,7 @@
         try:
             await job.attempt.run(
                 target,
+                job.accepted.hidden,
                 job.accepted.account,
                 job.body,
                 job.accepted.deadline,
@@ -180,7 +181,7 @@
         except _NOT_SENT as error:
             raise PlaceError(error.detail) from error
         except PlaceError:
-            job.attempt.ran = Ran.NOT_RUN
+            job.attempt.note_not_run()
             job.claimed.note_not_run(NotRunProof.UPSTREAM_SAID_SO)
             raise
         except ExchangeBrokenError as error:
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -8,6 +8,9 @@
 from chestnutshift.configuration.model import Configuration, Service
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.keys.credentials import read_key
+from chestnutshift.keys.exceptions import KeyRefusalError
+from chestnutshift.keys.hiding import KeyDetector
 
 REQUEST_ID_MAX = 64
 REQUEST_ID_B = 8
@@ -21,10 +24,6 @@
 Headers = list[tuple[bytes, bytes]]
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
-# Key of the extension, in an ASGI scope, that lets what runs for a request
-# go on when the caller closes.
-DETACH = 'chestnutshift.detach'
-Detach = Callable[[], None]
 
 
 class CallerGoneError(CodedError):
@@ -84,7 +83,7 @@
         (text for name, text in headers if name == b'x-request-id'), b''
     )
     return CallerRequest(
-        request_id=_accept_id(given),
+        request_id=_request_id(given, headers),
         method=scope['method'],
         path=scope['path'],
         target=target,
@@ -92,15 +91,22 @@
     )
 
 
-def make_request_id() -> str:
-    """Return a new request id."""
-    return secrets.token_hex(REQUEST_ID_B)
+def _request_id(given: bytes, headers: Headers) -> str:
+    has_form = 0 < len(given) <= REQUEST_ID_MAX
+    if not has_form or not _ID_CHARACTERS.issuperset(given):
+        return secrets.token_hex(REQUEST_ID_B)
+    if _holds_key(given, headers):
+        # The id goes into events and the log, where no key may stand.
+        return secrets.token_hex(REQUEST_ID_B)
+    return given.decode()
 
 
-def _accept_id(given: bytes) -> str:
-    if 0 < len(given) <= REQUEST_ID_MAX and _ID_CHARACTERS.issuperset(given):
-        return given.decode()
-    return make_request_id()
+def _holds_key(text: bytes, headers: Headers) -> bool:
+    try:
+        key = read_key(headers)
+    except KeyRefusalError:
+        return False
+    return key is not None and KeyDetector(key).finds_in(text)
 
 
 def find_service(configuration: Configuration, path: str) -> Service:
@@ -124,7 +130,7 @@
         self._held: list[bytes] = []
         self._whole: bytes | None = None
         self._passing = False
-        self._finished = False
+        self._is_read = False
 
     @property
     def whole(self) -> bytes | None:
@@ -141,9 +147,9 @@
 
         Raises CallerGoneError, and RefusalError for a body over the limit.
         """
-        while self._seen_b <= held_b and not self._finished:
+        while self._seen_b <= held_b and not self._is_read:
             self._held.append(await self._next())
-        if self._finished:
+        if self._is_read:
             self._whole = b''.join(self._held)
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -152,7 +158,7 @@
         for chunk in self._held:
             yield chunk
         self._held.clear()
-        while not self._finished:
+        while not self._is_read:
             chunk = await self._next()
             if chunk:
                 yield chunk
@@ -166,7 +172,7 @@
         if self._seen_b > self._limit_b:
             raise RefusalError(body_too_large(self._limit_b))
         if not message.get('more_body', False):
-            self._finished = True
+            self._is_read = True
         return chunk
 
 
--- a/chestnutshift/idempotency/records.py
+++ b/chestnutshift/idempotency/records.py
@@ -5,13 +5,18 @@
 tell callers from the record and never write.
 """
 
+import base64
 import enum
 import random
 
 import attrs
+from cattrs.errors import BaseValidationError
 from cattrs.preconf.json import make_converter
 
-from chestnutshift.idempotency.exceptions import KeyReusedError
+from chestnutshift.idempotency.exceptions import (
+    KeyReusedError,
+    UnreadableRecordError,
+)
 from chestnutshift.idempotency.outcomes import Outcome
 from chestnutshift.invariants.registry import AT_MOST_ONCE, verify
 
@@ -21,6 +26,17 @@
 _CONVERTER = make_converter()
 
 
+# The converter's own form of bytes, base 85, is slow: it is pure Python.
+@_CONVERTER.register_unstructure_hook
+def _encode(raw: bytes) -> str:
+    return base64.b64encode(raw).decode('ascii')
+
+
+@_CONVERTER.register_structure_hook
+def _decode(text: str, _: type) -> bytes:
+    return base64.b64decode(text)
+
+
 def make_id(rng: random.Random) -> str:
     """Return a random id for an operation or a claim."""
     return f'{rng.getrandbits(ID_BITS):024x}'
@@ -64,8 +80,13 @@
 
     @classmethod
     def from_row(cls, row_value: object) -> 'Record':
-        """Read a row's value."""
-        return _CONVERTER.structure(row_value, cls)
+        """Read a row's value; raise UnreadableRecordError."""
+        try:
+            return _CONVERTER.structure(row_value, cls)
+        except (BaseValidationError, AttributeError, TypeError) as error:
+            raise UnreadableRecordError(
+                'not run: the record of this key is not readable here',
+            ) from error
 
     def to_row(self) -> object:
         """Return what the row holds: plain JSON."""
--- a/chestnutshift/regions/model.py
+++ b/chestnutshift/regions/model.py
@@ -1,5 +1,7 @@
 """Places of VMs and the load that VMs report to each other."""
 
+import math
+
 import attrs
 
 
@@ -17,7 +19,8 @@
     """The slots that a VM may use for a service, and those in use.
 
     measured_at is the local time at which the report can have been true at
-    the latest: when it arrived, less the known delay.
+    the latest: when it arrived, less the known delay. wait_s is how long a
+    request would wait there for its slot, infinite if the VM does not tell.
     """
 
     place: Place
@@ -25,6 +28,7 @@
     slots: int
     in_use: int
     measured_at: float
+    wait_s: float = math.inf
 
 
 @attrs.frozen
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -65,6 +65,7 @@
 async def serve_callers(state: VmState, stopping: trio.Event) -> None:
     """Serve until stopping is set, then end what is in flight."""
     callers = state.settings.callers
+    application = make_callers_application(state)
     limits = CallerLimits(
         header_limit_b=callers.header_limit_b,
         header_timeout_s=callers.header_timeout_s,
@@ -77,8 +78,20 @@
         callers.tls.certificate_file,
         callers.tls.key_file,
     )
-    listener = CallersListener(make_callers_application(state), limits)
-    await listener.serve(listeners, stopping)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_claimed, application, stopping, limits.grace_s)
+        await CallersListener(application, limits).serve(listeners, stopping)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_claimed(
+    application: CallersApplication,
+    stopping: trio.Event,
+    grace_s: float,
+) -> None:
+    await stopping.wait()
+    await trio.sleep(grace_s)
+    application.forwarder.stop_claimed()
 
 
 async def serve_operators(state: VmState) -> None:
