--- a/chestnutshift/forwarding/targets.py
+++ b/chestnutshift/forwarding/targets.py
@@ -25,6 +25,7 @@
 from chestnutshift.vms.work import LocalWork
 
 CROSSING_NUMBER_B = 12
+SHED_RETRY_AFTER_S = 1.0
 LEAVING_HEADER = b'chestnutshift-leaving'
 
 
@@ -82,7 +83,10 @@
                 now = trio.current_time()
                 self._work.pool.note([health.record_leaving(news, now)])
             if told.get(RAN_HEADER) == b'no':
-                raise UpstreamRefusedError(f'{held.upstream} shed the request')
+                raise UpstreamRefusedError(
+                    f'{held.upstream} shed the request',
+                    _retry_after_s(told),
+                )
             job.claimed.start_answer(answer)
 
         return Target(
@@ -132,3 +136,8 @@
 
 def _own_headers(answer: UpstreamAnswer) -> dict[bytes, bytes]:
     return {name.lower(): text for name, text in answer.headers}
+
+
+def _retry_after_s(told: dict[bytes, bytes]) -> float:
+    asked = told.get(b'retry-after', b'')
+    return float(asked) if asked.isdigit() else SHED_RETRY_AFTER_S
--- a/tests/forwarding/test_answers.py
+++ b/tests/forwarding/test_answers.py
@@ -139,7 +139,7 @@
     upstream = ScriptedUpstream(script)
     async with forwarding(upstream) as world, world.calling() as caller:
         head = get('/listings/1', AUTHORIZED, 'content-length: 9000000')
-        await caller.send(head + b'x' * 1000)
+        await caller.send(b'%b%b' % (head, b'x' * 70_000))
         answer = await caller.answer()
         assert (answer.status, answer.body) == (413, b'too much')
         assert answer.headers['connection'] == 'close'
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -6,6 +6,7 @@
 from trio.testing import trio_test
 
 from bench.one_vm import KEY
+from chestnutshift.configuration.model import RetriesPreset
 from tests.callers.clients import Answer, get
 from tests.forwarding.world import (
     AUTHORIZED,
@@ -21,8 +22,9 @@
     b'retry-after: 3',
     status=b'503 Busy',
 )
-CHUNK = b'384\r\n%b\r\n' % (b'x' * 900)
-SLOW_BODY = get('/listings/1', AUTHORIZED, 'content-length: 9')
+CHUNK = b'%x\r\n%b\r\n' % (70_000, b'x' * 70_000)
+LONG = b'x' * 70_000
+SLOW_BODY = get('/listings/1', AUTHORIZED, 'content-length: 90000')
 
 
 def _code(answer: Answer) -> tuple[int, str, str]:
@@ -37,7 +39,11 @@
     """What an upstream did not run is tried at another one."""
     busy = answering(SHEDDING)
     free = answering(reply(b'ran'))
-    async with forwarding(busy, free) as world, world.calling() as caller:
+    retries = RetriesPreset(ratio=1, reserve=100)
+    async with (
+        forwarding(busy, free, retries=retries) as world,
+        world.calling() as caller,
+    ):
         for _ in range(4):
             head = get('/listings/1', AUTHORIZED, 'content-length: 4')
             await caller.send(b'%bbody' % head)
@@ -70,7 +76,7 @@
 
     first, second = ScriptedUpstream(script), ScriptedUpstream(script)
     async with forwarding(first, second) as world, world.calling() as caller:
-        await caller.send(b'%bpart' % SLOW_BODY)
+        await caller.send(b'%b%b' % (SLOW_BODY, LONG))
         answer = await caller.answer()
         assert _code(answer) == (503, 'upstreams.shed', 'no')
         assert answer.headers['retry-after'] == '3'
@@ -138,9 +144,9 @@
         await upstream.next_head(stream)
 
     upstream = ScriptedUpstream(script)
-    async with forwarding(upstream, body_limit_b=1000) as world:
+    async with forwarding(upstream, body_limit_b=100_000) as world:
         async with world.calling() as caller:
-            head = get('/listings/1', AUTHORIZED, 'content-length: 1001')
+            head = get('/listings/1', AUTHORIZED, 'content-length: 100001')
             await caller.send(head)
             announced = (413, 'request.body', 'no')
             assert _code(await caller.answer()) == announced
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -8,6 +8,7 @@
 import trio
 
 from bench.one_vm import KEY, list_upstreams, start_vm
+from chestnutshift.configuration.model import RetriesPreset
 from chestnutshift.vms.serving import make_callers_application
 from chestnutshift.vms.state import VmState
 from tests.callers.clients import Answer, Caller, calling, get
@@ -106,13 +107,20 @@
     *upstreams: ScriptedUpstream,
     **preset: Any,
 ) -> AsyncIterator[World]:
-    """Forward to the upstreams for the block, invariants enforced."""
+    """Forward to the upstreams for the block, invariants enforced.
+
+    Without a preset for retries there are none.
+    """
+    preset.setdefault('retries', RetriesPreset(ratio=0, reserve=0))
     async with trio.open_nursery() as nursery:
         ports = [
             await listen(nursery, upstream.serve) for upstream in upstreams
         ]
         state = await start_vm(nursery, 0, list_upstreams(ports), **preset)
         application = make_callers_application(state)
+        # The application hears of the preset by a newer configuration.
+        newer = attrs.evolve(state.holder.current, number=2)
+        assert state.holder.offer(newer)
         async with serving(application, LIMITS) as port:
             yield World(port, state)
         nursery.cancel_scope.cancel()
