--- a/chestnutshift/callers/application.py
+++ b/chestnutshift/callers/application.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutshift.callers.entries import ENTRIES_PATH, EntriesPage
 from chestnutshift.forwarding.application import Forwarder
 from chestnutshift.forwarding.requests import Receive, Send
 
@@ -12,11 +13,17 @@
 class CallersApplication:
     """The ASGI application of the callers' port."""
 
+    entries: EntriesPage
     steering: object
     forwarder: Forwarder
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request."""
-        steers = scope['path'].startswith(STEERING_PREFIX)
-        application = self.steering if steers else self.forwarder
-        await application(scope, receive, send)
+        await self._application(scope['path'])(scope, receive, send)
+
+    def _application(self, path: str) -> object:
+        if path == ENTRIES_PATH:
+            return self.entries
+        if path.startswith(STEERING_PREFIX):
+            return self.steering
+        return self.forwarder
--- a/chestnutshift/callers/steering.py
+++ b/chestnutshift/callers/steering.py
@@ -1,6 +1,5 @@
-"""The steering pages: look-ups, tickets, and what became of a request."""
+"""The steering pages: tickets, and what became of a request."""
 
-import trio
 from quart import Response, jsonify, request
 from quart_trio import QuartTrio
 
@@ -15,8 +14,6 @@
 from chestnutshift.forwarding.requests import CallerRequest, read_request
 from chestnutshift.idempotency.tickets import TICKET_LIFETIME_S
 from chestnutshift.idempotency.verdicts import Replay
-from chestnutshift.lookup.answers import Question
-from chestnutshift.lookup.documents import describe_answer
 from chestnutshift.vms.state import VmState
 
 
@@ -39,22 +36,6 @@
         problem = problem_of(error, Ran.NOT_RUN)
         return _problem_response(problem, asked().request_id)
 
-    @app.get('/steering/entries')
-    async def entries() -> Response:
-        client = request.scope.get('client') or ('127.0.0.1', 0)
-        question = Question(
-            address=client[0],
-            block=request.args.get('block', ''),
-            region=request.args.get('region', ''),
-        )
-        preset = state.holder.current.preset
-        now = trio.current_time()
-        answer = state.lookups.answer(question, preset, now)
-        response = jsonify(describe_answer(answer))
-        lifetime_s = int(answer.lifetime_s)
-        response.headers['Cache-Control'] = f'max-age={lifetime_s}'
-        return response
-
     @app.post('/steering/tickets')
     async def ticket() -> Response:
         moment = present_moment()
--- a/chestnutshift/forwarding/problems.py
+++ b/chestnutshift/forwarding/problems.py
@@ -83,6 +83,8 @@
     'keys.several': http.HTTPStatus.BAD_REQUEST,
     'keys.in_target': http.HTTPStatus.BAD_REQUEST,
     'keys.stale': http.HTTPStatus.SERVICE_UNAVAILABLE,
+    'lookup.invalid_address': http.HTTPStatus.BAD_REQUEST,
+    'lookup.invalid_block': http.HTTPStatus.BAD_REQUEST,
 }
 
 
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -8,6 +8,7 @@
 from hypercorn.trio import serve
 
 from chestnutshift.callers.application import CallersApplication
+from chestnutshift.callers.entries import EntriesPage
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
 from chestnutshift.callers.steering import make_steering
@@ -59,7 +60,11 @@
         state.watch,
         state.event_log,
     )
-    return CallersApplication(make_steering(state, intake), forwarder)
+    return CallersApplication(
+        EntriesPage(state.answer_lookup),
+        make_steering(state, intake),
+        forwarder,
+    )
 
 
 async def serve_callers(state: VmState, stopping: trio.Event) -> None:
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -18,6 +18,7 @@
 from chestnutshift.keys.knowledge import Knowledge, PeerAnswer
 from chestnutshift.keys.watch import Watch
 from chestnutshift.links.peer import PeerLink
+from chestnutshift.lookup.answers import LookupAnswer, Question
 from chestnutshift.platform.backends.base import Platform
 from chestnutshift.platform.records import VmList
 from chestnutshift.vms.lookups import LookupKeeper
@@ -84,6 +85,10 @@
             },
         )
 
+    def answer_lookup(self, question: Question, now: float) -> LookupAnswer:
+        """Answer one look-up; raises the errors of malformed questions."""
+        return self.lookups.answer(question, self.holder.current.preset, now)
+
     def end_keys(self, digests: frozenset[str], source: str) -> None:
         """Stop everything that runs for keys that ended."""
         for digest in digests:
