--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -20,7 +20,11 @@
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.transport import CallerTransport
 from chestnutshift.forwarding.problems import Problem
-from chestnutshift.forwarding.requests import REQUEST_ID_B, CallerGoneError
+from chestnutshift.forwarding.requests import (
+    REQUEST_ID_B,
+    CallerGoneError,
+    Headers,
+)
 
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
@@ -58,6 +62,7 @@
         )
         self._application = application
         self._stop = stop
+        self._headers: Headers = []
         self._head_scope = trio.CancelScope()
         self._end_watch = EndWatch(transport, self.intake, self.h11)
 
@@ -162,7 +167,10 @@
             if self.h11.trailing_data[0]:
                 await self.refuse(refusals.SLOW_HEAD)
             return None
-        problem = refusals.refuse_head(event, self.limits.header_limit_b)
+        # h11's headers are slow to iterate over, so they are copied once.
+        self._headers = list(event.headers)
+        limit_b = self.limits.header_limit_b
+        problem = refusals.refuse_head(event, self._headers, limit_b)
         if problem is None:
             return event
         await self.refuse(problem)
@@ -187,7 +195,7 @@
 
     async def _answer(self, request: h11.Request) -> bool:
         """Let the application answer; return whether the answer is whole."""
-        exchange = CallerExchange(self, request)
+        exchange = CallerExchange(self, request, self._headers)
         self._end_watch.exchange = exchange
         try:
             with exchange.scope:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -52,6 +52,7 @@
         self,
         connection: 'CallerConnection',
         request: h11.Request,
+        headers: Headers,
     ) -> None:
         """Serve the request whose head was read."""
         self.scope = trio.CancelScope()
@@ -59,11 +60,12 @@
         self._connection = connection
         self._h11 = connection.h11
         self._request = request
+        self._headers = headers
         self._pending = b''
         self._has_body = True
         # A request without a body is read at once; else on demand, so that
         # a refused caller need not send it.
-        self._is_read = not _has_body(request) and self._reads_end()
+        self._is_read = not _has_body(headers) and self._reads_end()
         self._is_delivered = False
         self._is_started = False
         self._is_whole = False
@@ -112,7 +114,7 @@
             'raw_path': path,
             'query_string': query,
             'root_path': '',
-            'headers': list(request.headers),
+            'headers': self._headers,
             'client': self._connection.transport.peer,
             'server': None,
             'extensions': {},
@@ -214,8 +216,7 @@
         self._h11.receive_data(chunk)
 
 
-def _has_body(request: h11.Request) -> bool:
+def _has_body(headers: Headers) -> bool:
     return any(
-        name in {b'content-length', b'transfer-encoding'}
-        for name, _ in request.headers
+        name in {b'content-length', b'transfer-encoding'} for name, _ in headers
     )
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -3,6 +3,7 @@
 import h11
 
 from chestnutshift.forwarding.problems import Problem, Ran
+from chestnutshift.forwarding.requests import Headers
 
 HEAD_TOO_LARGE = 431
 
@@ -52,19 +53,23 @@
     return Problem(400, 'request.malformed', str(error))
 
 
-def refuse_head(request: h11.Request, limit_b: int) -> Problem | None:
+def refuse_head(
+    request: h11.Request,
+    headers: Headers,
+    limit_b: int,
+) -> Problem | None:
     """Return the refusal of a head that this port doesn't serve, if any.
 
     h11 bounds only heads that arrive in several pieces.
     """
-    head_b = sum(len(name) + len(text) for name, text in request.headers)
+    head_b = sum(len(name) + len(text) for name, text in headers)
     if head_b + len(request.target) > limit_b:
         return _TOO_LARGE
     if request.http_version not in {b'1.1', b'1.0'}:
         return _NO_VERSION
     if request.method == b'CONNECT':
         return _NO_TUNNEL
-    for name, text in request.headers:
+    for name, text in headers:
         if name == b'upgrade' and text.strip().lower() == b'websocket':
             return _NO_WEBSOCKET
     return None
