Test that an operation's outcome outlives a caller that closed

Failed first (with the former sending, which raised towards the shielded operation): the repeat got no outcome, as the record ended at the reset.

--- /dev/null
+++ b/tests/forwarding/test_claims.py
@@ -0,0 +1,71 @@
+"""Operations with an idempotency key go on for callers that closed."""
+
+import trio
+from trio.testing import trio_test
+
+from bench.one_vm import list_upstreams
+from tests.callers.clients import get
+from tests.forwarding.world import (
+    AUTHORIZED,
+    ScriptedUpstream,
+    forwarding,
+    listen,
+    reply,
+)
+
+CONTENT = reply(b'booked and paid')
+BOOKING = get(
+    '/bookings/1',
+    AUTHORIZED,
+    'idempotency-key: "one"',
+    'content-length: 0',
+    method='POST',
+)
+
+
+class Booked:
+    """An upstream that answers in pieces, before and after a caller left."""
+
+    def __init__(self) -> None:
+        """Wait in the middle of the first answer."""
+        self.upstream = ScriptedUpstream(self._run)
+        self._gone = trio.Event()
+        self._ended = trio.Event()
+
+    async def end(self) -> None:
+        """Send the rest of the answer."""
+        self._gone.set()
+        with trio.fail_after(10):
+            await self._ended.wait()
+        await trio.sleep(0.1)
+
+    async def _run(self, upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(CONTENT[:-8])
+        await self._gone.wait()
+        # The first piece meets the reset, the second what follows.
+        await stream.send_all(CONTENT[-8:-4])
+        await trio.sleep(0.3)
+        await stream.send_all(CONTENT[-4:])
+        self._ended.set()
+        await upstream.next_head(stream)
+
+
+@trio_test
+async def test_outcome_of_a_caller_that_closed():
+    """A caller that closed amid its answer gets the outcome by a repeat."""
+    booked = Booked()
+    async with trio.open_nursery() as nursery, forwarding() as world:
+        port = await listen(nursery, booked.upstream.serve)
+        upstreams = list_upstreams([port], service='bookings')
+        world.state.take_list(upstreams, trio.current_time())
+        async with world.calling() as caller:
+            await caller.send(BOOKING)
+            assert await caller.stream.receive_some(10)
+        await booked.end()
+        async with world.calling() as caller:
+            await caller.send(BOOKING)
+            answer = await caller.answer()
+            assert (answer.status, answer.body) == (200, b'booked and paid')
+        assert len(booked.upstream.heads) == 1
+        nursery.cancel_scope.cancel()
