Refuse a body with two lengths, and pace dials without holding them up

Failed first: a request with Content-Length and Transfer-Encoding was taken by the latter and would have gone upstream with the former. Connections to an upstream that does not answer were dialled one after the other, each for up to a second; now only their starts are paced.

--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -6,6 +6,7 @@
 from chestnutshift.forwarding.requests import Headers
 
 HEAD_TOO_LARGE = 431
+_BODY_LENGTHS = frozenset((b'content-length', b'transfer-encoding'))
 
 SLOW_HEAD = Problem(
     408,
@@ -29,6 +30,11 @@
     'request.head',
     'the head of the request is too large',
 )
+_TWO_LENGTHS = Problem(
+    400,
+    'request.malformed',
+    'send either Content-Length or Transfer-Encoding',
+)
 _NO_VERSION = Problem(
     505,
     'request.http_version',
@@ -69,6 +75,8 @@
         return _NO_VERSION
     if request.method == b'CONNECT':
         return _NO_TUNNEL
+    if _BODY_LENGTHS.issubset(name for name, _ in headers):
+        return _TWO_LENGTHS
     for name, text in headers:
         if name == b'upgrade' and text.strip().lower() == b'websocket':
             return _NO_WEBSOCKET
--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -4,6 +4,7 @@
 only after a whole answer, so an answer can never be taken for another's.
 """
 
+import math
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -59,7 +60,8 @@
         # The one used last is at the right.
         self._idle: deque[UpstreamConnection] = deque()
         self._open_count = 0
-        self._dialling = trio.Lock()
+        # The earliest time of the next new connection.
+        self._dial_at = -math.inf
 
     @property
     def open_count(self) -> int:
@@ -140,15 +142,12 @@
             raise
 
     async def _connect(self) -> UpstreamConnection:
-        async with self._dialling:
-            with trio.fail_after(CONNECT_S):
-                stream = await trio.open_tcp_stream(self._address, self._port)
-            try:
-                # The upstream needs this long for each new connection.
-                await trio.sleep(self._pace_s)
-            except trio.Cancelled:
-                stream.socket.close()
-                raise
+        # The upstream needs pace_s for each new connection.
+        dial_at = max(trio.current_time(), self._dial_at)
+        self._dial_at = dial_at + self._pace_s
+        await trio.sleep_until(dial_at)
+        with trio.fail_after(CONNECT_S):
+            stream = await trio.open_tcp_stream(self._address, self._port)
         return UpstreamConnection(stream)
 
     def _drop_older(self, heard_before: float) -> None:
--- a/tests/callers/test_connection.py
+++ b/tests/callers/test_connection.py
@@ -50,6 +50,18 @@
         assert await _refused(port, large[:-4]) == too_large
 
 
+@trio_test
+async def test_two_lengths():
+    """A body with two different ends is refused, never forwarded."""
+    lengths = ('content-length: 4', 'transfer-encoding: chunked')
+    async with serving(echo) as port:
+        assert await _refused(port, get('/', *lengths)) == (
+            400,
+            'request.malformed',
+            'no',
+        )
+
+
 @trio_test
 async def test_unsupported():
     """HTTP/2, websockets and tunnels are refused in clear words."""
