--- a/chestnutshift/callers/end_watch.py
+++ b/chestnutshift/callers/end_watch.py
@@ -37,7 +37,7 @@
             if self.exchange is not None:
                 await self._probe(self.exchange)
             if self.exchange is not None and self._is_gone():
-                self.exchange.scope.cancel()
+                self.exchange.abandon()
             await trio.sleep(HALF_CLOSED_CHECK_S)
 
     async def wait_probed(self) -> None:
@@ -57,7 +57,7 @@
         try:
             await self._transport.send(self._h11.send(CONTINUE))
         except CallerGoneError:
-            exchange.scope.cancel()
+            exchange.abandon()
         finally:
             self._probed.set()
 
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -52,17 +52,20 @@
         self,
         connection: 'CallerConnection',
         request: h11.Request,
+        headers: Headers,
     ) -> None:
         """Serve the request whose head was read."""
         self.scope = trio.CancelScope()
+        self._is_lost = False
         self._connection = connection
         self._h11 = connection.h11
         self._request = request
+        self._headers = headers
         self._pending = b''
         self._has_body = True
         # A request without a body is read at once; else on demand, so that
         # a refused caller need not send it.
-        self._is_read = not _has_body(request) and self._reads_end()
+        self._is_read = not _has_body(headers) and self._reads_end()
         self._is_delivered = False
         self._is_started = False
         self._is_whole = False
@@ -89,6 +92,14 @@
             return False
         return self._request.http_version == b'1.1'
 
+    def abandon(self) -> None:
+        """Cancel what runs: the caller is gone.
+
+        What is shielded goes on, and what it sends is dropped.
+        """
+        self._is_lost = True
+        self.scope.cancel()
+
     def asgi_scope(self) -> Message:
         """Return the request's head as ASGI has it."""
         request = self._request
@@ -103,7 +114,7 @@
             'raw_path': path,
             'query_string': query,
             'root_path': '',
-            'headers': list(request.headers),
+            'headers': self._headers,
             'client': self._connection.transport.peer,
             'server': None,
             'extensions': {},
@@ -128,7 +139,7 @@
         return {'type': 'http.request', 'body': body, 'more_body': more}
 
     async def send(self, message: Message) -> None:
-        """Write a part of the answer; raises CallerGoneError."""
+        """Write a part of the answer; cancels the scope of a gone caller."""
         if message['type'] == 'http.response.start':
             self._start(message['status'], list(message.get('headers', ())))
             return
@@ -141,7 +152,7 @@
         if is_last:
             self._pending += self._h11.send(h11.EndOfMessage())
         await self._flush()
-        self._is_whole = is_last
+        self._is_whole = is_last and not self._is_lost
 
     def _start(self, status: int, headers: Headers) -> None:
         self._is_started = True
@@ -163,8 +174,12 @@
     async def _flush(self) -> None:
         pending = self._pending
         self._pending = b''
-        if pending:
+        if not pending or self._is_lost:
+            return
+        try:
             await self._connection.write(pending)
+        except CallerGoneError:
+            self.abandon()
 
     def _arrived(self) -> bytes:
         chunks = []
@@ -201,8 +216,7 @@
         self._h11.receive_data(chunk)
 
 
-def _has_body(request: h11.Request) -> bool:
+def _has_body(headers: Headers) -> bool:
     return any(
-        name in {b'content-length', b'transfer-encoding'}
-        for name, _ in request.headers
+        name in {b'content-length', b'transfer-encoding'} for name, _ in headers
     )
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -8,6 +8,9 @@
 from chestnutshift.configuration.model import Configuration, Service
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.keys.credentials import read_key
+from chestnutshift.keys.exceptions import KeyRefusalError
+from chestnutshift.keys.hiding import KeyDetector
 
 REQUEST_ID_MAX = 64
 REQUEST_ID_B = 8
@@ -80,7 +83,7 @@
         (text for name, text in headers if name == b'x-request-id'), b''
     )
     return CallerRequest(
-        request_id=_request_id(given),
+        request_id=_request_id(given, headers),
         method=scope['method'],
         path=scope['path'],
         target=target,
@@ -88,10 +91,22 @@
     )
 
 
-def _request_id(given: bytes) -> str:
-    if 0 < len(given) <= REQUEST_ID_MAX and _ID_CHARACTERS.issuperset(given):
-        return given.decode()
-    return secrets.token_hex(REQUEST_ID_B)
+def _request_id(given: bytes, headers: Headers) -> str:
+    has_form = 0 < len(given) <= REQUEST_ID_MAX
+    if not has_form or not _ID_CHARACTERS.issuperset(given):
+        return secrets.token_hex(REQUEST_ID_B)
+    if _holds_key(given, headers):
+        # The id goes into events and the log, where no key may stand.
+        return secrets.token_hex(REQUEST_ID_B)
+    return given.decode()
+
+
+def _holds_key(text: bytes, headers: Headers) -> bool:
+    try:
+        key = read_key(headers)
+    except KeyRefusalError:
+        return False
+    return key is not None and KeyDetector(key).finds_in(text)
 
 
 def find_service(configuration: Configuration, path: str) -> Service:
--- a/tests/forwarding/test_key_secrecy.py
+++ b/tests/forwarding/test_key_secrecy.py
@@ -5,9 +5,10 @@
 import trio
 from trio.testing import trio_test
 
+from bench.one_vm import ACCOUNT, KEY
 from standins.upstream import UpstreamApp, UpstreamSettings, serve_upstream
 from tests.callers.clients import get
-from tests.forwarding.world import ACCOUNT, AUTHORIZED, KEY, forwarding
+from tests.forwarding.world import AUTHORIZED, forwarding
 
 RAW = KEY.encode()
 SPELLINGS = (
@@ -35,6 +36,7 @@
             'transfer-encoding: chunked',
             'trailer: x-trailer',
             'chestnutshift-account: another',
+            f'x-request-id: {spelling}',
             method='POST',
         )
         requests.append(head + f'0\r\n{trailer}\r\n\r\n'.encode())
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -7,39 +7,17 @@
 import attrs
 import trio
 
-from chestnutshift.accounts.seats import SeatRight
-from chestnutshift.conf.settings import (
-    CallersSettings,
-    OperatorsSettings,
-    PeersSettings,
-    PlatformSettings,
-    Settings,
-    VmSettings,
-)
-from chestnutshift.configuration.model import (
-    AccountLimit,
-    Configuration,
-    KeyRecord,
-    Preset,
-    Service,
-)
-from chestnutshift.keys import credentials
-from chestnutshift.platform.backends.memory import MemoryPlatform
-from chestnutshift.platform.records import VmList, VmRecord, VmRole
-from chestnutshift.vms.assembly import make_state
-from chestnutshift.vms.membership import VmPhase
+from bench.one_vm import KEY, list_upstreams, start_vm
+from chestnutshift.configuration.model import RetriesPreset
 from chestnutshift.vms.serving import make_callers_application
 from chestnutshift.vms.state import VmState
 from tests.callers.clients import Answer, Caller, calling, get
 from tests.callers.serving import LIMITS, Port, serving
 
-KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
-ACCOUNT = 'konya'
 AUTHORIZED = f'authorization: Bearer {KEY}'
 READ_B = 65_536
 OK = b'200 OK'
 TARGET = '/listings/1'
-LONG_S = 1e6
 
 Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -102,7 +80,7 @@
 
 @attrs.define
 class World:
-    """The forwarder, its port and what it knows."""
+    """One VM and its port for callers."""
 
     port: Port
     state: VmState
@@ -119,57 +97,9 @@
             await caller.send(get(target, AUTHORIZED, *headers))
             return await caller.answer()
 
-    def add(self, *ports: int, slots: int = 8) -> None:
-        """Know the upstreams that listen on these ports."""
-        records = [
-            VmRecord(
-                f'upstream-{port}',
-                VmRole.UPSTREAM,
-                'domain',
-                'region',
-                f'127.0.0.1:{port}',
-                service='listings',
-                slots=slots,
-            )
-            for port in ports
-        ]
-        self.state.take_list(VmList(0, tuple(records)), trio.current_time())
-
-
-def make_configuration(**preset: Any) -> Configuration:
-    """Return a configuration with one keyed and one open service."""
-    limits = {ACCOUNT: AccountLimit(rate=100, burst=100)}
-    return Configuration(
-        number=1,
-        deployment='test',
-        services=(
-            Service('listings', '/listings'),
-            Service('open', '/open', open=True),
-        ),
-        presets={'ordinary': Preset(accounts=limits, **preset)},
-        in_force='ordinary',
-        keys={credentials.digest(KEY): KeyRecord(ACCOUNT, 'test')},
-    )
-
-
-def make_vm(configuration: Configuration) -> VmState:
-    """Return a VM without peers that holds its seat."""
-    settings = Settings(
-        vm=VmSettings('vm', 'region', 'domain'),
-        callers=CallersSettings('127.0.0.1', 1, 'http://127.0.0.1:1'),
-        operators=OperatorsSettings('127.0.0.1', 2, 'none'),
-        peers=PeersSettings('127.0.0.1', 3, 'none'),
-        platform=PlatformSettings('http://127.0.0.1:4'),
-    )
-    state = make_state(settings, MemoryPlatform())
-    now = trio.current_time()
-    state.holder.offer(configuration)
-    state.adopt(configuration, now)
-    state.confirm(now + LONG_S)
-    state.admission.renewed(SeatRight(now, now, now + LONG_S), now)
-    state.work.follow_seat(1, now)
-    state.phase = VmPhase.LIVE
-    return state
+    def add(self, *ports: int) -> None:
+        """Use the upstreams that listen on these ports."""
+        self.state.take_list(list_upstreams(ports), trio.current_time())
 
 
 @asynccontextmanager
@@ -177,17 +107,22 @@
     *upstreams: ScriptedUpstream,
     **preset: Any,
 ) -> AsyncIterator[World]:
-    """Forward to the upstreams for the block, invariants enforced."""
+    """Forward to the upstreams for the block, invariants enforced.
+
+    Without a preset for retries there are none.
+    """
+    preset.setdefault('retries', RetriesPreset(ratio=0, reserve=0))
     async with trio.open_nursery() as nursery:
         ports = [
             await listen(nursery, upstream.serve) for upstream in upstreams
         ]
-        state = make_vm(make_configuration(**preset))
-        application = make_callers_application(state, b'secret')
+        state = await start_vm(nursery, 0, list_upstreams(ports), **preset)
+        application = make_callers_application(state)
+        # The application hears of the preset by a newer configuration.
+        newer = attrs.evolve(state.holder.current, number=2)
+        assert state.holder.offer(newer)
         async with serving(application, LIMITS) as port:
-            world = World(port, state)
-            world.add(*ports)
-            yield world
+            yield World(port, state)
         nursery.cancel_scope.cancel()
 
 
