--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -151,7 +151,8 @@
     ) -> Decision:
         """Decide about one request of the account at now (seconds).
 
-        repeated says that the request was held and is tried again.
+        repeated says that the request was held and is tried again; its
+        refusals are not logged, as it may be tried many times.
         """
         held = self._accounts.get(account)
         if held is None or held.limit.rate <= 0:
@@ -170,7 +171,7 @@
             if wait_s > 0:
                 return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
         refusal = _refuse(held.share)
-        if self._log is not None:
+        if self._log is not None and not repeated:
             self._log.emit(
                 events.REQUEST_REFUSED,
                 account=account,
@@ -178,12 +179,6 @@
             )
         return refusal
 
-    def spend(self, account: str, now: float) -> bool:
-        """Admit a request that was held for a loan, if a token is there."""
-        held = self._accounts.get(account)
-        self._check_pause(now)
-        return held is not None and held.share.spend(now)
-
     def configure(
         self,
         limits: dict[str, AccountLimit],
--- a/chestnutshift/forwarding/intake.py
+++ b/chestnutshift/forwarding/intake.py
@@ -112,9 +112,6 @@
         while not decision.admitted and now < give_up_at:
             await trio.sleep(LOAN_PAUSE_S)
             now = trio.current_time()
-            if self._admission.spend(account, now):
-                return
-        if decision.wait_s:
             decision = self._admission.admit(account, now, repeated=True)
         if not decision.admitted:
             raise OverRateError(
--- a/tests/forwarding/world.py
+++ b/tests/forwarding/world.py
@@ -117,7 +117,7 @@
             await listen(nursery, upstream.serve) for upstream in upstreams
         ]
         state = await start_vm(nursery, 0, list_upstreams(ports), **preset)
-        application = make_callers_application(state)
+        application = make_callers_application(state, b'secret')
         # The application hears of the preset by a newer configuration.
         newer = attrs.evolve(state.holder.current, number=2)
         assert state.holder.offer(newer)
