Flood withdrawals while the platform is out of reach, and write them down later

Also: the platform's list tells which VMs nobody need wait for, a planned stop passes on what it knows and says so, expired request records are swept, and generated keys are recognised on open routes too.

--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -16,7 +16,6 @@
 from chestnutshift.keys.exceptions import KeyRefusalError
 from chestnutshift.keys.hiding import (
     KeyDetector,
-    drop_credentials,
     hide_key,
     verify_hidden,
 )
@@ -55,7 +54,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    _detector: KeyDetector | None
+    _detector: KeyDetector
 
     def outbound(
         self,
@@ -74,8 +73,7 @@
         headers += [(b'host', host), (DEADLINE_HEADER, b'%d' % remaining_ms)]
         if account:
             headers.append((ACCOUNT_HEADER, account.encode()))
-        if self._detector is not None:
-            verify_hidden(self._detector, self.target, headers)
+        verify_hidden(self._detector, self.target, headers)
         named = [text for name, text in headers if name == ACCOUNT_HEADER]
         expected = [account.encode()] if account else []
         verify(
@@ -96,15 +94,11 @@
     headers = _end_to_end(request.headers, _TO_UPSTREAM)
     headers.append((REQUEST_ID_HEADER, request.request_id.encode()))
     detector = _detector_of(request)
-    if detector is None:
-        headers = drop_credentials(headers)
-    else:
-        hidden = hide_key(detector, path, query, headers)
-        query, headers = hidden.query, hidden.headers
+    hidden = hide_key(detector, path, query, headers)
     return HiddenRequest(
         method=request.method.encode(),
-        target=path + mark + query,
-        headers=headers,
+        target=path + mark + hidden.query,
+        headers=hidden.headers,
         detector=detector,
     )
 
@@ -151,10 +145,9 @@
     return any(name == b'content-length' for name, _ in headers)
 
 
-def _detector_of(request: CallerRequest) -> KeyDetector | None:
-    """Return what recognises the key; open routes may come without one."""
+def _detector_of(request: CallerRequest) -> KeyDetector:
+    """Return what recognises the key, or any generated one without it."""
     try:
-        key = read_key(request.headers)
+        return KeyDetector(read_key(request.headers))
     except KeyRefusalError:
-        return None
-    return None if key is None else KeyDetector(key)
+        return KeyDetector(None)
--- a/chestnutshift/operators/acceptance.py
+++ b/chestnutshift/operators/acceptance.py
@@ -10,9 +10,12 @@
     ConfigurationError,
 )
 from chestnutshift.operators.changes import CHANGES
+from chestnutshift.platform.exceptions import PlatformUnavailableError
+from chestnutshift.vms import withdrawals
 from chestnutshift.vms.state import VmState
 
 IN_FORCE_WAIT_S = 5.0
+WITHDRAWAL = 'withdraw_key'
 LOOK_AGAIN_S = 0.05
 
 
@@ -48,7 +51,12 @@
     ChangeConflictError if another one came first, UnknownNameError,
     SettingsError, and the platform's errors.
     """
-    base = await store.read_current(state.platform)
+    try:
+        base = await store.read_current(state.platform)
+    except PlatformUnavailableError:
+        if request.kind != WITHDRAWAL:
+            raise
+        return await _withdraw_without_platform(state, request)
     before = base.configuration
     if request.expected_number not in {0, before.number}:
         raise ChangeConflictError(
@@ -83,6 +91,28 @@
     )
 
 
+async def _withdraw_without_platform(
+    state: VmState,
+    request: ChangeRequest,
+) -> ChangeReport:
+    """Withdraw a key at every VM that is reached; it is written down later."""
+    reference = str(request.arguments.get('key', ''))
+    digest = withdrawals.find_known(state, reference)
+    differences = (f'keys.{digest}.withdrawn: False -> True',)
+    number = state.holder.number
+    if request.dry_run:
+        return ChangeReport(number, accepted=False, differences=differences)
+    reached = await withdrawals.flood(state, frozenset((digest,)))
+    every = {state.name, *(peer.name for peer in state.membership.peers)}
+    return ChangeReport(
+        number=number,
+        accepted=True,
+        differences=differences,
+        in_force_on=tuple(sorted(reached)),
+        not_reached=tuple(sorted(every - reached)),
+    )
+
+
 async def _wait_in_force(state: VmState, number: int) -> tuple[str, ...]:
     behind: tuple[str, ...] = ()
     with trio.move_on_after(IN_FORCE_WAIT_S):
--- a/chestnutshift/vms/assembly.py
+++ b/chestnutshift/vms/assembly.py
@@ -13,6 +13,7 @@
 from chestnutshift.events.log import EventLog
 from chestnutshift.idempotency.ledger import Ledger
 from chestnutshift.idempotency.records import Holder
+from chestnutshift.idempotency.retention import Sweeper
 from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.keys.knowledge import Knowledge
 from chestnutshift.keys.watch import Watch
@@ -38,6 +39,7 @@
     seat_holder = seats.holder_name(name, incarnation)
     key_ring = KeyRing()
     steering = RegionSteering(settings, membership, rng)
+    is_gone = _gone_check(name, incarnation, membership)
     return VmState(
         settings=settings,
         incarnation=incarnation,
@@ -63,8 +65,9 @@
             Holder(name, incarnation),
             random.SystemRandom(),
             event_log,
-            _gone_check(name, incarnation, membership),
+            is_gone,
         ),
+        sweeper=Sweeper(platform, rng, event_log, is_gone),
         work=LocalWork(settings, rng, event_log),
         steering=steering,
         lookups=LookupKeeper(
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -5,6 +5,7 @@
 import trio
 
 from chestnutshift.configuration.codec import from_bytes, to_bytes
+from chestnutshift.exceptions import CodedError
 from chestnutshift.links.exceptions import LinkDownError, PeerRefusedError
 from chestnutshift.links.handlers import Handlers
 from chestnutshift.links.peer import PeerLink
@@ -114,6 +115,20 @@
     state.hear(peer, asked_at, trio.current_time())
 
 
+async def beat_all(state: VmState) -> None:
+    """Exchange one heartbeat with every VM that answers."""
+
+    async def beat_one(link: PeerLink) -> None:
+        try:
+            await beat(state, link)
+        except CodedError:
+            return
+
+    async with trio.open_nursery() as nursery:
+        for link in state.links.values():
+            nursery.start_soon(beat_one, link)
+
+
 async def exchange_withdrawals(
     state: VmState,
     link: PeerLink,
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -22,6 +22,7 @@
     seats,
     serving,
     ticks,
+    withdrawals,
 )
 from chestnutshift.vms.membership import VmPhase
 from chestnutshift.vms.state import VmState
@@ -75,6 +76,8 @@
         nursery.start_soon(ticks.keep_ticking, state)
         nursery.start_soon(probing.keep_probing, state, rng)
         nursery.start_soon(state.ledger.settler.run)
+        nursery.start_soon(state.sweeper.run)
+        nursery.start_soon(withdrawals.keep_writing, state)
         nursery.start_soon(self._watch_signals)
 
     async def _leave(self) -> None:
@@ -82,7 +85,14 @@
         state = self._state
         with trio.move_on_after(state.settings.platform.timeout_s):
             await seats.release_seat(state)
+        with trio.move_on_after(state.settings.platform.timeout_s):
             await state.ledger.settler.settle()
+        # All that this process knew is passed on, so nobody need wait for it.
+        unwritten = state.key_ring.withdrawals.unwritten
+        reached = await withdrawals.flood(state, unwritten)
+        if reached >= state.links.keys() or not unwritten:
+            state.knowledge.settle((state.incarnation,))
+            await beats.beat_all(state)
 
     async def _watch_signals(self) -> None:
         await wait_for_stop_signal()
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -12,6 +12,7 @@
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.events.log import EventLog
 from chestnutshift.idempotency.ledger import Ledger
+from chestnutshift.idempotency.retention import Sweeper
 from chestnutshift.keys import events as key_events
 from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.keys.freshness import Freshness
@@ -19,8 +20,8 @@
 from chestnutshift.keys.watch import Watch
 from chestnutshift.links.peer import PeerLink
 from chestnutshift.lookup.answers import LookupAnswer, Question
+from chestnutshift.platform import records
 from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.records import VmList
 from chestnutshift.vms.lookups import LookupKeeper
 from chestnutshift.vms.membership import Membership, Peer, VmPhase
 from chestnutshift.vms.steering import RegionSteering
@@ -44,6 +45,7 @@
     keeper: SeatKeeper
     admission: Admission
     ledger: Ledger
+    sweeper: Sweeper
     work: LocalWork
     steering: RegionSteering
     lookups: LookupKeeper
@@ -75,9 +77,15 @@
         self.steering.adopt(configuration, now)
         self.refresh_knowledge()
 
-    def take_list(self, vm_list: VmList, now: float) -> None:
+    def take_list(self, vm_list: records.VmList, now: float) -> None:
         """Take over the platform's list of VMs."""
         self.work.update_list(vm_list.vms, now)
+        self.knowledge.note_list(
+            record.vm
+            for record in vm_list.vms
+            if record.role is records.VmRole.ENTRY
+            and record.state is not records.VmState.GONE
+        )
         self.steering.update_upstreams(
             {
                 upstream.name: upstream.record.failure_domain
