--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -1,6 +1,6 @@
 """Put one request on an upstream and pass the answer to the caller."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 import trio
@@ -10,6 +10,7 @@
     caller_headers,
     find_header,
 )
+from chestnutshift.forwarding.pacing import Pace, pace_chunks, unpaced
 from chestnutshift.forwarding.problems import (
     REQUEST_ID_HEADER,
     Problem,
@@ -42,7 +43,8 @@
 
     before_send is called directly before the first byte and may raise to
     stop it; on_answer is given the answer's head and may raise to refuse it;
-    on_chunk is given its body, and on_whole is called at its end.
+    on_chunk is given its body, and on_whole is called at its end. The two
+    paces hold back the bytes of the body and of the answer.
     """
 
     name: str
@@ -53,6 +55,8 @@
     on_answer: Callable[[UpstreamAnswer], None] = lambda _answer: None
     on_chunk: Callable[[bytes], None] = lambda _chunk: None
     on_whole: Callable[[], None] = lambda: None
+    pace_body: Pace = unpaced
+    pace_answer: Pace = unpaced
 
 
 @attrs.define
@@ -147,6 +151,7 @@
         async def pass_on(answer: UpstreamAnswer) -> None:
             await self._pass_on(answer, target)
 
+        await target.pace_body(len(body.whole or b''))
         try:
             target.before_send()
         except BaseException:
@@ -157,7 +162,7 @@
         await target.connections.exchange(
             connection,
             outbound,
-            body.chunks() if body.whole is None else body.whole,
+            _payload(body, target.pace_body),
             pass_on,
         )
 
@@ -174,10 +179,12 @@
             target.on_chunk(part.content)
             if part.is_last:
                 break
+            await target.pace_answer(len(part.content))
             await self._pass_part(part)
             part = await answer.receive()
         self._check_whole(answer, passed_b)
         target.on_whole()
+        await target.pace_answer(len(part.content))
         await self._pass_part(part)
 
     def _check_own(self, answer: UpstreamAnswer) -> None:
@@ -215,3 +222,9 @@
                 'headers': headers,
             },
         )
+
+
+def _payload(body: RequestBody, pace: Pace) -> bytes | AsyncIterator[bytes]:
+    if body.whole is None:
+        return pace_chunks(body.chunks(), pace)
+    return body.whole
--- a/chestnutshift/forwarding/targets.py
+++ b/chestnutshift/forwarding/targets.py
@@ -15,13 +15,16 @@
     UpstreamRefusedError,
 )
 from chestnutshift.forwarding.intake import Accepted
+from chestnutshift.forwarding.pacing import paced_by
 from chestnutshift.forwarding.problems import RAN_HEADER
 from chestnutshift.forwarding.requests import RequestBody
 from chestnutshift.forwarding.vm_connections import VmConnections
+from chestnutshift.regions.caps import LinkCap
 from chestnutshift.regions.model import Place
 from chestnutshift.upstreams.connection import UpstreamAnswer
 from chestnutshift.upstreams.dispatch import Held
 from chestnutshift.upstreams.health import LeavingNews, NewsSource
+from chestnutshift.vms.steering import RegionSteering
 from chestnutshift.vms.work import LocalWork
 
 CROSSING_NUMBER_B = 12
@@ -56,6 +59,7 @@
     """Join a job to the place that it is sent to."""
 
     _work: LocalWork
+    _steering: RegionSteering
     _vms: VmConnections
     _secret: bytes
 
@@ -97,6 +101,7 @@
             on_answer=on_answer,
             on_chunk=job.claimed.add_chunk,
             on_whole=job.claimed.finish,
+            pace_answer=paced_by(self._answer_cap(job)),
         )
 
     def vm(self, job: Job, place: Place) -> Target:
@@ -131,8 +136,13 @@
             on_answer=on_answer,
             on_chunk=job.claimed.add_chunk,
             on_whole=job.claimed.finish,
+            pace_body=paced_by(self._steering.cap(place.region)),
         )
 
+    def _answer_cap(self, job: Job) -> LinkCap | None:
+        crossing = job.accepted.crossing
+        return self._steering.cap(crossing.region) if crossing else None
+
 
 def _own_headers(answer: UpstreamAnswer) -> dict[bytes, bytes]:
     return {name.lower(): text for name, text in answer.headers}
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -50,7 +50,7 @@
     placer = Placer(
         state.work,
         state.steering,
-        TargetMaker(state.work, connections, secret),
+        TargetMaker(state.work, state.steering, connections, secret),
         budget,
         rng,
         state.event_log,
--- a/chestnutshift/vms/steering.py
+++ b/chestnutshift/vms/steering.py
@@ -6,6 +6,7 @@
 
 from chestnutshift.conf.settings import Settings
 from chestnutshift.configuration.model import Configuration, Preset
+from chestnutshift.regions.caps import LinkCap
 from chestnutshift.regions.drains import DrainBoard, Topology
 from chestnutshift.regions.loads import LoadTable
 from chestnutshift.regions.model import Demand, Place, VmLoad
@@ -59,6 +60,12 @@
         """The shifts from here to other regions."""
         return self._steering
 
+    def cap(self, region: str) -> LinkCap | None:
+        """Return the cap on bytes to a region, None within the own one."""
+        if self._steering is None or region == self.place.region:
+            return None
+        return self._steering.cap(region)
+
     def adopt(self, configuration: Configuration, now: float) -> None:
         """Follow a new configuration; ramps go on if their preset does."""
         preset = configuration.preset
--- /dev/null
+++ b/tests/forwarding/test_pacing.py
@@ -0,0 +1,45 @@
+"""Bytes of crossings stay under the cap of their pair of regions."""
+
+from collections.abc import AsyncIterator
+
+import trio
+from trio.testing import MockClock
+
+from chestnutshift.forwarding.pacing import pace_chunks, paced_by
+from chestnutshift.regions.caps import CapShare, LinkCap
+
+SHARE_B = 100_000
+CHUNK_B = 5_000
+CHUNKS = 60
+
+
+async def _chunks() -> AsyncIterator[bytes]:
+    for _ in range(CHUNKS):
+        yield bytes(CHUNK_B)
+
+
+async def _pass_all(*, capped: bool) -> float:
+    """Return how long the chunks take, in seconds."""
+    started_at = trio.current_time()
+    cap = LinkCap(CapShare(1, SHARE_B), started_at) if capped else None
+    passed = [chunk async for chunk in pace_chunks(_chunks(), paced_by(cap))]
+    assert len(passed) == CHUNKS
+    return trio.current_time() - started_at
+
+
+async def _play(capped: bool) -> float:
+    return await _pass_all(capped=capped)
+
+
+def _run(*, capped: bool) -> float:
+    return trio.run(_play, capped, clock=MockClock(autojump_threshold=0))
+
+
+def test_body_is_paced():
+    """Three seconds' worth of bytes takes three seconds, to a tenth."""
+    assert _run(capped=True) >= 0.9 * CHUNKS * CHUNK_B / SHARE_B
+
+
+def test_no_cap_no_wait():
+    """Bytes within a region are not held back."""
+    assert _run(capped=False) == 0
