--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -159,10 +159,7 @@
         for index, workload in enumerate(self.deployment.workloads):
             rng = random.Random(f'{self.seed}/{workload.name}')
             self._arrive(workload, rng, index * 10_000_000)
-        self.clock.every(
-            ADMISSION_STEP_S,
-            lambda: self.admission.advance(self.clock.now + ADMISSION_LEAD_S),
-        )
+        self.clock.every(ADMISSION_STEP_S, self._advance_admission)
         self.clock.every(SAMPLE_S, self._sample)
         self.reporting.begin()
         # What arrived before the end gets its answer.
@@ -284,6 +281,10 @@
             self.tally.latencies_s.append(latency_s)
             self.tally.served[request.account] += 1
 
+    def _advance_admission(self) -> None:
+        if self.clock.now <= self.callers.until_s:
+            self.admission.advance(self.clock.now + ADMISSION_LEAD_S)
+
     def _sample(self) -> None:
         if not SETTLED_S <= self.clock.now <= self.callers.until_s:
             return
