Name all numbered events in one dotted form and write their page

Cause: keys and idempotency named events with dashes, accounts, upstreams, regions and retries with underscores only. Change: dotted lower case with underscores everywhere; 5201 becomes queue.refused since 6002 is request.refused. docs/reference/events.md is written from the catalogue and a test compares both; numbers and meanings stay.

--- a/chestnutshift/accounts/events.py
+++ b/chestnutshift/accounts/events.py
@@ -6,34 +6,34 @@
 
 SEAT_TAKEN = define(
     3001,
-    'seat_taken',
+    'seat.taken',
     'This VM took its seat, and with it the share of every account.',
 )
 SEAT_RELEASED = define(
     3002,
-    'seat_released',
+    'seat.released',
     'This VM gave up its seat; another VM may take it at once.',
 )
 SEAT_LOST = define(
     3003,
-    'seat_lost',
+    'seat.lost',
     'Another VM holds the seat that this VM held; its share is void.',
     logging.WARNING,
 )
 SEAT_UNREACHABLE = define(
     3004,
-    'seat_unreachable',
+    'seat.unreachable',
     'The platform did not confirm the lease of the seat.',
     logging.WARNING,
 )
 VM_PAUSED = define(
     3005,
-    'vm_paused',
+    'vm.paused',
     'This VM did not run for a while; its share is void until renewed.',
     logging.WARNING,
 )
 REQUEST_REFUSED = define(
     3010,
-    'account_refused',
+    'account.refused',
     'A request was refused because its account has no token here.',
 )
--- a/chestnutshift/idempotency/events.py
+++ b/chestnutshift/idempotency/events.py
@@ -6,48 +6,48 @@
 
 CLAIMED = define(
     4000,
-    'idempotency-claimed',
+    'idempotency.claimed',
     'This VM may run an operation; facts: claim, fence, state.',
     logging.DEBUG,
 )
 CLOSED = define(
     4001,
-    'idempotency-closed',
+    'idempotency.closed',
     'A claim ended; facts: claim, fence, state.',
     logging.DEBUG,
 )
 REPEATED = define(
     4002,
-    'idempotency-repeated',
+    'idempotency.repeated',
     'A repeat was answered without a run; facts: claim, fence, state.',
     logging.DEBUG,
 )
 CLAIM_UNCERTAIN = define(
     4003,
-    'idempotency-claim-uncertain',
+    'idempotency.claim_uncertain',
     'The answer to a claim was lost; the request was refused, not run.',
     logging.WARNING,
 )
 SETTLING_DELAYED = define(
     4004,
-    'idempotency-settling-delayed',
+    'idempotency.settling_delayed',
     'Outcomes wait in memory for the store; facts: waiting, code.',
     logging.WARNING,
 )
 SETTLING_DROPPED = define(
     4005,
-    'idempotency-settling-dropped',
+    'idempotency.settling_dropped',
     'An outcome was given up unwritten; facts: claim, fence, state.',
     logging.ERROR,
 )
 TICKET_MINTED = define(
     4006,
-    'idempotency-ticket-minted',
+    'idempotency.ticket_minted',
     'A caller got a ticket of this VM.',
     logging.DEBUG,
 )
 RECORDS_DELETED = define(
     4007,
-    'idempotency-records-deleted',
+    'idempotency.records_deleted',
     'Records older than their retention were deleted; fact: count.',
 )
--- a/chestnutshift/upstreams/events.py
+++ b/chestnutshift/upstreams/events.py
@@ -6,87 +6,87 @@
 
 UPSTREAM_CHOSEN = define(
     5000,
-    'upstream_chosen',
+    'upstream.chosen',
     'A request was given to an upstream; load and policy are the cause.',
     logging.DEBUG,
 )
 UPSTREAM_NONE = define(
     5001,
-    'upstream_none',
+    'upstream.none',
     'No upstream of the service takes new work.',
     logging.WARNING,
 )
 UPSTREAM_SUSPECT = define(
     5010,
-    'upstream_suspect',
+    'upstream.suspect',
     'An upstream failed too often and gets one trial at a time.',
     logging.WARNING,
 )
 UPSTREAM_LIVE = define(
     5011,
-    'upstream_live',
+    'upstream.live',
     'An upstream answered its trial and takes work again.',
 )
 UPSTREAM_LEAVING = define(
     5012,
-    'upstream_leaving',
+    'upstream.leaving',
     'An upstream is leaving and gets no new work; the source is the cause.',
 )
 UPSTREAM_GONE = define(
     5013,
-    'upstream_gone',
+    'upstream.gone',
     'An upstream that was leaving no longer accepts connections.',
 )
 UPSTREAM_RESTARTED = define(
     5014,
-    'upstream_restarted',
+    'upstream.restarted',
     'An upstream came back as a new process and is warmed up.',
 )
 UPSTREAM_COLD = define(
     5020,
-    'upstream_cold',
+    'upstream.cold',
     'An upstream was started or long idle; its usable share ramps up.',
 )
 CONNECTION_DELAYED = define(
     5030,
-    'connection_delayed',
+    'connection.delayed',
     'A new connection waits for the pace of its upstream.',
     logging.DEBUG,
 )
 SLOTS_LENT = define(
     5100,
-    'slots_lent',
+    'slots.lent',
     'This VM lent slots of an upstream to another VM of its failure domain.',
 )
 SLOTS_BORROWED = define(
     5101,
-    'slots_borrowed',
+    'slots.borrowed',
     'This VM may use slots of an upstream that another VM lent.',
 )
 SLOTS_RETURNED = define(
     5102,
-    'slots_returned',
+    'slots.returned',
     'Lent slots of an upstream came back to this VM.',
 )
 SLOTS_EXPIRED = define(
     5103,
-    'slots_expired',
+    'slots.expired',
     'Lent slots were never returned; the term of the loan has passed.',
     logging.WARNING,
 )
 REQUEST_QUEUED = define(
     5200,
-    'request_queued',
+    'request.queued',
     'A request waits for a slot of its service.',
     logging.DEBUG,
 )
 REQUEST_REFUSED = define(
     5201,
-    'request_refused',
+    'queue.refused',
     'A request was refused as not run; queue and rate are the cause.',
 )
 FOREIGN_REFUSED = define(
     5202,
-    'foreign_refused',
+    'foreign.refused',
     'Work of another failure domain was refused to keep the reserve.',
 )
--- /dev/null
+++ b/tests/events/test_reference.py
@@ -0,0 +1,20 @@
+"""The reference page of events equals the catalogue."""
+
+import re
+
+from tools import event_catalogue
+
+NAME = re.compile('[a-z]+([.][a-z]+(_[a-z]+)*)+')
+
+
+def test_page_is_current():
+    """Every kind of event is on the page as the catalogue says it."""
+    page = event_catalogue.PAGE.read_text(encoding='utf-8')
+    assert page == event_catalogue.make_page()
+
+
+def test_names_have_one_form():
+    """Names are distinct, dotted, lower case with underscores."""
+    names = [kind.name for kind in event_catalogue.load_every_kind()]
+    assert len(names) == len(set(names))
+    assert all(map(NAME.fullmatch, names))
--- a/tests/upstreams/test_health.py
+++ b/tests/upstreams/test_health.py
@@ -70,7 +70,7 @@
     table.record_failure(NAME, 'refused', 0, refused=True)
     assert state_of(table) is UpstreamState.SUSPECT
     change = table.record_success(NAME, 1)
-    assert change.event.name == 'upstream_restarted'
+    assert change.event.name == 'upstream.restarted'
 
 
 def test_leaving_holds_against_list_and_health():
