Refuse NaN and the unchecked values of presets and settings; check drains

Cause: C003 compared with <= and let a rate or burst of NaN through, C006 left out five values of a preset, and a policy that does not exist was found only when a VM used it. Change: ranges are asked the other way round, all values have one, C010 knows the policies, S009 has the settings' ranges. D001 to D003 are new: a drain names something that exists and leaves a live VM and an upstream for each service.

--- a/chestnutshift/checks/configurations.py
+++ b/chestnutshift/checks/configurations.py
@@ -3,11 +3,24 @@
 from collections.abc import Iterator
 
 from chestnutshift.checks.registry import CONFIGURATION, Finding
-from chestnutshift.configuration.model import Configuration, Preset
+from chestnutshift.configuration.model import (
+    Configuration,
+    Preset,
+    SharesPreset,
+    ShiftPreset,
+    UpstreamsPreset,
+)
+from chestnutshift.upstreams.choice import POLICIES
 
 RESERVED_PREFIX = '/steering'
 LOOKUP_LIFETIME_MAX_S = 300.0
 KEY_TRUST_MAX_S = 60.0
+# Requests per second, and requests.
+RATE_MAX = 1e6
+BURST_MAX = 1e6
+SHIFT_REQUEST_RATE_MAX = 1e6
+# Bytes per second.
+SHIFT_BYTES_RATE_MAX = 1e10
 
 
 @CONFIGURATION.register('C001')
@@ -38,14 +51,17 @@
 
 @CONFIGURATION.register('C003')
 def limits_positive(configuration: Configuration) -> Iterator[Finding]:
-    """Rates and bursts are above zero, and a burst is at least 1."""
+    """Rates and bursts are numbers in range."""
     for name, preset in configuration.presets.items():
         for account, limit in preset.accounts.items():
             key = f'presets.{name}.accounts.{account}'
-            if limit.rate <= 0:
-                yield f'{key}.rate', f'{limit.rate} per s', 'allowed: above 0'
-            if limit.burst < 1:
-                yield f'{key}.burst', f'{limit.burst}', 'allowed: 1 or more'
+            # Written so that NaN, which no comparison holds for, is refused.
+            if not 0 < limit.rate <= RATE_MAX:
+                allowed = f'allowed: above 0, up to {RATE_MAX:g}'
+                yield f'{key}.rate', f'{limit.rate} per s', allowed
+            if not 1 <= limit.burst <= BURST_MAX:
+                allowed = f'allowed: 1 to {BURST_MAX:g}'
+                yield f'{key}.burst', f'{limit.burst}', allowed
 
 
 @CONFIGURATION.register('C004')
@@ -90,29 +106,51 @@
 
 
 def _ranges(preset: Preset) -> Iterator[tuple[str, float, float, float]]:
-    fraction = (0.05, 1.0)
     yield 'deadline_s', preset.deadline_s, 0.1, 600.0
     yield 'body_limit_b', preset.body_limit_b, 1024, 2**33
-    lifetime_s = preset.lookup.lifetime_s
-    yield 'lookup.lifetime_s', lifetime_s, 1.0, LOOKUP_LIFETIME_MAX_S
+    lookup = preset.lookup
+    yield 'lookup.lifetime_s', lookup.lifetime_s, 1.0, LOOKUP_LIFETIME_MAX_S
+    moving_s = lookup.moving_lifetime_s
+    yield 'lookup.moving_lifetime_s', moving_s, 0.5, LOOKUP_LIFETIME_MAX_S
     yield 'keys.trust_s', preset.keys.trust_s, 1.0, KEY_TRUST_MAX_S
-    shares = preset.shares
+    yield 'retries.ratio', preset.retries.ratio, 0, 0.5
+    yield 'retries.reserve', preset.retries.reserve, 0, 1000.0
+    yield from _share_ranges(preset.shares)
+    yield from _shift_ranges(preset.shift)
+    yield from _upstream_ranges(preset.upstreams)
+
+
+def _share_ranges(
+    shares: SharesPreset,
+) -> Iterator[tuple[str, float, float, float]]:
     yield 'shares.lease_s', shares.lease_s, 2.0, 60.0
     yield 'shares.floor_s', shares.floor_s, shares.lease_s, 86400.0
     yield 'shares.floor_fraction', shares.floor_fraction, 0, 1.0
     yield 'shares.loan_s', shares.loan_s, 0.5, shares.lease_s
-    yield 'retries.ratio', preset.retries.ratio, 0, 0.5
-    yield 'shift.region_ceiling', preset.shift.region_ceiling, *fraction
-    yield 'shift.ramp_s', preset.shift.ramp_s, 1.0, 3600.0
-    upstreams = preset.upstreams
+
+
+def _shift_ranges(
+    shift: ShiftPreset,
+) -> Iterator[tuple[str, float, float, float]]:
+    rate = shift.requests_per_s
+    yield 'shift.requests_per_s', rate, 0, SHIFT_REQUEST_RATE_MAX
+    yield 'shift.bytes_per_s', shift.bytes_per_s, 0, SHIFT_BYTES_RATE_MAX
+    yield 'shift.region_ceiling', shift.region_ceiling, 0.05, 1.0
+    yield 'shift.ramp_s', shift.ramp_s, 1.0, 3600.0
+
+
+def _upstream_ranges(
+    upstreams: UpstreamsPreset,
+) -> Iterator[tuple[str, float, float, float]]:
+    pace_s = upstreams.connection_pace_s
+    yield 'upstreams.connection_pace_s', pace_s, 0, 1.0
     yield 'upstreams.warm_up_s', upstreams.warm_up_s, 0, 600.0
     yield 'upstreams.report_age_s', upstreams.report_age_s, 0.5, 60.0
-    connections = float(upstreams.connections_max)
-    yield 'upstreams.connections_max', connections, 1.0, 400.0
+    yield 'upstreams.connections_max', upstreams.connections_max, 1, 400
 
 
 @CONFIGURATION.register('C007')
-def drains_leave_something(configuration: Configuration) -> Iterator[Finding]:
+def drains_are_names(configuration: Configuration) -> Iterator[Finding]:
     """A drain names something, by letters, digits, dots and dashes."""
     for target in sorted(configuration.drains):
         plain = target.replace('-', '').replace('.', '').replace('_', '')
@@ -135,3 +173,14 @@
         yield 'services', 'there is none', 'allowed: one or more'
     for name in sorted({name for name in names if names.count(name) > 1}):
         yield f'services.{name}', 'the name is taken', 'allowed: once'
+
+
+@CONFIGURATION.register('C010')
+def policies_known(configuration: Configuration) -> Iterator[Finding]:
+    """The policy that chooses upstreams is a registered one."""
+    for name, preset in configuration.presets.items():
+        policy = preset.upstreams.policy
+        if policy not in set(POLICIES):
+            key = f'presets.{name}.upstreams.policy'
+            allowed = ', '.join(POLICIES)
+            yield key, f'{policy!r} is unknown', f'allowed: {allowed}'
--- /dev/null
+++ b/chestnutshift/checks/plans.py
@@ -0,0 +1,42 @@
+"""What the checks of a drain look at."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from chestnutshift.regions.drains import Topology
+
+
+@attrs.frozen
+class DrainPlan:
+    """A drain that is about to start, and the fleet as one VM knows it.
+
+    drains are all targets once it has started; live_vms the VMs heard lately
+    that do not leave; services the service of each upstream.
+    """
+
+    target: str
+    drains: frozenset[str]
+    topology: Topology
+    live_vms: frozenset[str]
+    services: Mapping[str, str]
+
+    @property
+    def targets(self) -> frozenset[str]:
+        """Every name that can be drained."""
+        names = set(self.topology.upstreams)
+        for place in self.topology.vms.values():
+            names.update((place.vm, place.failure_domain, place.region))
+        return frozenset(names)
+
+    @property
+    def drained_vms(self) -> frozenset[str]:
+        """The VMs that get no new callers once the drain has started."""
+        every = (self.topology.vms_of(target) for target in self.drains)
+        return frozenset().union(*every)
+
+    @property
+    def drained_upstreams(self) -> frozenset[str]:
+        """The upstreams that get no new work once the drain is over."""
+        every = (self.topology.upstreams_of(target) for target in self.drains)
+        return frozenset().union(*every)
--- a/chestnutshift/checks/registry.py
+++ b/chestnutshift/checks/registry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from chestnutshift.checks.messages import CheckMessage
+from chestnutshift.checks.plans import DrainPlan
 from chestnutshift.conf.settings import Settings
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.registry import Registry
@@ -14,6 +15,9 @@
 CONFIGURATION: Registry[Callable[[Configuration], Iterable[Finding]]] = (
     Registry('check of configurations')
 )
+DRAINS: Registry[Callable[[DrainPlan], Iterable[Finding]]] = Registry(
+    'check of drains',
+)
 
 
 def _run(registry: Registry, subject: object) -> Iterator[CheckMessage]:
@@ -32,3 +36,8 @@
 ) -> tuple[CheckMessage, ...]:
     """Run all checks of a configuration."""
     return tuple(_run(CONFIGURATION, configuration))
+
+
+def check_drains(plan: DrainPlan) -> tuple[CheckMessage, ...]:
+    """Run all checks of a drain that is about to start."""
+    return tuple(_run(DRAINS, plan))
--- a/chestnutshift/checks/settings.py
+++ b/chestnutshift/checks/settings.py
@@ -106,3 +106,27 @@
     """The platform is reached over HTTP."""
     if not settings.platform.url.startswith(('http://', 'https://')):
         yield 'platform.url', settings.platform.url, 'allowed: http(s)://...'
+
+
+@SETTINGS.register('S009')
+def numbers_in_range(settings: Settings) -> Iterator[Finding]:
+    """Times, sizes and counts are within their ranges."""
+    for key, number, low, high in _ranges(settings):
+        # Written so that NaN, which no comparison holds for, is refused.
+        if not low <= number <= high:
+            yield key, f'{number} is out of range', f'allowed: {low} to {high}'
+
+
+def _ranges(
+    settings: Settings,
+) -> Iterator[tuple[str, float, float, float]]:
+    callers = settings.callers
+    yield 'callers.header_limit_b', callers.header_limit_b, 1024, 2**20
+    yield 'callers.connections_max', callers.connections_max, 1, 100_000
+    yield 'callers.header_timeout_s', callers.header_timeout_s, 0.1, 600.0
+    yield 'peers.heartbeat_s', settings.peers.heartbeat_s, 0.05, 5.0
+    yield 'peers.silence_s', settings.peers.silence_s, 0.15, 60.0
+    yield 'platform.poll_s', settings.platform.poll_s, 0.05, 60.0
+    yield 'platform.timeout_s', settings.platform.timeout_s, 0.1, 60.0
+    yield 'statsd.port', settings.statsd.port, 1, 65_535
+    yield 'grace_s', settings.grace_s, 0, 600.0
--- /dev/null
+++ b/tests/checks/test_checks.py
@@ -0,0 +1,97 @@
+"""Every refused value is named with its key and what is allowed."""
+
+import attrs
+from nose2.tools import params
+
+from chestnutshift.checks import configurations, drains  # noqa: F401
+from chestnutshift.checks.plans import DrainPlan
+from chestnutshift.checks.registry import check_configuration, check_drains
+from chestnutshift.configuration.model import (
+    AccountLimit,
+    Configuration,
+    LookupPreset,
+    Preset,
+    RetriesPreset,
+    Service,
+    ShiftPreset,
+    UpstreamsPreset,
+)
+from chestnutshift.regions.drains import Topology
+from chestnutshift.regions.model import Place
+
+NAN = float('nan')
+VMS = {
+    'a1': Place('a1', 'east-a', 'east'),
+    'b1': Place('b1', 'west-a', 'west'),
+}
+UPSTREAMS = {'u1': 'east-a', 'u2': 'west-a', 'v1': 'east-a'}
+SERVICES = {'u1': 'listings', 'u2': 'listings', 'v1': 'reports'}
+
+
+def problems(**fields):
+    """Return the check and key of each problem of a preset."""
+    limits = {'acme': AccountLimit(1.0, 1.0)}
+    preset = attrs.evolve(Preset(limits), **fields)
+    configuration = Configuration(
+        number=1,
+        deployment='test',
+        services=(Service('listings', '/listings'),),
+        presets={'day': preset},
+        in_force='day',
+    )
+    found = check_configuration(configuration)
+    assert all(message.allowed.startswith('allowed: ') for message in found)
+    return [(message.check, message.key) for message in found]
+
+
+def plan(target, *others, live=('a1', 'b1'), services=SERVICES):
+    """Return the ids of the checks that refuse the drain."""
+    topology = Topology(VMS, {name: UPSTREAMS[name] for name in services})
+    names = frozenset((target, *others))
+    found = check_drains(
+        DrainPlan(target, names, topology, frozenset(live), services),
+    )
+    return [message.check for message in found]
+
+
+def test_defaults_are_in_order():
+    """The defaults pass every check."""
+    assert not problems()
+
+
+@params(
+    ({'accounts': {'acme': AccountLimit(NAN, 1.0)}}, 'accounts.acme.rate'),
+    ({'accounts': {'acme': AccountLimit(1.0, NAN)}}, 'accounts.acme.burst'),
+    ({'accounts': {'acme': AccountLimit(-1.0, 1.0)}}, 'accounts.acme.rate'),
+    ({'deadline_s': NAN}, 'deadline_s'),
+    ({'lookup': LookupPreset(10.0, 0.1)}, 'lookup.moving_lifetime_s'),
+    ({'retries': RetriesPreset(0.1, -1.0)}, 'retries.reserve'),
+    ({'shift': ShiftPreset(requests_per_s=NAN)}, 'shift.requests_per_s'),
+    ({'shift': ShiftPreset(bytes_per_s=-1.0)}, 'shift.bytes_per_s'),
+    (
+        {'upstreams': UpstreamsPreset(connection_pace_s=-1.0)},
+        'upstreams.connection_pace_s',
+    ),
+    ({'upstreams': UpstreamsPreset(policy='best')}, 'upstreams.policy'),
+)
+def test_values_out_of_range(fields, key):
+    """Each bad value is found once, under its key."""
+    assert [found for _check, found in problems(**fields)] == [
+        f'presets.day.{key}',
+    ]
+
+
+def test_drain_of_nothing():
+    """A name that nothing has is refused, whatever it is."""
+    assert plan('nothing') == ['D001']
+
+
+def test_drain_leaves_something():
+    """The last live VM and the last upstream of a service stay."""
+    only_listings = {'u1': 'listings', 'u2': 'listings'}
+    assert not plan('east', services=only_listings)
+    assert plan('east', live=('a1',), services=only_listings) == ['D002']
+    assert plan('b1', 'a1') == ['D002']
+    assert plan('u2', 'u1') == ['D003']
+    assert plan('east') == ['D003']
+    assert not plan('u1')
