--- /dev/null
+++ b/chestnutshift/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of one VM, and their way to statsd."""
--- /dev/null
+++ b/tests/metrics/test_measures.py
@@ -0,0 +1,78 @@
+"""What is counted of answers and refusals, and what reaches statsd."""
+
+import pathlib
+import socket
+
+import statsd
+
+from chestnutshift.metrics.histograms import (
+    BUCKETS_PER_DOUBLING,
+    Histogram,
+    bucket_end,
+    bucket_of,
+)
+from chestnutshift.metrics.measures import AccountShare, Measures
+from chestnutshift.metrics.names import HEADROOM, METRICS
+from chestnutshift.metrics.sender import Metrics
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+GROWTH = 2 ** (1 / BUCKETS_PER_DOUBLING)
+
+
+def test_quantiles_are_close():
+    """A quantile is never too short, and too long by one bucket at most."""
+    histogram = Histogram()
+    assert histogram.quantile(0.5) is None
+    for number in range(1, 1001):
+        histogram.record(number / 1000)
+    for fraction in (0.5, 0.99):
+        error = histogram.quantile(fraction) / fraction
+        assert 1 <= error <= GROWTH
+
+
+def test_ends_take_what_lies_beyond():
+    """No duration falls out of the buckets."""
+    histogram = Histogram()
+    for duration_s in (-1, 0, 1e9):
+        histogram.record(duration_s)
+    assert histogram.count == 3
+    assert histogram.quantile(1) == bucket_end(bucket_of(1e9))
+
+
+def test_summary():
+    """The worst account is the one with most refusals inside its rate."""
+    measures = Measures()
+    for _ in range(3):
+        measures.answered('listings', 'large', 0.01)
+    measures.answered('listings', 'small', 0.01)
+    measures.refused('small', 'queue.full', inside_rate=True)
+    measures.refused('large', 'accounts.rate', inside_rate=False)
+    measures.refused('', 'keys.unknown', inside_rate=False)
+    summary = measures.summary()
+    assert summary.worst_account == AccountShare('small', 0.5)
+    assert summary.refused_inside_rate == 1
+    assert sum(summary.refusals.values()) == 3
+    assert summary.latency['listings'].count == 4
+
+
+def test_datagrams():
+    """Metrics reach the address under plain names; codes keep no dots."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(('127.0.0.1', 0))
+        receiver.settimeout(5)
+        port = receiver.getsockname()[1]
+        metrics = Metrics(statsd.StatsClient('127.0.0.1', port, prefix='vm'))
+        Measures(metrics).refused('', 'keys.stale', inside_rate=False)
+        assert receiver.recv(512) == b'vm.requests.refused.keys_stale:1|c'
+        metrics.gauge(HEADROOM, 0.5)
+        assert receiver.recv(512) == b'vm.vm.headroom:0.5|g'
+
+
+def test_page_is_complete():
+    """The page has one row for each metric, as the registry says it."""
+    page = ROOT.joinpath('docs/reference/metrics.md').read_text('utf-8')
+    for name in METRICS:
+        metric = METRICS.get(name)
+        row = f'| `{name}` | {metric.type} | {metric.meaning} | {metric.label}'
+        assert f'{row.rstrip()} |' in page
+    assert page.count('\n| `') == len(list(METRICS))
