--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -39,6 +39,7 @@
 from chestnutshift.idempotency.verdicts import Replay, Verdict
 from chestnutshift.keys.authentication import Identity
 from chestnutshift.keys.watch import Watch
+from chestnutshift.metrics.measures import Measures
 
 
 @attrs.define
@@ -49,6 +50,7 @@
     _ledger: Ledger
     _placer: Placer
     _watch: Watch
+    _measures: Measures
     _event_log: EventLog
     _shields: set[trio.CancelScope] = attrs.field(factory=set)
 
@@ -84,6 +86,11 @@
             )
             return
         problem = problem_of(error, attempt.ran)
+        self._measures.refused(
+            attempt.account,
+            problem.code,
+            inside_rate=attempt.admitted,
+        )
         self._event_log.emit(
             events.REQUEST_REFUSED,
             request=request_id,
@@ -95,13 +102,20 @@
     async def _serve(self, attempt: Attempt, receive: Receive) -> None:
         now = trio.current_time()
         accepted = self._intake.accept(attempt.request, now)
+        attempt.account = accepted.account
         await self._intake.admit(accepted)
+        attempt.admitted = True
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
         with self._watching(accepted.identity, scope), scope:
             await self._run(accepted, attempt, body)
         if scope.cancelled_caught:
             raise RefusalError(_too_late(attempt.ran))
+        self._measures.answered(
+            accepted.service.name,
+            accepted.account,
+            trio.current_time() - now,
+        )
         self._event_log.emit(
             events.REQUEST_ANSWERED,
             request=attempt.request.request_id,
--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -61,7 +61,11 @@
 
 @attrs.define
 class Attempt:
-    """How far a request got: at the upstream, and towards its caller."""
+    """How far a request got: at the upstream, and towards its caller.
+
+    account and admitted say for whom it was accepted, and whether the
+    account's rate had room for it.
+    """
 
     request: CallerRequest
     _send: Send
@@ -69,6 +73,8 @@
     started: bool = False
     finished: bool = False
     status: int = 0
+    account: str = ''
+    admitted: bool = False
     # Bytes sent to upstreams that did not say that they ran nothing.
     _exposed_b: int = 0
 
--- a/chestnutshift/metrics/measures.py
+++ b/chestnutshift/metrics/measures.py
@@ -5,7 +5,13 @@
 import attrs
 
 from chestnutshift.metrics.histograms import Histogram
-from chestnutshift.metrics.names import ANSWERED, LATENCY, REFUSED, WRONGFUL
+from chestnutshift.metrics.names import (
+    ANSWERED,
+    LATENCY,
+    REFUSED,
+    WRONGFUL,
+    Metric,
+)
 from chestnutshift.metrics.sender import Metrics
 
 MEDIAN = 0.5
@@ -69,6 +75,10 @@
             self._wrongful[account] += 1
             self._metrics.count(WRONGFUL)
 
+    def gauge(self, metric: Metric, level: float) -> None:
+        """Send the present level of something to statsd."""
+        self._metrics.gauge(metric, level)
+
     def summary(self) -> MeasuresSummary:
         """Return everything counted since the start."""
         return MeasuresSummary(
--- a/chestnutshift/vms/assembly.py
+++ b/chestnutshift/vms/assembly.py
@@ -17,6 +17,8 @@
 from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.keys.knowledge import Knowledge
 from chestnutshift.keys.watch import Watch
+from chestnutshift.metrics.measures import Measures
+from chestnutshift.metrics.sender import make_metrics
 from chestnutshift.platform.backends.base import Platform
 from chestnutshift.vms import seats
 from chestnutshift.vms.lookups import LookupKeeper
@@ -70,6 +72,7 @@
         sweeper=Sweeper(platform, rng, event_log, is_gone),
         work=LocalWork(settings, rng, event_log),
         steering=steering,
+        measures=Measures(make_metrics(settings)),
         lookups=LookupKeeper(
             settings,
             membership,
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -8,6 +8,7 @@
 
 from chestnutshift.conf.loader import read_secret
 from chestnutshift.conf.settings import PeerAddress
+from chestnutshift.configuration.events import IN_FORCE
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.links.handlers import Handlers
 from chestnutshift.links.peer import Identity, PeerLink
@@ -101,6 +102,11 @@
         self._stopping.set()
 
     def _adopt(self, configuration: Configuration) -> None:
+        self._state.event_log.emit(
+            IN_FORCE,
+            number=configuration.number,
+            preset=configuration.in_force,
+        )
         self._state.adopt(configuration, trio.current_time())
 
     def _take_vms(self, vm_list: VmList) -> None:
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -60,6 +60,7 @@
         state.ledger,
         placer,
         state.watch,
+        state.measures,
         state.event_log,
     )
     return CallersApplication(
@@ -105,7 +106,8 @@
 async def serve_operators(state: VmState) -> None:
     """Serve until cancelled."""
     operators = state.settings.operators
-    application = make_operators(state, read_secret(operators.secret_file))
+    secret = read_secret(operators.secret_file)
+    application = make_operators(state, secret, state.measures)
     config = _server_config(operators.address, operators.port, operators.tls)
     await serve(application, config, shutdown_trigger=trio.sleep_forever)
 
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -6,7 +6,6 @@
 from chestnutshift.accounts.admission import Admission
 from chestnutshift.accounts.keeper import SeatKeeper
 from chestnutshift.conf.settings import Settings
-from chestnutshift.configuration.events import IN_FORCE
 from chestnutshift.configuration.follow import PlatformFollower
 from chestnutshift.configuration.holder import ConfigurationHolder
 from chestnutshift.configuration.model import Configuration
@@ -20,6 +19,7 @@
 from chestnutshift.keys.watch import Watch
 from chestnutshift.links.peer import PeerLink
 from chestnutshift.lookup.answers import LookupAnswer, Question
+from chestnutshift.metrics.measures import Measures
 from chestnutshift.platform import records
 from chestnutshift.platform.backends.base import Platform
 from chestnutshift.vms.lookups import LookupKeeper
@@ -49,6 +49,7 @@
     work: LocalWork
     steering: RegionSteering
     lookups: LookupKeeper
+    measures: Measures
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     phase: VmPhase = VmPhase.STARTING
     _freshness: Freshness = Freshness.UNCERTAIN
@@ -65,11 +66,6 @@
 
     def adopt(self, configuration: Configuration, now: float) -> None:
         """Bring a newer configuration into force on every part."""
-        self.event_log.emit(
-            IN_FORCE,
-            number=configuration.number,
-            preset=configuration.in_force,
-        )
         preset = configuration.preset
         self.end_keys(self.key_ring.adopt(configuration), 'configuration')
         self.admission.configure(preset.accounts, now, preset.shares.loan_s)
--- a/chestnutshift/vms/ticks.py
+++ b/chestnutshift/vms/ticks.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from chestnutshift.metrics.names import CONFIGURATION, HEADROOM
 from chestnutshift.vms.state import VmState
 
 TICK_S = 0.1
@@ -24,3 +25,5 @@
     state.lookups.tick(work.headroom(now), state.phase, preset, now)
     work.close_upstreams(state.steering.board.closed_upstreams(now))
     state.note_freshness(now)
+    state.measures.gauge(HEADROOM, work.headroom(now))
+    state.measures.gauge(CONFIGURATION, state.holder.number)
