--- a/bench/admission.py
+++ b/bench/admission.py
@@ -178,10 +178,7 @@
 
 @ADMISSIONS.register('central')
 class Central(FleetAdmission):
-    """Every seat fetches batches of tokens from one bucket in the store.
-
-    Room for two batches at each seat is kept out of the central burst.
-    """
+    """Seats fetch batches from the store, which keeps room for two each."""
 
     store = 'platform'
 
--- a/bench/admission_cases.py
+++ b/bench/admission_cases.py
@@ -45,9 +45,9 @@
     fleet: Fleet
     rng: random.Random
 
-    def seat(self, account: str, now: float) -> str:
+    def seat(self, account: str, now: float, rng: random.Random) -> str:
         """Return the seat that the request reaches."""
-        return self.rng.choice(SEATS)
+        return rng.choice(SEATS)
 
     def load(self, account: str) -> float:
         """Return the load as a multiple of the account's rate."""
@@ -65,7 +65,7 @@
 class OneVm(Case):
     """All load of each account reaches one VM of its own."""
 
-    def seat(self, account: str, now: float) -> str:
+    def seat(self, account: str, now: float, rng: random.Random) -> str:
         """Return the account's own seat."""
         return SEATS[list(LIMITS).index(account) * 3]
 
@@ -74,11 +74,11 @@
 class Jumping(Case):
     """All load of an account jumps between failure domains."""
 
-    def seat(self, account: str, now: float) -> str:
+    def seat(self, account: str, now: float, rng: random.Random) -> str:
         """Return one of the two seats of the present domain."""
         index = list(LIMITS).index(account) + int(now / JUMP_S) * 5
         domain = DOMAINS[index % len(DOMAINS)]
-        return f'{domain}-{self.rng.choice("12")}'
+        return f'{domain}-{rng.choice("12")}'
 
 
 @CASES.register('greedy_5x')
@@ -148,10 +148,10 @@
         """Wake it."""
         self.fleet.thaw(SEATS[0], now)
 
-    def seat(self, account: str, now: float) -> str:
+    def seat(self, account: str, now: float, rng: random.Random) -> str:
         """Avoid the paused seat; it is found again a second after waking."""
         asleep = WARM_UP_S + 5 <= now < WARM_UP_S + 46
-        return self.rng.choice(SEATS[1:] if asleep else SEATS)
+        return rng.choice(SEATS[1:] if asleep else SEATS)
 
 
 @CASES.register('restart')
@@ -247,9 +247,10 @@
 
 def run_case(name: str, policy: Callable, seed: int) -> Outcome:
     """Run one case under one policy for WARM_UP_S + CASE_S."""
-    rng = random.Random(f'{name}:{seed}')
+    # The same requests of an account in every case.
+    rngs = {account: random.Random(f'{account}:{seed}') for account in LIMITS}
     fleet = policy(SEATS, REGION_OF, LIMITS, random.Random(seed))
-    case = CASES.get(name)(fleet, rng)
+    case = CASES.get(name)(fleet, random.Random(seed))
     tallies = {
         account: Tally(
             limit,
@@ -264,10 +265,10 @@
         case.disturb(now)
         fleet.advance(now)
         held = [one for one in held if not _retry(fleet, one, tallies, now)]
-        for moment, account in _arrivals(case, now, rng):
+        for moment, account in _arrivals(case, now, rngs):
             tally = tallies[account]
             due = tally.expect(moment)
-            seat = case.seat(account, now)
+            seat = case.seat(account, now, rngs[account])
             admitted = fleet.admit(seat, account, moment)
             wait_s = getattr(fleet, 'waits', {}).get(account, 0)
             if not admitted and wait_s > 0:
@@ -287,17 +288,17 @@
 def _arrivals(
     case: Case,
     now: float,
-    rng: random.Random,
+    rngs: dict[str, random.Random],
 ) -> Iterator[tuple[float, str]]:
     """Return Poisson arrivals of one tick in order of time."""
     arrivals = []
     for account, limit in LIMITS.items():
         load = LIGHT if now < LIGHT_UNTIL_S else case.load(account)
         rate = limit.rate * load
-        moment = now + rng.expovariate(rate)
+        moment = now + rngs[account].expovariate(rate)
         while moment < now + TICK_S:
             arrivals.append((moment, account))
-            moment += rng.expovariate(rate)
+            moment += rngs[account].expovariate(rate)
     return iter(sorted(arrivals))
 
 
