Tell other VMs how long a request would wait here

Cause: the sharing of queues within a region was off, as heartbeats did not carry the wait. Change: service loads carry it; queue lengths are always those of now.

--- a/chestnutshift/forwarding/placing.py
+++ b/chestnutshift/forwarding/placing.py
@@ -113,7 +113,11 @@
     def _choose(self, job: Job) -> Place | None:
         now = trio.current_time()
         try:
-            wait_s = self._work.dispatcher.expected_wait_s(job.service, now)
+            wait_s = self._work.dispatcher.expected_wait_s(
+                job.service,
+                now,
+                job.accepted.account,
+            )
         except NoUpstreamError:
             wait_s = float('inf')
         length = job.accepted.request.header(b'content-length') or b'0'
--- a/chestnutshift/upstreams/dispatch.py
+++ b/chestnutshift/upstreams/dispatch.py
@@ -1,5 +1,8 @@
 """Give requests a slot on an upstream of the own failure domain, in turn."""
 
+import math
+from collections.abc import Iterator, Mapping
+
 import attrs
 import trio
 
@@ -44,6 +47,26 @@
         return self.candidate.name
 
 
+class QueueLengths(Mapping[str, int]):
+    """The lengths of queues, by service."""
+
+    def __init__(self, queues: Mapping[str, ServiceQueue]) -> None:
+        """Look at the queues whenever asked."""
+        self._queues = queues
+
+    def __getitem__(self, service: str) -> int:
+        """Return the length of one queue."""
+        return len(self._queues[service])
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterate over the services."""
+        return iter(self._queues)
+
+    def __len__(self) -> int:
+        """Return the number of queues."""
+        return len(self._queues)
+
+
 @attrs.define(eq=False)
 class _Turn:
     """A queued request, until it gets a slot or a refusal."""
@@ -72,18 +95,24 @@
         self._turns: dict[Waiting, _Turn] = {}
 
     @property
-    def waiting(self) -> dict[str, int]:
-        """The length of each service's queue."""
-        return {service: len(queue) for service, queue in self._queues.items()}
+    def waiting(self) -> 'QueueLengths':
+        """The length of each service's queue, always as it is now."""
+        return QueueLengths(self._queues)
 
-    def expected_wait_s(self, service: str, now: float) -> float:
+    def expected_wait_s(
+        self,
+        service: str,
+        now: float,
+        account: str = '',
+    ) -> float:
         """Return how long a request would wait here, infinite if for ever."""
         capacity, busy = self._table.service_load(service, now)
         if not capacity:
-            return float('inf')
+            return math.inf
         queue = self._queue(service)
-        ahead = max(0, busy + len(queue) - capacity + 1)
-        return ahead * queue.duration_s / capacity
+        if busy < capacity and not queue:
+            return 0
+        return queue.wait_s(account, capacity)
 
     async def acquire(self, wanted: Wanted) -> Held:
         """Wait for a slot.
--- a/chestnutshift/upstreams/model.py
+++ b/chestnutshift/upstreams/model.py
@@ -10,6 +10,18 @@
 MEMORY_S = 10.0
 
 
+@attrs.frozen
+class ServiceLoad:
+    """What one VM may use of a service, and how busy it is.
+
+    wait_s is how long a request would wait for its slot, in seconds.
+    """
+
+    slots: int
+    in_use: int
+    wait_s: float
+
+
 class UpstreamState(enum.StrEnum):
     """Whether an upstream takes new work."""
 
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -9,6 +9,7 @@
 from chestnutshift.links.exceptions import LinkDownError, PeerRefusedError
 from chestnutshift.links.handlers import Handlers
 from chestnutshift.links.peer import PeerLink
+from chestnutshift.upstreams.model import ServiceLoad
 from chestnutshift.vms.membership import PeerReport
 from chestnutshift.vms.state import VmState
 from chestnutshift.wire.generated.links import ttypes
@@ -29,8 +30,8 @@
         lost=sorted(knowledge.lost),
         settled=sorted(knowledge.settled),
         loads=[
-            ttypes.ServiceLoad(service_=service, slots=slots, in_use=in_use)
-            for service, (slots, in_use) in state.work.loads(now).items()
+            _to_load(service, load)
+            for service, load in state.work.loads(now).items()
         ],
     )
 
@@ -48,12 +49,26 @@
         lost=frozenset(heartbeat.lost or ()),
         settled=frozenset(heartbeat.settled or ()),
         loads={
-            load.service_: (load.slots or 0, load.in_use or 0)
-            for load in heartbeat.loads or []
+            load.service_: _from_load(load) for load in heartbeat.loads or []
         },
     )
 
 
+def _to_load(service: str, load: ServiceLoad) -> ttypes.ServiceLoad:
+    return ttypes.ServiceLoad(
+        service_=service,
+        slots=load.slots,
+        in_use=load.in_use,
+        wait_s=load.wait_s,
+    )
+
+
+def _from_load(load: ttypes.ServiceLoad) -> ServiceLoad:
+    # A VM that does not tell its wait gets no work that would queue there.
+    wait_s = math.inf if load.wait_s is None else load.wait_s
+    return ServiceLoad(load.slots or 0, load.in_use or 0, wait_s)
+
+
 def register(handlers: Handlers, state: VmState) -> None:
     """Add the handlers of heartbeats and of what they lead to."""
 
--- a/chestnutshift/vms/membership.py
+++ b/chestnutshift/vms/membership.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnutshift.conf.settings import PeerAddress
+from chestnutshift.upstreams.model import ServiceLoad
 
 
 class VmPhase(enum.StrEnum):
@@ -22,8 +23,8 @@
     """What a VM says of itself in a heartbeat.
 
     knowledge_age_s is how old its confirmation by the platform was, None if
-    it never had one; headroom is the free share of its slots; loads has the
-    slots that it may use and those in use, by service; is_complete, lost and
+    it never had one; headroom is the free share of its slots; loads tells
+    how busy it is, by service; is_complete, lost and
     settled are those of keys.knowledge.
     """
 
@@ -36,7 +37,7 @@
     is_complete: bool = False
     lost: frozenset[str] = frozenset()
     settled: frozenset[str] = frozenset()
-    loads: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/chestnutshift/vms/steering.py
+++ b/chestnutshift/vms/steering.py
@@ -11,6 +11,7 @@
 from chestnutshift.regions.loads import LoadTable
 from chestnutshift.regions.model import Demand, Place, VmLoad
 from chestnutshift.regions.steering import Steering, Surroundings
+from chestnutshift.upstreams.model import ServiceLoad
 from chestnutshift.vms.membership import Membership, Peer
 
 # One-way delay assumed for a region until it was measured, in seconds.
@@ -81,18 +82,26 @@
     def note_loads(
         self,
         peer: Peer,
-        loads: dict[str, tuple[int, int]],
+        loads: dict[str, ServiceLoad],
         asked_at: float,
         answered_at: float,
     ) -> None:
-        """Take over a VM's slots and those in use, by service."""
+        """Take over how busy a VM is, by service."""
         place = _place_of(peer)
         self._note_delay(place.region, (answered_at - asked_at) / 2)
         if self._loads is None:
             return
-        for service, (slots, in_use) in loads.items():
-            load = VmLoad(place, service, slots, in_use, asked_at)
-            self._loads.record(load)
+        for service, load in loads.items():
+            self._loads.record(
+                VmLoad(
+                    place,
+                    service,
+                    slots=load.slots,
+                    in_use=load.in_use,
+                    measured_at=asked_at,
+                    wait_s=load.wait_s,
+                ),
+            )
 
     def tick(self, services: frozenset[str], now: float) -> None:
         """Move ramps on and forget the loads of silent VMs."""
--- a/chestnutshift/vms/work.py
+++ b/chestnutshift/vms/work.py
@@ -16,6 +16,7 @@
 from chestnutshift.upstreams.exchange import SlotExchange
 from chestnutshift.upstreams.health import HealthTable
 from chestnutshift.upstreams.loans import LoanTerms
+from chestnutshift.upstreams.model import ServiceLoad
 from chestnutshift.upstreams.slots import SlotTable
 
 NO_SEAT_RETRY_S = 2.0
@@ -120,6 +121,7 @@
             self._event_log,
         )
         self._dispatcher = Dispatcher(table, self.pool)
+        table.waiting = self._dispatcher.waiting
 
     def update_list(self, records: Iterable, now: float) -> None:
         """Take over the platform's list of upstreams."""
@@ -148,17 +150,20 @@
     def headroom(self, now: float) -> float:
         """Return the free share of the slots that this VM may use."""
         loads = self.loads(now)
-        slots = sum(load[0] for load in loads.values())
+        slots = sum(load.slots for load in loads.values())
         if not slots:
             return 0
-        return 1 - sum(load[1] for load in loads.values()) / slots
+        return 1 - sum(load.in_use for load in loads.values()) / slots
 
-    def loads(self, now: float) -> dict[str, tuple[int, int]]:
-        """Return slots and those in use, by service."""
-        if self._table is None:
+    def loads(self, now: float) -> dict[str, ServiceLoad]:
+        """Return how busy this VM is, by service."""
+        if self._table is None or self._dispatcher is None:
             return {}
         return {
-            service: self._table.service_load(service, now)
+            service: ServiceLoad(
+                *self._table.service_load(service, now),
+                wait_s=self._dispatcher.expected_wait_s(service, now),
+            )
             for service in self._table.division
         }
 
--- a/chestnutshift/wire/links.thrift
+++ b/chestnutshift/wire/links.thrift
@@ -23,6 +23,7 @@
   1: optional string service_
   2: optional i32 slots
   3: optional i32 in_use
+  4: optional double wait_s
 }
 
 struct Heartbeat {
