Run the fleet's tests with neighbours that tell of their renewals

Cause: a VM that lived, but did not renew for over a lease while the list had lost it, went on until floor_s; its successor took the seat meanwhile. The rule against it existed (note_neighbour_renewal), but the test's fleet did not call it. It does now; a test reproduces the case and fails with the rule patched out. The fleet of the tests renews four times a lease now: a VM that renews only once per lease loses its right to its neighbours' news.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -16,7 +16,6 @@
 from chestnutshift.events.log import EventLog
 
 PLAN_S = 0.02
-RENEW_S = 2.0
 CENTRAL_TIMEOUT_S = 0.2
 
 
@@ -29,6 +28,7 @@
     shares = SharesPreset()
     lost_answers: float = 0
     list_lag_s: float = 5
+    renew_s: float = 2
 
     def __init__(self, *args, **settings) -> None:
         """Start one VM incarnation at each seat."""
@@ -40,7 +40,7 @@
         self.now: float = 0
         self.waits: dict[str, float] = {}
         self._started = 0
-        self._renew_at = dict.fromkeys(self.seats, RENEW_S)
+        self._renew_at = dict.fromkeys(self.seats, self.renew_s)
         self._plan_at: float = 0
         for seat in self.seats:
             self._start(seat)
@@ -71,7 +71,7 @@
         self.now = now
         for seat in self.seats:
             if now >= self._renew_at[seat] and seat not in self.frozen:
-                self._renew_at[seat] = now + RENEW_S
+                self._renew_at[seat] = now + self.renew_s
                 self.renew(self.keepers[seat], self.vms[seat])
         if now < self._plan_at:
             return
--- a/chestnutshift/accounts/keeper.py
+++ b/chestnutshift/accounts/keeper.py
@@ -67,6 +67,11 @@
     _right: SeatRight = NO_RIGHT
     _holds: bool = False
 
+    @property
+    def seat(self) -> str:
+        """The name of the seat."""
+        return self._seat
+
     @property
     def right(self) -> SeatRight:
         """The right that the last confirmed renewal gave."""
--- a/tests/accounts/fleet.py
+++ b/tests/accounts/fleet.py
@@ -26,9 +26,11 @@
 class Zombie:
     """A VM that was paused and replaced, and may wake."""
 
+    seat: str
     admission: Admission
     keeper: SeatKeeper
     wakes: float
+    renews: bool = True
 
 
 class FaultyFleet(Escrow):
@@ -37,15 +39,16 @@
     shares = SharesPreset(lease_s=2, floor_s=15, loan_s=1)
     lost_answers = 0.1
     list_lag_s = 0.3
+    renew_s = 0.5
 
     def __init__(self, seed: int) -> None:
         """Start the fleet; every fault follows from the seed."""
         self.faults = random.Random(seed)
+        self.zombies: list[Zombie] = []
         super().__init__(SEATS, REGION_OF, LIMITS, random.Random(seed))
         self.network.loss = 0.1
         self.network.copies = 0.1
         self.network.extra_delay_s = 1.5
-        self.zombies: list[Zombie] = []
         self.admitted: dict[str, list[float]] = defaultdict(list)
         # The largest parts of rate and burst that VMs held at one moment.
         self.held_part = 0
@@ -78,10 +81,24 @@
     def replace(self, seat: str, now: float, pause_s: float) -> None:
         """Pause the VM for a while and start another one at its seat."""
         wakes = now + pause_s
-        zombie = Zombie(self.vms[seat], self.keepers[seat], wakes)
-        self.zombies.append(zombie)
+        self.zombies.append(
+            Zombie(seat, self.vms[seat], self.keepers[seat], wakes),
+        )
         self.restart(seat, now)
 
+    def renew(self, keeper: SeatKeeper, admission: Admission) -> None:
+        """Renew; the VMs of the failure domain hear of a success."""
+        super().renew(keeper, admission)
+        if keeper.right.started < self.now:
+            return
+        domain = keeper.seat[:-2]
+        for seat, neighbour in self.vms.items():
+            if seat.startswith(domain) and seat not in self.frozen:
+                neighbour.note_neighbour_renewal(self.now)
+        for zombie in self.zombies:
+            if zombie.seat.startswith(domain) and zombie.wakes <= self.now:
+                zombie.admission.note_neighbour_renewal(self.now)
+
     def leave(self, seat: str, now: float) -> None:
         """Stop the VM gracefully and start another one at its seat."""
         settle_s = self.vms[seat].surrender(now)
@@ -123,7 +140,7 @@
                 continue
             self.spend(zombie.admission, now)
             zombie.admission.plan(now)
-            if self.faults.random() < TICK_S / 2:
+            if zombie.renews and self.faults.random() < TICK_S / 2:
                 self.renew(zombie.keeper, zombie.admission)
             self.spend(zombie.admission, now)
 
--- a/tests/accounts/test_fleet.py
+++ b/tests/accounts/test_fleet.py
@@ -49,13 +49,19 @@
 
 
 def _pause(fleet: FaultyFleet, now: float) -> None:
-    fleet.replace(SEATS[0], now, 7)
+    # It wakes between two renewals of its neighbours.
+    fleet.replace(SEATS[0], now, 7.3)
 
 
 def _replace(fleet: FaultyFleet, now: float) -> None:
     fleet.replace(SEATS[0], now, 0.1)
 
 
+def _replace_cut_off(fleet: FaultyFleet, now: float) -> None:
+    fleet.replace(SEATS[0], now, 0.1)
+    fleet.zombies[-1].renews = False
+
+
 def _slow_down(fleet: FaultyFleet, now: float) -> None:
     fleet.network.extra_delay_s = 4
 
@@ -150,3 +156,10 @@
         side_effect=_step_at_once,
     ):
         assert _hold_after(_replace) > 1 + TOLERANCE
+
+
+def test_a_vm_cut_off_alone_hears_of_it():
+    """A VM that can't renew stops when its neighbours can."""
+    assert _hold_after(_replace_cut_off) <= 1 + TOLERANCE
+    with mock.patch.object(Admission, 'note_neighbour_renewal'):
+        assert _hold_after(_replace_cut_off) > 1 + TOLERANCE
