--- a/chestnutshift/accounts/keeper.py
+++ b/chestnutshift/accounts/keeper.py
@@ -68,6 +68,11 @@
     _holds: bool = False
     _fence: int = 0
 
+    @property
+    def seat(self) -> str:
+        """The name of the seat."""
+        return self._seat
+
     @property
     def right(self) -> SeatRight:
         """The right that the last confirmed renewal gave."""
