Withdraw keys while the platform is down; write them down later

Cause: every change read the configuration from the platform first, so a key could not be withdrawn in an outage, though keys, links and decision 0007 provide for it. Ruled out: changes of other kinds during an outage, which two operators could make differently. Change: when the platform is unavailable, or its answer to a withdrawal was lost, the VM adds the digest to its set, which heartbeats spread, and reports the VMs not known to hold the same set. operators.withdrawing.write_withdrawals writes them down; no task calls it yet.

--- a/chestnutshift/operators/acceptance.py
+++ b/chestnutshift/operators/acceptance.py
@@ -1,5 +1,7 @@
 """Accept an operator's change and wait until it is in force."""
 
+from collections.abc import Callable
+
 import attrs
 import trio
 
@@ -15,10 +17,16 @@
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.operators.changes import CHANGES
 from chestnutshift.operators.drains import make_plan
+from chestnutshift.operators.withdrawing import not_withdrawn_on, withdraw_here
+from chestnutshift.platform.exceptions import (
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+)
 from chestnutshift.vms.state import VmState
 
 IN_FORCE_WAIT_S = 5.0
 LOOK_AGAIN_S = 0.05
+WITHDRAW_KEY = 'withdraw_key'
 
 
 @attrs.frozen
@@ -47,6 +55,22 @@
 
 
 async def accept(state: VmState, request: ChangeRequest) -> ChangeReport:
+    """Make the change; withdraw keys also while the platform is down.
+
+    Raises what accept_written raises.
+    """
+    try:
+        return await accept_written(state, request)
+    except (PlatformUnavailableError, OutcomeUnknownError):
+        if request.kind != WITHDRAW_KEY:
+            raise
+        return await _withdraw_unwritten(state, request)
+
+
+async def accept_written(
+    state: VmState,
+    request: ChangeRequest,
+) -> ChangeReport:
     """Check the change, write it by compare-and-set, wait for the VMs.
 
     Raises ConfigurationError for a change that the checks refuse,
@@ -63,6 +87,11 @@
     after = CHANGES.get(request.kind)(before, request.arguments)
     problems = _check(state, before, after)
     if problems:
+        state.event_log.emit(
+            events.CHANGE_REFUSED,
+            kind=request.kind,
+            checks=sorted({found.check for found in problems}),
+        )
         raise ConfigurationError('; '.join(str(found) for found in problems))
     differences = changes.describe(before, after)
     if request.dry_run:
@@ -77,10 +106,40 @@
         differences=differences,
     )
     state.holder.offer(after)
-    not_reached = await _wait_in_force(state, after.number)
+    not_reached = await _wait_for_none(
+        lambda: state.membership.behind(after.number, trio.current_time()),
+    )
+    return _report(state, after.number, differences, not_reached)
+
+
+async def _withdraw_unwritten(
+    state: VmState,
+    request: ChangeRequest,
+) -> ChangeReport:
+    before = state.holder.current
+    after = CHANGES.get(request.kind)(before, request.arguments)
+    differences = changes.describe(before, after)
+    if request.dry_run:
+        return ChangeReport(
+            before.number, accepted=False, differences=differences
+        )
+    digest = changes.find_digest(before, str(request.arguments['key']))
+    withdraw_here(state, digest)
+    not_reached = await _wait_for_none(
+        lambda: not_withdrawn_on(state, trio.current_time()),
+    )
+    return _report(state, before.number, differences, not_reached)
+
+
+def _report(
+    state: VmState,
+    number: int,
+    differences: tuple[str, ...],
+    not_reached: tuple[str, ...],
+) -> ChangeReport:
     every = {state.name, *(peer.name for peer in state.membership.peers)}
     return ChangeReport(
-        number=after.number,
+        number=number,
         accepted=True,
         differences=differences,
         in_force_on=tuple(sorted(every.difference(not_reached))),
@@ -103,12 +162,14 @@
     return (*check_configuration(after), *found)
 
 
-async def _wait_in_force(state: VmState, number: int) -> tuple[str, ...]:
-    behind: tuple[str, ...] = ()
+async def _wait_for_none(
+    find_missing: Callable[[], tuple[str, ...]],
+) -> tuple[str, ...]:
+    missing: tuple[str, ...] = ()
     with trio.move_on_after(IN_FORCE_WAIT_S):
         while True:
-            behind = state.membership.behind(number, trio.current_time())
-            if not behind:
+            missing = find_missing()
+            if not missing:
                 break
             await trio.sleep(LOOK_AGAIN_S)
-    return behind
+    return missing
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -7,8 +7,10 @@
 
 from chestnutshift.configuration import store
 from chestnutshift.configuration.codec import to_document
+from chestnutshift.keys import credentials
 from chestnutshift.metrics.measures import Measures
 from chestnutshift.operators.application import make_operators
+from chestnutshift.operators.withdrawing import write_withdrawals
 from chestnutshift.platform.records import (
     Transaction,
     VmList,
@@ -16,7 +18,7 @@
     VmRole,
     Write,
 )
-from tests.forwarding.world import make_configuration, make_vm
+from tests.forwarding.world import KEY, make_configuration, make_vm
 
 SECRET = b'the secret of operators'
 HEADERS = {'Authorization': f'Bearer {SECRET.decode()}'}
@@ -128,6 +130,35 @@
         assert told['code'] == 'configuration.conflict'
 
 
+@trio_test
+async def test_withdrawal_during_outage():
+    """A withdrawal needs no platform, and is written down after."""
+    async with operating() as (state, _measures, client):
+        state.platform.outage = True
+        code, told = await change(client, 'withdraw_key', key='test')
+        assert code == 200, told
+        assert told['accepted']
+        digest = credentials.digest(KEY)
+        assert digest in state.key_ring.withdrawals
+        state.platform.outage = False
+        assert await write_withdrawals(state) == 1
+        stored = await store.read_current(state.platform)
+        assert stored.configuration.keys[digest].withdrawn
+        assert await write_withdrawals(state) == 0
+
+
+@trio_test
+async def test_withdrawal_with_a_lost_answer():
+    """The key ends here, whether the platform has the withdrawal or not."""
+    async with operating() as (state, _measures, client):
+        state.platform.lose_answers = 1
+        code, told = await change(client, 'withdraw_key', key='test')
+        assert code == 200, told
+        assert credentials.digest(KEY) in state.key_ring.withdrawals
+        assert await write_withdrawals(state) == 0
+        assert not state.key_ring.withdrawals.unwritten
+
+
 @trio_test
 async def test_platform_down():
     """Without the platform a change is refused and status still shown."""
