--- a/chestnutshift/upstreams/candidates.py
+++ b/chestnutshift/upstreams/candidates.py
@@ -7,7 +7,7 @@
 from chestnutshift.events.log import EventLog
 from chestnutshift.upstreams import choice
 from chestnutshift.upstreams.health import HealthTable, Transition
-from chestnutshift.upstreams.model import Candidate
+from chestnutshift.upstreams.model import Candidate, UpstreamState
 from chestnutshift.upstreams.slots import SlotTable
 from chestnutshift.upstreams.warmup import WarmUp
 
@@ -61,6 +61,16 @@
             self._rng,
         )
 
+    def takes_work(self, service: str, now: float) -> bool:
+        """Tell whether any upstream of the service is worth waiting for.
+
+        A suspect one is not: it gets one trial now and then.
+        """
+        return any(
+            candidate.state is UpstreamState.LIVE
+            for candidate in self._open(service, now)
+        )
+
     def record_answer(
         self,
         candidate: Candidate,
--- a/chestnutshift/upstreams/dispatch.py
+++ b/chestnutshift/upstreams/dispatch.py
@@ -160,6 +160,8 @@
                 )
                 self._turns.pop(waiting).refuse(refusal)
             self._serve(service, now)
+            if queue and not self._pool.takes_work(service, now):
+                self._refuse_all(service, queue, now)
 
     def _queue(self, service: str) -> ServiceQueue:
         return self._queues.setdefault(service, ServiceQueue(service))
@@ -173,11 +175,9 @@
         wanted: Wanted,
         now: float,
     ) -> tuple[Waiting, _Turn]:
-        if not self._table.service_load(wanted.service, now)[0]:
-            raise NoUpstreamError(
-                f'no upstream of {wanted.service} takes work here',
-                NO_UPSTREAM_RETRY_S,
-            )
+        capacity = self._table.service_load(wanted.service, now)[0]
+        if not capacity or not self._pool.takes_work(wanted.service, now):
+            raise _no_upstream(wanted.service)
         slots = self._slots(wanted.service, now)
         waiting = Waiting(wanted.request, wanted.account, wanted.deadline_at)
         pushed_out = queue.offer(waiting, slots, now)
@@ -191,6 +191,18 @@
         self._turns[waiting] = turn
         return waiting, turn
 
+    def _refuse_all(
+        self,
+        service: str,
+        queue: ServiceQueue,
+        now: float,
+    ) -> None:
+        """Refuse every queued request at once: nothing will serve them."""
+        waiting = queue.take(now)
+        while waiting is not None:
+            self._turns.pop(waiting).refuse(_no_upstream(service))
+            waiting = queue.take(now)
+
     def _leave(
         self,
         queue: ServiceQueue,
@@ -230,3 +242,10 @@
         if lease is None:
             return None
         return Held(chosen, lease, service, now)
+
+
+def _no_upstream(service: str) -> NoUpstreamError:
+    return NoUpstreamError(
+        f'no upstream of {service} takes work here',
+        NO_UPSTREAM_RETRY_S,
+    )
--- a/chestnutshift/vms/beats.py
+++ b/chestnutshift/vms/beats.py
@@ -29,6 +29,7 @@
         knowledge_complete=knowledge.is_complete,
         lost=sorted(knowledge.lost),
         settled=sorted(knowledge.settled),
+        seat_renewals=state.seat_renewals,
         loads=[
             _to_load(service, load)
             for service, load in state.work.loads(now).items()
@@ -48,6 +49,7 @@
         is_complete=bool(heartbeat.knowledge_complete),
         lost=frozenset(heartbeat.lost or ()),
         settled=frozenset(heartbeat.settled or ()),
+        seat_renewals=heartbeat.seat_renewals or 0,
         loads={
             load.service_: _from_load(load) for load in heartbeat.loads or []
         },
@@ -115,6 +117,7 @@
     withdrawals = state.key_ring.withdrawals
     if report.withdrawals_fingerprint != withdrawals.fingerprint:
         await exchange_withdrawals(state, link, silence_s)
+    note_renewal(state, link.name, report)
     peer = state.membership.note_answer(
         link.name,
         link.incarnation,
@@ -130,6 +133,17 @@
     state.hear(peer, asked_at, trio.current_time())
 
 
+def note_renewal(state: VmState, name: str, report: PeerReport) -> None:
+    """Let the shares know that a neighbour renewed its seat."""
+    peer = state.membership.get(name)
+    own_domain = state.settings.vm.failure_domain
+    if peer is None or peer.address.failure_domain != own_domain:
+        return
+    known = peer.report.seat_renewals if peer.report else 0
+    if report.seat_renewals > known:
+        state.admission.note_neighbour_renewal(trio.current_time())
+
+
 async def beat_all(state: VmState) -> None:
     """Exchange one heartbeat with every VM that answers."""
 
--- a/chestnutshift/vms/membership.py
+++ b/chestnutshift/vms/membership.py
@@ -25,7 +25,8 @@
     knowledge_age_s is how old its confirmation by the platform was, None if
     it never had one; headroom is the free share of its slots; loads tells
     how busy it is, by service; is_complete, lost and
-    settled are those of keys.knowledge.
+    settled are those of keys.knowledge; seat_renewals counts the renewals
+    of its seat that the platform confirmed.
     """
 
     phase: str
@@ -37,6 +38,7 @@
     is_complete: bool = False
     lost: frozenset[str] = frozenset()
     settled: frozenset[str] = frozenset()
+    seat_renewals: int = 0
     loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
 
 
--- a/chestnutshift/vms/seats.py
+++ b/chestnutshift/vms/seats.py
@@ -96,7 +96,9 @@
             continue
         shares = state.holder.current.preset.shares
         with trio.move_on_after(shares.lease_s):
+            before = state.keeper.right.started
             right = await state.keeper.step(shares, state.admission.settle_s)
+            state.seat_renewals += int(right.started > before)
             now = trio.current_time()
             state.admission.renewed(right, now)
             state.work.follow_seat(state.keeper.fence, now)
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -52,6 +52,7 @@
     measures: Measures
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     phase: VmPhase = VmPhase.STARTING
+    seat_renewals: int = 0
     _freshness: Freshness = Freshness.UNCERTAIN
 
     @property
--- a/chestnutshift/vms/withdrawals.py
+++ b/chestnutshift/vms/withdrawals.py
@@ -1,9 +1,10 @@
 """Withdraw keys while the platform is out of reach, and write them down."""
 
+import contextlib
+
 import trio
 
 from chestnutshift.configuration import changes, store
-from chestnutshift.configuration.exceptions import UnknownNameError
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.exceptions import CodedError
 from chestnutshift.keys import events
@@ -38,26 +39,30 @@
     """Write withdrawals down whenever the platform is there; forever."""
     while True:
         await trio.sleep(WRITE_S)
-        unwritten = state.key_ring.withdrawals.unwritten
-        if unwritten and state.follower.reachable:
-            await write_down(state, unwritten)
+        if not state.follower.reachable:
+            continue
+        # Another change may come first, or the platform go: look again.
+        with contextlib.suppress(CodedError):
+            await write_down(state)
 
 
-async def write_down(state: VmState, unwritten: frozenset[str]) -> None:
-    """Put withdrawals into the configuration; give up quietly on errors.
+async def write_down(state: VmState) -> int:
+    """Put withdrawals made in an outage into the configuration.
 
-    Another VM may write the same ones first: the loser of the
-    compare-and-set looks again a little later.
+    Returns how many were new there. Raises ChangeConflictError if another
+    change came first, and the platform's errors.
     """
-    try:
-        base = await store.read_current(state.platform)
-        after = _withdraw_all(base.configuration, unwritten)
-        if after.number != base.configuration.number:
-            await store.replace(state.platform, base, after)
-    except CodedError:
-        return
+    unwritten = state.key_ring.withdrawals.unwritten
+    if not unwritten:
+        return 0
+    base = await store.read_current(state.platform)
+    after = _withdraw_all(base.configuration, unwritten)
+    count = after.number - base.configuration.number
+    if count:
+        await store.replace(state.platform, base, after)
+        state.event_log.emit(events.KEY_WITHDRAWAL_WRITTEN, count=count)
     state.holder.offer(after)
-    state.event_log.emit(events.KEY_WITHDRAWAL_WRITTEN, count=len(unwritten))
+    return count
 
 
 def _withdraw_all(
@@ -69,15 +74,3 @@
         if record is not None and not record.withdrawn:
             configuration = changes.withdraw_key(configuration, digest)
     return configuration
-
-
-def find_known(state: VmState, reference: str) -> str:
-    """Return the digest of a key by what this VM knows of the keys.
-
-    Raises UnknownNameError.
-    """
-    configuration = state.holder.current
-    digest = changes.find_digest(configuration, reference)
-    if configuration.keys[digest].withdrawn:
-        raise UnknownNameError(f'the key {reference!r} is withdrawn already')
-    return digest
--- a/chestnutshift/wire/links.thrift
+++ b/chestnutshift/wire/links.thrift
@@ -37,6 +37,7 @@
   8: optional bool knowledge_complete
   9: optional list<string> lost
   10: optional list<string> settled
+  11: optional i64 seat_renewals
 }
 
 struct ConfigurationRequest {
