--- /dev/null
+++ b/tests/scenarios/play.py
@@ -0,0 +1,89 @@
+"""A scenario that is being played: its world, answers and moments."""
+
+import json
+import pathlib
+import tomllib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import httpx
+import trio
+
+from chestnutshift.registry import Registry
+from tests.scenarios.world import World
+
+Arguments = dict[str, Any]
+AGAIN_S = 0.1
+DIRECTORY = pathlib.Path(__file__).parent
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got; status 0 when no whole answer came."""
+
+    status: int
+    headers: httpx.Headers
+    body: bytes
+    ended_at: float
+    error: str = ''
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer came to its end."""
+        return not self.error
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The answer's JSON, empty if it is none."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return {}
+
+
+@attrs.define
+class Play:
+    """The world of a scenario, its nursery, and what it kept by name.
+
+    Names that a scenario gives to request ids and Idempotency-Keys begin
+    with its own name, as scenarios follow each other in one deployment.
+    """
+
+    world: World
+    nursery: trio.Nursery
+    replies: dict[str, list[Reply]] = attrs.field(factory=dict)
+    expected: dict[str, int] = attrs.field(factory=dict)
+    moments: dict[str, float] = attrs.field(factory=dict)
+
+    async def kept(self, name: str) -> list[Reply]:
+        """Return the replies kept by the name, when all have come."""
+        while len(self.replies[name]) < self.expected[name]:
+            await trio.sleep(AGAIN_S)
+        return self.replies[name]
+
+
+Step = Callable[..., Awaitable[None]]
+STEPS: Registry[Step] = Registry('step of a scenario')
+
+
+async def play_steps(play: Play, steps: list[Arguments]) -> None:
+    """Play the steps one after the other; a failure names its step."""
+    for index, step in enumerate(steps):
+        arguments = dict(step)
+        name = arguments.pop('do')
+        try:
+            await STEPS.get(name)(play, **arguments)
+        except AssertionError as failure:
+            failure.add_note(f'step {index + 1}: {step}')
+            raise
+
+
+async def play_scenario(world: World, name: str) -> None:
+    """Play the scenario in the named file of this directory."""
+    text = (DIRECTORY / f'{name}.toml').read_text()
+    scenario = tomllib.loads(text)
+    async with trio.open_nursery(strict_exception_groups=False) as nursery:
+        play = Play(world, nursery)
+        await play_steps(play, scenario['steps'])
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,40 @@
+"""Each TOML file here is one test, played in one deployment they share."""
+
+import trio
+
+from tests.scenarios import steps  # noqa: F401
+from tests.scenarios.play import DIRECTORY, play_scenario
+from tests.scenarios.world import Shared
+
+SHARED = Shared('anadolu')
+SCENARIOS = sorted(DIRECTORY.glob('*.toml'))
+
+
+def setUpModule() -> None:  # noqa: N802
+    """Start the deployment."""
+    SHARED.start()
+
+
+def tearDownModule() -> None:  # noqa: N802
+    """End the deployment."""
+    SHARED.stop()
+
+
+async def _play(name: str) -> None:
+    async with SHARED.world() as world:
+        await play_scenario(world, name)
+
+
+def _make_test(name: str):
+    def test() -> None:
+        trio.run(_play, name)
+
+    test.__name__ = f'test_{name}'
+    test.__qualname__ = test.__name__
+    test.__doc__ = f'Play {name}.toml.'
+    return test
+
+
+globals().update(  # noqa: WPS421 - one test function for each file
+    {f'test_{path.stem}': _make_test(path.stem) for path in SCENARIOS},
+)
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -1,33 +1,42 @@
 """A deployment of real processes that scenarios act on."""
 
+import contextlib
 import os
 import pathlib
 import signal
 import subprocess
 import tempfile
+import tomllib
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from typing import Any
 
 import attrs
 import httpx
 import trio
 
-from demo.plan import PLATFORM_PORT, UPSTREAM_PORT, make_plan
+from demo.plan import (
+    EXAMPLES,
+    OPERATORS_PORT,
+    PLATFORM_PORT,
+    UPSTREAM_PORT,
+    make_plan,
+)
 from demo.processes import Demonstration
 
 # Test runs side by side use loopback networks of their own.
 NETWORK = 1 + os.getpid() % 250
 CALL_S = 20.0
+READY_S = 30.0
+LOOK_AGAIN_S = 0.1
+NO_PLATFORM_FAULT = {'outage': False, 'latency_ms': 0, 'lose_answers': 0}
 
 
 @attrs.define
 class World:
-    """The running deployment, its clients, and the answers kept by name."""
+    """The running deployment, and a client of it."""
 
     demonstration: Demonstration
     client: httpx.AsyncClient
-    answers: dict[str, httpx.Response] = attrs.field(factory=dict)
 
     @property
     def keys(self) -> dict[str, str]:
@@ -49,6 +58,34 @@
         address = self.demonstration.plan.platform_address
         return f'http://{address}:{PLATFORM_PORT}'
 
+    def limits(self, account: str) -> dict[str, float]:
+        """Return the account's rate and burst on ordinary days."""
+        path = EXAMPLES / self.demonstration.plan.name / 'ordinary.toml'
+        return tomllib.loads(path.read_text())['accounts'][account]
+
+    async def status(self, vm: dict[str, Any]) -> dict[str, Any]:
+        """Return a VM's status; raises httpx.HTTPError."""
+        directory = self.demonstration.plan.directory
+        secret = (directory / 'operators.secret').read_text()
+        answer = await self.client.get(
+            f'http://{vm["address"]}:{OPERATORS_PORT}/status',
+            headers={'Authorization': f'Bearer {secret}'},
+        )
+        return answer.raise_for_status().json()
+
+    async def restore(self) -> None:
+        """End all faults, bring every VM back, and wait until all serve."""
+        for name, process in self.demonstration.vms.items():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+            else:
+                self.demonstration.start_vm(name)
+        faults_url = f'{self.platform_url}/standin/faults'
+        await self.client.put(faults_url, json=NO_PLATFORM_FAULT)
+        with trio.fail_after(READY_S):
+            while not await self._all_serve():
+                await trio.sleep(LOOK_AGAIN_S)
+
     def signal_vm(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a VM's process."""
         self.demonstration.vms[name].send_signal(number)
@@ -63,28 +100,81 @@
         )
         return finished.returncode, finished.stdout.decode()
 
+    async def _all_serve(self) -> bool:
+        try:
+            found = [
+                await self.status(vm) for vm in self.demonstration.plan.vms
+            ]
+        except httpx.HTTPError:
+            return False
+        return all(
+            status['in_force_on'] == status['vms']
+            and status['headroom'] > 0
+            and status['keys'] == 'fresh'
+            for status in found
+        )
+
 
 def _named(records: list[dict[str, Any]], name: str) -> dict[str, Any]:
     return next(record for record in records if record['name'] == name)
 
 
-@asynccontextmanager
-async def running(deployment: str) -> AsyncIterator[World]:
-    """Run a deployment for the block, and end all its processes after."""
-    with tempfile.TemporaryDirectory() as directory:
+def _make_client() -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        verify=False,
+        trust_env=False,
+        timeout=CALL_S,
+        limits=httpx.Limits(),
+    )
+
+
+class Shared:
+    """One deployment for several scenarios, each in a trio run of its own."""
+
+    def __init__(self, deployment: str) -> None:
+        """Start nothing yet."""
+        self._deployment = deployment
+        self._stack = contextlib.ExitStack()
+
+    def start(self) -> None:
+        """Start every process."""
+        directory = self._stack.enter_context(tempfile.TemporaryDirectory())
         plan = make_plan(
-            deployment,
+            self._deployment,
             pathlib.Path(directory) / 'demo',
             network=NETWORK,
         )
-        demonstration = Demonstration(plan)
+        self._demonstration = Demonstration(plan)
+        self._stack.callback(self._demonstration.stop)
         try:
-            await demonstration.start()
-            async with httpx.AsyncClient(
-                verify=False,
-                trust_env=False,
-                timeout=CALL_S,
-            ) as client:
-                yield World(demonstration, client)
-        finally:
-            demonstration.stop()
+            trio.run(self._demonstration.start)
+        except BaseException:
+            self.stop()
+            raise
+
+    def stop(self) -> None:
+        """End every process; a frozen one must wake to do so."""
+        for process in self._demonstration.vms.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+        self._stack.close()
+
+    @contextlib.asynccontextmanager
+    async def world(self) -> AsyncIterator[World]:
+        """Yield the deployment, whole and without faults."""
+        async with _make_client() as client:
+            world = World(self._demonstration, client)
+            await world.restore()
+            yield world
+
+
+@contextlib.asynccontextmanager
+async def running(deployment: str) -> AsyncIterator[World]:
+    """Run a deployment for the block, and end all its processes after."""
+    shared = Shared(deployment)
+    await trio.to_thread.run_sync(shared.start)
+    try:
+        async with shared.world() as world:
+            yield world
+    finally:
+        await trio.to_thread.run_sync(shared.stop)
