--- a/tests/scenarios/play.py
+++ b/tests/scenarios/play.py
@@ -83,7 +83,7 @@
     """Play the scenario in the named file of this directory."""
     text = (DIRECTORY / f'{name}.toml').read_text()
     scenario = tomllib.loads(text)
-    async with trio.open_nursery(strict_exception_groups=False) as nursery:
+    async with trio.open_nursery() as nursery:
         play = Play(world, nursery)
         await play_steps(play, scenario['steps'])
         nursery.cancel_scope.cancel()
--- a/tests/scenarios/traffic.py
+++ b/tests/scenarios/traffic.py
@@ -102,7 +102,7 @@
     """Return what all upstreams say they ran."""
     found: list[dict[str, Any]] = []
     for upstream in world.demonstration.plan.upstreams:
-        found += await upstream_runs(world, upstream['name'])
+        found.extend(await upstream_runs(world, upstream['name']))
     return found
 
 
