--- a/chestnutshift/checks/configurations.py
+++ b/chestnutshift/checks/configurations.py
@@ -125,7 +125,6 @@
 ) -> Iterator[tuple[str, float, float, float]]:
     yield 'shares.lease_s', shares.lease_s, 2.0, 60.0
     yield 'shares.floor_s', shares.floor_s, shares.lease_s, 86400.0
-    yield 'shares.floor_fraction', shares.floor_fraction, 0, 1.0
     yield 'shares.loan_s', shares.loan_s, 0.5, shares.lease_s
 
 
--- a/chestnutshift/configuration/changes.py
+++ b/chestnutshift/configuration/changes.py
@@ -63,7 +63,8 @@
     matches = [
         digest
         for digest, record in configuration.keys.items()
-        if reference and reference in {digest, record.label}
+        if reference == digest
+        or (reference == record.label and not record.withdrawn)
     ]
     if not matches and reference:
         matches = [
--- a/chestnutshift/configuration/model.py
+++ b/chestnutshift/configuration/model.py
@@ -48,7 +48,6 @@
 
     lease_s: float = defaults.SEAT_LEASE_S
     floor_s: float = defaults.SEAT_FLOOR_S
-    floor_fraction: float = defaults.SEAT_FLOOR_FRACTION
     loan_s: float = defaults.LOAN_S
 
 
--- a/chestnutshift/management/commands.py
+++ b/chestnutshift/management/commands.py
@@ -234,6 +234,17 @@
             lines.append(f'not heard: {missing}')
         self._session.output.show(document, *lines)
 
+    @TEXTS
+    def declare_dead(self, vm: str) -> None:
+        """Stop waiting for a VM that surely runs no longer.
+
+        For a platform outage: keyed requests stop while a VM is silent, as
+        it may have taken a withdrawal. Give again the withdrawals that went
+        through that VM.
+        """
+        answer = self._session.client.post('/dead', {'vm': vm})
+        self._session.output.show(answer, f'{vm} is not waited for any more')
+
     @TEXTS
     def drain(self, target: str) -> None:
         """Give no new work to a VM, upstream, failure domain or region."""
--- a/chestnutshift/metrics/measures.py
+++ b/chestnutshift/metrics/measures.py
@@ -79,6 +79,10 @@
         """Send the present level of something to statsd."""
         self._metrics.gauge(metric, level)
 
+    def time(self, metric: Metric, duration_s: float) -> None:
+        """Send a duration in seconds to statsd."""
+        self._metrics.time(metric, duration_s)
+
     def summary(self) -> MeasuresSummary:
         """Return everything counted since the start."""
         return MeasuresSummary(
--- a/chestnutshift/operators/application.py
+++ b/chestnutshift/operators/application.py
@@ -93,6 +93,17 @@
             raise BadRequestError(error.detail) from error
         return jsonify(attrs.asdict(await accept(state, asked)))
 
+    @app.post('/dead')
+    async def declare_dead() -> Response:
+        raw = await request.get_json(force=True, silent=True)
+        name = raw.get('vm') if isinstance(raw, dict) else None
+        peer = state.membership.get(str(name))
+        if peer is None:
+            raise BadRequestError(f'no VM is named {name!r}')
+        state.knowledge.settle((peer.incarnation,))
+        state.refresh_knowledge()
+        return jsonify(vm=peer.name, incarnation=peer.incarnation)
+
     @app.get('/timeline')
     async def timeline() -> Response:
         return jsonify(await gather(state, request.args))
--- a/chestnutshift/operators/drains.py
+++ b/chestnutshift/operators/drains.py
@@ -5,6 +5,7 @@
 from chestnutshift.checks.plans import DrainPlan
 from chestnutshift.regions.drains import Topology
 from chestnutshift.regions.model import Place
+from chestnutshift.upstreams.model import ServiceLoad
 from chestnutshift.vms.membership import VmPhase
 from chestnutshift.vms.state import VmState
 
@@ -58,8 +59,8 @@
     return counts
 
 
-def _running(loads: dict[str, tuple[int, int]]) -> int:
-    return sum(in_use for _slots, in_use in loads.values())
+def _running(loads: dict[str, ServiceLoad]) -> int:
+    return sum(load.in_use for load in loads.values())
 
 
 def _live_vms(state: VmState, now: float) -> frozenset[str]:
--- /dev/null
+++ b/chestnutshift/vms/drains.py
@@ -0,0 +1,39 @@
+"""Follow the drains, and leave an event when one starts, finishes, ends."""
+
+import attrs
+
+from chestnutshift.metrics.names import DRAIN_TIME
+from chestnutshift.operators.drains import count_in_flight
+from chestnutshift.regions import events
+from chestnutshift.vms.state import VmState
+
+
+@attrs.define
+class DrainWatch:
+    """What was seen of each drain so far."""
+
+    _started: frozenset[str] = frozenset()
+    _finished: frozenset[str] = frozenset()
+
+    def look(self, state: VmState, now: float) -> None:
+        """Log what changed since the last look."""
+        board = state.steering.board
+        targets = board.targets
+        for target in sorted(targets - self._started):
+            state.event_log.emit(events.DRAIN_STARTED, target=target)
+        for target in sorted(self._started - targets):
+            state.event_log.emit(events.DRAIN_ENDED, target=target)
+        self._started = targets
+        self._finished &= targets
+        if not targets:
+            return
+        for progress in board.progress(count_in_flight(state), now):
+            if progress.drain_s is None or progress.target in self._finished:
+                continue
+            self._finished |= {progress.target}
+            state.event_log.emit(
+                events.DRAIN_FINISHED,
+                target=progress.target,
+                drain_s=progress.drain_s,
+            )
+            state.measures.time(DRAIN_TIME, progress.drain_s)
--- a/chestnutshift/vms/ticks.py
+++ b/chestnutshift/vms/ticks.py
@@ -3,6 +3,7 @@
 import trio
 
 from chestnutshift.metrics.names import CONFIGURATION, HEADROOM
+from chestnutshift.vms.drains import DrainWatch
 from chestnutshift.vms.state import VmState
 
 TICK_S = 0.1
@@ -10,10 +11,12 @@
 
 async def keep_ticking(state: VmState) -> None:
     """Move ramps, look-ups, drains and key trust on, every TICK_S."""
+    drains = DrainWatch()
     while True:
         now = trio.current_time()
         if state.holder.number:
             tick(state, now)
+            drains.look(state, now)
         await trio.sleep(TICK_S)
 
 
