--- a/chestnutshift/keys/knowledge.py
+++ b/chestnutshift/keys/knowledge.py
@@ -21,6 +21,9 @@
     confirmed_at,
 )
 
+# Incarnations remembered as cleared; each restart of a VM adds one.
+CLEARED_MAX = 1000
+
 
 @attrs.frozen
 class PeerAnswer:
@@ -49,6 +52,9 @@
     _peers: dict[str, PeerView] = attrs.field(factory=dict)
     _lost: dict[str, float] = attrs.field(factory=dict)
     _settled: set[str] = attrs.field(factory=set)
+    # Cleared here: another VM that has not cleared it yet must not bring it
+    # back, or two VMs would tell each other of it for ever.
+    _cleared: dict[str, None] = attrs.field(factory=dict)
     _unlisted: frozenset[str] = frozenset()
 
     @property
@@ -103,7 +109,7 @@
         if known is not None and asked_at < known:
             return
         self._note_incarnation(name, answer.incarnation, now)
-        for incarnation in answer.lost - self._settled:
+        for incarnation in answer.lost - self._settled - self._cleared.keys():
             self._lost.setdefault(incarnation, now)
         # What this VM doesn't hold yet is no reason to doubt what it held.
         if answer.is_held:
@@ -157,8 +163,16 @@
         if not self._lost:
             return
         confirmed = self.confirmed_at
+        for incarnation, since in self._lost.items():
+            if since < confirmed:
+                self._note_cleared(incarnation)
         self._lost = {
             incarnation: since
             for incarnation, since in self._lost.items()
             if since >= confirmed
         }
+
+    def _note_cleared(self, incarnation: str) -> None:
+        self._cleared[incarnation] = None
+        if len(self._cleared) > CLEARED_MAX:
+            self._cleared.pop(next(iter(self._cleared)))
--- /dev/null
+++ b/tests/keys/test_lost_vms.py
@@ -0,0 +1,75 @@
+"""A lost VM is forgotten everywhere once the platform answered everywhere."""
+
+import attrs
+
+from chestnutshift.keys.knowledge import Knowledge, PeerAnswer
+
+NAMES = ('a', 'b', 'c')
+BEAT_S = 0.25
+POLL_S = 0.5
+ROUNDS = 40
+
+
+@attrs.define
+class Vm:
+    """One VM's knowledge, and when it next asks the platform."""
+
+    name: str
+    poll_at: float
+    knowledge: Knowledge
+
+    def answer(self, now: float) -> PeerAnswer:
+        """Return what it tells another VM."""
+        return PeerAnswer(
+            incarnation=f'{self.name}-1',
+            age_s=max(0, now - self.knowledge.confirmed_at),
+            is_held=True,
+            is_complete=True,
+            lost=self.knowledge.lost,
+        )
+
+    def poll(self, now: float) -> None:
+        """Ask the platform if it is time to."""
+        if now >= self.poll_at:
+            self.knowledge.confirm(now)
+            self.poll_at = now + POLL_S
+
+
+def _make_vms() -> list[Vm]:
+    return [
+        Vm(
+            name,
+            poll_at=index * POLL_S / len(NAMES),
+            knowledge=Knowledge(frozenset(NAMES) - {name}),
+        )
+        for index, name in enumerate(NAMES)
+    ]
+
+
+def _exchange(vms: list[Vm], now: float) -> None:
+    """Deliver answers that were all given before any of them arrived."""
+    answers = {vm.name: vm.answer(now - BEAT_S) for vm in vms}
+    for vm in vms:
+        for name, answer in answers.items():
+            if name != vm.name:
+                vm.knowledge.hear(name, now - BEAT_S, answer, now)
+
+
+def test_loss_is_not_passed_back_and_forth():
+    """Each VM forgets it with its own next answer of the platform."""
+    vms = _make_vms()
+    for vm in vms:
+        vm.poll(0)
+    _exchange(vms, 0)
+    lost = PeerAnswer('c-0', 0, is_held=True, is_complete=True)
+    vms[0].knowledge.hear('c', 0, lost, 0)
+    for number in range(1, ROUNDS):
+        now = number * BEAT_S / 2
+        for vm in vms:
+            vm.poll(now)
+        _exchange(vms, now)
+    assert [vm.knowledge.lost for vm in vms] == [
+        frozenset(),
+        frozenset(),
+        frozenset(),
+    ]
