--- a/chestnutshift/operators/status.py
+++ b/chestnutshift/operators/status.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutshift.invariants.registry import INVARIANTS
 from chestnutshift.metrics.measures import Measures
 from chestnutshift.operators.drains import count_in_flight
 from chestnutshift.vms.membership import Peer
@@ -34,6 +35,11 @@
             attrs.asdict(share) for share in state.admission.summary(now)
         ],
         'measures': attrs.asdict(measures.summary()),
+        'violations': {
+            name: invariant.violations
+            for name, invariant in INVARIANTS.items()
+            if invariant.violations
+        },
         'peers': [
             _peer_status(peer, peer in heard) for peer in state.membership.peers
         ],
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,237 @@
+"""A long random run on real processes: `python -m tests.soak --seed 1`.
+
+Callers of every account send to random VMs while VMs are killed, frozen and
+brought back and the platform fails. At the end the upstreams say what ran.
+"""
+
+import argparse
+import itertools
+import random
+import signal
+import sys
+import time
+from collections import Counter
+
+import attrs
+import httpx
+import trio
+
+from tests.scenarios.world import Shared, World
+
+SECONDS = 60
+CALLERS = 3
+PAUSE_S = 0.05
+FAULT_PAUSE_S = (1, 4)
+FROZEN_S = (0.5, 6)
+DOWN_S = (1, 5)
+KEPT_KEYS = 200
+BOOKS_PERCENT = 40
+REPEATS_PERCENT = 40
+
+
+@attrs.frozen
+class Sent:
+    """One request of a caller, and how it ended."""
+
+    request: str
+    key: str
+    account: str
+    status: int
+    code: str
+    ran: str
+
+
+@attrs.define
+class Soak:
+    """One run: its world, its randomness, and what callers were told."""
+
+    world: World
+    rng: random.Random
+    sent: list[Sent] = attrs.field(factory=list)
+    leaked: list[str] = attrs.field(factory=list)
+    faults: Counter[str] = attrs.field(factory=Counter)
+    started_at: float = attrs.field(factory=time.monotonic)
+
+    async def run(self, minutes: float) -> None:
+        """Send and break for that many minutes, then bring all back."""
+        with trio.move_on_after(minutes * SECONDS):
+            async with trio.open_nursery() as nursery:
+                callers = itertools.product(self.world.keys, range(CALLERS))
+                for account, number in callers:
+                    name = f'{account}-{number}'
+                    nursery.start_soon(self._call, account, name)
+                nursery.start_soon(self._break_things)
+        await self.world.restore()
+
+    async def _call(self, account: str, name: str) -> None:
+        keys: list[str] = []
+        number = 0
+        while True:
+            number += 1
+            books = self.rng.randrange(100) < BOOKS_PERCENT
+            key = ''
+            if books:
+                repeats = keys and self.rng.randrange(100) < REPEATS_PERCENT
+                key = self.rng.choice(keys) if repeats else f'{name}-{number}'
+                keys = [*keys, key][-KEPT_KEYS:]
+            await self._send(account, f'{name}.{number}', key)
+            await trio.sleep(self.rng.uniform(0, 2 * PAUSE_S))
+
+    async def _send(self, account: str, request: str, key: str) -> None:
+        vm = self.rng.choice(self.world.demonstration.plan.vms)
+        headers = {
+            'Authorization': f'Bearer {self.world.keys[account]}',
+            'X-Request-Id': request,
+        }
+        path = '/listings/1'
+        if key:
+            headers['Idempotency-Key'] = key
+            path = f'/bookings/1?delay_ms={self.rng.randrange(100)}'
+        try:
+            answer = await self.world.client.request(
+                'POST' if key else 'GET',
+                f'{vm["url"]}{path}',
+                headers=headers,
+            )
+        except httpx.HTTPError as error:
+            lost = Sent(request, key, account, 0, type(error).__name__, '')
+            self.sent.append(lost)
+            return
+        if self.world.keys[account] in answer.text:
+            self.leaked.append(request)
+        problem = answer.json() if answer.is_error else {}
+        self.sent.append(
+            Sent(
+                request,
+                key,
+                account,
+                answer.status_code,
+                problem.get('code', ''),
+                problem.get('ran', ''),
+            ),
+        )
+
+    async def _break_things(self) -> None:
+        faults = (self._kill, self._freeze, self._outage, self._lose_answers)
+        while True:
+            await trio.sleep(self.rng.uniform(*FAULT_PAUSE_S))
+            fault = self.rng.choice(faults)
+            self.faults[fault.__name__] += 1
+            await fault()
+
+    def _any_vm(self) -> str:
+        return self.rng.choice(self.world.demonstration.plan.vms)['name']
+
+    async def _kill(self) -> None:
+        name = self._any_vm()
+        self.world.signal_vm(name, signal.SIGKILL)
+        await trio.sleep(self.rng.uniform(*DOWN_S))
+        self.world.demonstration.start_vm(name)
+
+    async def _freeze(self) -> None:
+        name = self._any_vm()
+        self.world.signal_vm(name, signal.SIGSTOP)
+        await trio.sleep(self.rng.uniform(*FROZEN_S))
+        self.world.signal_vm(name, signal.SIGCONT)
+
+    async def _outage(self) -> None:
+        await self._set_platform(outage=True)
+        await trio.sleep(self.rng.uniform(*DOWN_S))
+        await self._set_platform(outage=False)
+
+    async def _lose_answers(self) -> None:
+        await self._set_platform(lose_answers=self.rng.randrange(1, 5))
+
+    async def _set_platform(self, **faults: object) -> None:
+        url = f'{self.world.platform_url}/standin/faults'
+        await self.world.client.put(url, json=faults)
+
+
+async def find_runs(world: World) -> list[dict]:
+    """Return every request that an upstream ran."""
+    found: list[dict] = []
+    for upstream in world.demonstration.plan.upstreams:
+        url = f'{world.upstream_url(upstream["name"])}/standin/runs'
+        found += (await world.client.get(url)).json()['runs']
+    return found
+
+
+def judge(soak: Soak, runs: list[dict], duration_s: float) -> list[str]:
+    """Return each promise that the run broke."""
+    by_key: Counter[str] = Counter()
+    for run in runs:
+        by_key[run['idempotency_key']] += run['count']
+    by_key.pop('', None)
+    broken = [
+        f'key {key} ran {count} times'
+        for key, count in by_key.items()
+        if count > 1
+    ]
+    ran_ids = {run['request_id'] for run in runs}
+    broken += [
+        f'{one.request} was told not run ({one.code}), but ran'
+        for one in soak.sent
+        if one.ran == 'no' and one.request in ran_ids
+    ]
+    broken += [f'{request} showed a key' for request in soak.leaked]
+    admitted = Counter(
+        {(run['account'], run['request_id']): 1 for run in runs}.keys(),
+    )
+    by_account = Counter(account for account, _request in admitted)
+    for account, count in by_account.items():
+        limit = soak.world.limits(account)
+        most = limit['rate'] * duration_s + limit['burst']
+        if count > most:
+            broken.append(f'{account} ran {count} requests, over {most:.0f}')
+    return broken
+
+
+async def find_violations(world: World) -> list[str]:
+    """Return the invariants that VMs saw themselves break."""
+    found: list[str] = []
+    for vm in world.demonstration.plan.vms:
+        status = await world.status(vm)
+        for name, count in status['violations'].items():
+            found.append(f'{vm["name"]}: {name} broken {count} times')
+    return found
+
+
+async def play(shared: Shared, seed: int, minutes: float) -> int:
+    """Run once; return the number of promises broken."""
+    async with shared.world() as world:
+        soak = Soak(world, random.Random(seed))
+        await soak.run(minutes)
+        duration_s = time.monotonic() - soak.started_at
+        runs = await find_runs(world)
+        broken = judge(soak, runs, duration_s)
+        broken += await find_violations(world)
+    told = Counter(f'{one.status} {one.code}'.strip() for one in soak.sent)
+    lines = [
+        f'seed {seed}: {len(soak.sent)} requests in {duration_s:.0f} s',
+        f'faults: {dict(soak.faults)}',
+        *(f'  {count:6} {answer}' for answer, count in told.most_common()),
+        *(f'BROKEN: {one}' for one in broken),
+        f'{len(broken)} promises broken',
+    ]
+    sys.stdout.write('{0}\n'.format('\n'.join(lines)))
+    return len(broken)
+
+
+def main() -> None:
+    """Run from the command line; exit 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--minutes', type=float, default=1)
+    parser.add_argument('--deployment', default='anadolu')
+    arguments = parser.parse_args()
+    shared = Shared(arguments.deployment)
+    shared.start()
+    try:
+        broken = trio.run(play, shared, arguments.seed, arguments.minutes)
+    finally:
+        shared.stop()
+    sys.exit(int(broken > 0))
+
+
+if __name__ == '__main__':
+    main()
