Send requests elsewhere when every upstream here is suspect

Cause: a domain whose upstreams of a service all refused connections was still reckoned to start a request at once, so it refused what another domain could have served. The new test of tests.upstreams.test_dispatch failed first.

--- a/chestnutshift/upstreams/dispatch.py
+++ b/chestnutshift/upstreams/dispatch.py
@@ -107,7 +107,7 @@
     ) -> float:
         """Return how long a request would wait here, infinite if for ever."""
         capacity, busy = self._table.service_load(service, now)
-        if not capacity:
+        if not capacity or not self._pool.takes_work(service, now):
             return math.inf
         queue = self._queue(service)
         if busy < capacity and not queue:
--- a/tests/upstreams/test_dispatch.py
+++ b/tests/upstreams/test_dispatch.py
@@ -1,5 +1,6 @@
 """Requests wait for a slot only while one can come free."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -126,3 +127,16 @@
         assert started[0].upstream == UPSTREAM
 
     _play(scene)
+
+
+def test_waits_for_ever_without_a_live_upstream():
+    """Requests go to other failure domains when nothing here serves them."""
+
+    async def scene() -> None:
+        bench = _make_bench()
+        now = trio.current_time()
+        assert bench.dispatcher.expected_wait_s(SERVICE, now) == 0
+        bench.fail()
+        assert bench.dispatcher.expected_wait_s(SERVICE, now) == math.inf
+
+    _play(scene)
