--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+import zlib
 from collections import Counter
 
 import attrs
@@ -27,6 +28,7 @@
 KEPT_KEYS = 200
 BOOKS_PERCENT = 40
 REPEATS_PERCENT = 40
+SLOWEST_MS = 400
 
 
 @attrs.frozen
@@ -86,7 +88,9 @@
         path = '/listings/1'
         if key:
             headers['Idempotency-Key'] = key
-            path = f'/bookings/1?delay_ms={self.rng.randrange(100)}'
+            # A repeat of a key is the same request.
+            delay_ms = zlib.crc32(key.encode()) % SLOWEST_MS
+            path = f'/bookings/1?delay_ms={delay_ms}'
         try:
             answer = await self.world.client.request(
                 'POST' if key else 'GET',
