--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -53,7 +53,8 @@
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     phase: VmPhase = VmPhase.STARTING
     seat_renewals: int = 0
-    _freshness: Freshness = Freshness.UNCERTAIN
+    # None until the keys were trusted for the first time.
+    _freshness: Freshness | None = None
 
     @property
     def name(self) -> str:
@@ -145,13 +146,15 @@
         """End keyed work when the keys can't be trusted any longer."""
         before = self._freshness
         after = self.key_ring.freshness(now)
-        if after is before:
+        started = before is None and not after.is_trusted
+        if after is before or started:
             return
         self._freshness = after
-        self.event_log.emit(
-            key_events.KEY_TRUST_CHANGED,
-            before=before.value,
-            after=after.value,
-        )
+        if before is not None:
+            self.event_log.emit(
+                key_events.KEY_TRUST_CHANGED,
+                before=before.value,
+                after=after.value,
+            )
         if not after.is_trusted:
             self.watch.check_all(now)
