--- a/chestnutshift/platform/records.py
+++ b/chestnutshift/platform/records.py
@@ -60,7 +60,7 @@
     UPSTREAM = 'upstream'
 
 
-class VmState(enum.StrEnum):
+class ListedState(enum.StrEnum):
     """Where a VM is in its life."""
 
     LIVE = 'live'
@@ -80,7 +80,7 @@
     failure_domain: str
     region: str
     address: str
-    state: VmState = VmState.LIVE
+    state: ListedState = ListedState.LIVE
     service: str = ''
     slots: int = 0
     weight: float = 1
--- a/chestnutshift/upstreams/directory.py
+++ b/chestnutshift/upstreams/directory.py
@@ -5,7 +5,7 @@
 import attrs
 
 from chestnutshift.conf import defaults
-from chestnutshift.platform.records import VmRecord, VmRole, VmState
+from chestnutshift.platform.records import ListedState, VmRecord, VmRole
 from chestnutshift.upstreams.connections import UpstreamConnections
 
 
@@ -54,7 +54,7 @@
             known = self._upstreams.get(name)
             if known is not None:
                 known.record = record
-            elif record.state is not VmState.GONE:
+            elif record.state is not ListedState.GONE:
                 self._upstreams[name] = _connect(record)
         return tuple(dropped)
 
@@ -64,7 +64,7 @@
 
     def _must_replace(self, name: str, listed: dict[str, VmRecord]) -> bool:
         record = listed.get(name)
-        if record is None or record.state is VmState.GONE:
+        if record is None or record.state is ListedState.GONE:
             return True
         return record.address != self._upstreams[name].record.address
 
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -82,7 +82,7 @@
             record.vm
             for record in vm_list.vms
             if record.role is records.VmRole.ENTRY
-            and record.state is not records.VmState.GONE
+            and record.state is not records.ListedState.GONE
         )
         self.steering.update_upstreams(
             {
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -20,8 +20,8 @@
 )
 from chestnutshift.platform.records import (
     Condition,
+    ListedState,
     Transaction,
-    VmState,
     Write,
 )
 from standins.platform import PlatformApp
@@ -176,7 +176,7 @@
         await client.put('/standin/faults', json={'list_lag_s': 0})
         await client.put('/standin/vms/new', json={'state': 'leaving'})
         listed = await case.platform.list_vms()
-        assert listed.vms[0].state is VmState.LEAVING
+        assert listed.vms[0].state is ListedState.LEAVING
 
 
 @trio_test
