--- a/tests/accounts/test_fleet.py
+++ b/tests/accounts/test_fleet.py
@@ -1,7 +1,6 @@
 """No window gets more than rate and burst, whatever fails in the fleet."""
 
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
 from unittest import mock
 
 import attrs
@@ -12,22 +11,13 @@
 from chestnutshift.accounts.borrower import Borrower
 from chestnutshift.accounts.seats import SeatStep
 from chestnutshift.configuration.model import AccountLimit
-from chestnutshift.invariants.registry import ENFORCEMENT
 from tests.accounts.fleet import LIMITS, TOLERANCE, FaultyFleet, worst_excess
+from tests.enforcement import enforced
 
 SEEDS = (1, 2, 3)
 RUN_S = 20
 
 
-@contextmanager
-def _enforced() -> Iterator[None]:
-    ENFORCEMENT.raises = True
-    try:
-        yield
-    finally:
-        ENFORCEMENT.raises = False
-
-
 def _run(seed: int) -> FaultyFleet:
     fleet = FaultyFleet(seed)
     fleet.run(RUN_S)
@@ -105,7 +95,7 @@
 
     The fleet also stays at work: safety must not come from refusing.
     """
-    with _enforced():
+    with enforced():
         for seed in SEEDS:
             fleet = _run(seed)
             assert fleet.held_part <= 1 + TOLERANCE, seed
--- a/tests/callers/serving.py
+++ b/tests/callers/serving.py
@@ -9,7 +9,7 @@
 from chestnutshift.callers.connection import Application
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
-from chestnutshift.invariants.registry import ENFORCEMENT
+from tests.enforcement import enforced
 
 LIMITS = CallerLimits(header_limit_b=4096, grace_s=10)
 # For tests of slow callers; a busy machine makes any caller slow.
@@ -41,14 +41,11 @@
         await listener.serve(listeners, port.stopping)
         port.stopped.set()
 
-    ENFORCEMENT.raises = True
-    try:
+    with enforced():
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run)
             yield port
             nursery.cancel_scope.cancel()
-    finally:
-        ENFORCEMENT.raises = False
 
 
 async def echo(scope, receive, send) -> None:
--- a/tests/idempotency/__init__.py
+++ b/tests/idempotency/__init__.py
@@ -2,8 +2,6 @@
 
 import random
 import unittest
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 from chestnutshift.events.log import EventLog
 from chestnutshift.idempotency.claims import KeyedRequest
@@ -12,8 +10,8 @@
 from chestnutshift.idempotency.outcomes import AnswerRecorder, Outcome
 from chestnutshift.idempotency.records import Holder
 from chestnutshift.idempotency.verdicts import HolderIsGone
-from chestnutshift.invariants.registry import ENFORCEMENT
 from chestnutshift.platform.backends.memory import MemoryPlatform, Store
+from tests.enforcement import enforced  # noqa: F401 - for the tests
 
 START = Moment(now=1000, wall_s=1_700_000_000)
 TIMEOUT_S = 30.0
@@ -21,16 +19,6 @@
 raises = unittest.TestCase().assertRaises
 
 
-@contextmanager
-def enforced() -> Iterator[None]:
-    """Let violated invariants raise inside the block."""
-    ENFORCEMENT.raises = True
-    try:
-        yield
-    finally:
-        ENFORCEMENT.raises = False
-
-
 def nobody_gone(holder: Holder) -> bool:
     """Say that every holder is alive."""
     return False
--- a/tests/keys/__init__.py
+++ b/tests/keys/__init__.py
@@ -1,8 +1,6 @@
 """Tests of the keys package, with what they share."""
 
 import unittest
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 from chestnutshift.configuration.model import (
     AccountLimit,
@@ -10,10 +8,10 @@
     KeyRecord,
     Preset,
 )
-from chestnutshift.invariants.registry import ENFORCEMENT
 from chestnutshift.keys import credentials
 from chestnutshift.keys.authentication import KeyRing
 from chestnutshift.keys.freshness import KnowledgeView, PeerView
+from tests.enforcement import enforced  # noqa: F401 - for the tests
 
 KEY = 'q7Jr-Xb2_Wm9sKd4Tz8Lh1Vc6Nf3Pg5Yy0Ae7Uo2Ri4S'
 OTHER_KEY = 'another-key-of-another-account'
@@ -24,16 +22,6 @@
 raises = unittest.TestCase().assertRaises
 
 
-@contextmanager
-def enforced() -> Iterator[None]:
-    """Let violated invariants raise inside the block."""
-    ENFORCEMENT.raises = True
-    try:
-        yield
-    finally:
-        ENFORCEMENT.raises = False
-
-
 def make_configuration(
     number: int = 1,
     *,
--- a/tests/lookup/fixtures.py
+++ b/tests/lookup/fixtures.py
@@ -1,11 +1,8 @@
 """Shared makers of tables, views and presets for the look-up tests."""
 
-import contextlib
 import itertools
-from collections.abc import Iterator
 
 from chestnutshift.configuration.model import Preset
-from chestnutshift.invariants.registry import ENFORCEMENT
 from chestnutshift.lookup.prefixes import Prefix
 from chestnutshift.lookup.table import ClientTable, TableBuilder
 from chestnutshift.lookup.view import EntryState, EntryVM, LookupView
@@ -56,14 +53,3 @@
         'default_order': ORDERS[0],
     }
     return LookupView(**(fields | changes))
-
-
-@contextlib.contextmanager
-def enforced_invariants() -> Iterator[None]:
-    """Let a broken invariant raise for the duration."""
-    before = ENFORCEMENT.raises
-    ENFORCEMENT.raises = True
-    try:
-        yield
-    finally:
-        ENFORCEMENT.raises = before
--- a/tests/lookup/test_outstanding.py
+++ b/tests/lookup/test_outstanding.py
@@ -17,9 +17,9 @@
     movable_fraction,
 )
 from chestnutshift.lookup.view import EntryState, Shift
+from tests.enforcement import enforced
 from tests.lookup.fixtures import (
     PRESET,
-    enforced_invariants,
     make_entries,
     make_table,
     make_view,
@@ -95,7 +95,7 @@
     )
     generator = random.Random(1)
     moved_most = 0
-    with enforced_invariants():
+    with enforced():
         for step in range(5000):
             caller = f'10.2.{generator.randrange(256)}.1'
             directory.answer(Question(caller), PRESET, step / 100)
