--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -63,6 +63,11 @@
         # The earliest time of the next new connection.
         self._dial_at = -math.inf
 
+    @property
+    def maximum(self) -> int:
+        """Connections that may stand at a time."""
+        return self._maximum
+
     @property
     def open_count(self) -> int:
         """Connections that stand, idle or busy."""
--- a/chestnutshift/upstreams/directory.py
+++ b/chestnutshift/upstreams/directory.py
@@ -28,10 +28,15 @@
 
 
 class UpstreamDirectory:
-    """All upstreams that the platform lists."""
+    """All upstreams that the platform lists.
 
-    def __init__(self) -> None:
-        """Start without any upstream."""
+    The pace and the limit of connections hold for an upstream as a whole, so
+    each of the VMs of its failure domain takes its part of them.
+    """
+
+    def __init__(self, vms: int = 1) -> None:
+        """Start without any upstream; vms share each of them."""
+        self._vms = vms
         self._upstreams: dict[str, Upstream] = {}
 
     def __iter__(self) -> Iterator[Upstream]:
@@ -55,7 +60,7 @@
             if known is not None:
                 known.record = record
             elif record.state is not ListedState.GONE:
-                self._upstreams[name] = _connect(record)
+                self._upstreams[name] = self._connect(record)
         return tuple(dropped)
 
     def get(self, name: str) -> Upstream | None:
@@ -68,13 +73,12 @@
             return True
         return record.address != self._upstreams[name].record.address
 
-
-def _connect(record: VmRecord) -> Upstream:
-    address, _, port = record.address.rpartition(':')
-    connections = UpstreamConnections(
-        address,
-        int(port),
-        pace_s=defaults.CONNECTION_PACE_S,
-        maximum=defaults.CONNECTIONS_MAX,
-    )
-    return Upstream(record, connections)
+    def _connect(self, record: VmRecord) -> Upstream:
+        address, _, port = record.address.rpartition(':')
+        connections = UpstreamConnections(
+            address,
+            int(port),
+            pace_s=defaults.CONNECTION_PACE_S * self._vms,
+            maximum=defaults.CONNECTIONS_MAX // self._vms,
+        )
+        return Upstream(record, connections)
--- a/chestnutshift/vms/work.py
+++ b/chestnutshift/vms/work.py
@@ -42,7 +42,7 @@
         self._fence = 0
         self._table: SlotTable | None = None
         self.health = HealthTable()
-        self.directory = UpstreamDirectory()
+        self.directory = UpstreamDirectory(len(self.domain_vms))
         self.exchange: SlotExchange | None = None
         self.pool: CandidatePool | None = None
         self._dispatcher: Dispatcher | None = None
