Let no later attempt vouch for an earlier one that may have run

Cause: when an upstream said that it ran nothing, the request forgot that an earlier attempt had broken off after bytes were sent, and was refused as not run. Found by reading; the invariant could not see it, as the count of exposed bytes was cleared with it. Ruled out for claimed operations: they are not sent again after a break. Change: an attempt that ran nothing restores what held before it. tests.forwarding.test_refusals.test_shed_after_a_break_stays_unknown failed first.

--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -77,6 +77,9 @@
     admitted: bool = False
     # Bytes sent to upstreams that did not say that they ran nothing.
     _exposed_b: int = 0
+    # What held before the last run.
+    _ran_before: Ran = Ran.NOT_RUN
+    _exposed_before_b: int = 0
 
     async def run(
         self,
@@ -92,6 +95,8 @@
         ConnectionsExhaustedError, and what the target's before_send raises;
         else ExchangeBrokenError, and what its on_answer raises.
         """
+        self._ran_before = self.ran
+        self._exposed_before_b = self._exposed_b
         connection = await target.connections.take()
         sent_b = connection.sent_b
         try:
@@ -108,9 +113,9 @@
             raise
 
     def note_not_run(self) -> None:
-        """Note that what was sent so far surely ran nothing."""
-        self.ran = Ran.NOT_RUN
-        self._exposed_b = 0
+        """Note that the last run surely ran nothing; earlier ones may have."""
+        self.ran = self._ran_before
+        self._exposed_b = self._exposed_before_b
 
     async def answer_problem(self, problem: Problem) -> None:
         """Give the caller its refusal."""
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -190,3 +190,25 @@
             await caller.send(b'zz\r\n')
             answer = await caller.answer()
             assert _code(answer) == (400, 'request.malformed', 'no')
+
+
+@trio_test
+async def test_shed_after_a_break_stays_unknown():
+    """A later attempt that ran nothing does not vouch for an earlier one."""
+
+    async def script(
+        upstream: ScriptedUpstream,
+        stream: trio.SocketStream,
+    ) -> None:
+        while True:
+            await upstream.next_head(stream)
+            if len(upstream.heads) == 1:
+                return
+            await stream.send_all(SHEDDING)
+
+    broken = ScriptedUpstream(script)
+    async with forwarding(broken, retries=RetriesPreset()) as world:
+        answer = await world.get()
+    _status, _code_told, ran = _code(answer)
+    assert len(broken.heads) > 1
+    assert ran == 'unknown'
