--- a/bench/capacity/configuration_slopes.py
+++ b/bench/capacity/configuration_slopes.py
@@ -17,7 +17,7 @@
 
 CODEC = 'chestnutshift.configuration.codec'
 CHECKS = 'chestnutshift.checks.registry'
-RECORDS = 'chestnutshift.platform.records'
+RECORDS = 'chestnutshift.storage.records'
 KEY_COUNTS = (500, 1_000, 2_000, 4_000)
 ACCOUNT_COUNTS = (250, 500, 1_000)
 VM_COUNTS = (250, 500, 1_000)
--- a/bench/one_vm.py
+++ b/bench/one_vm.py
@@ -18,8 +18,8 @@
 )
 from chestnutshift.keys import credentials
 from chestnutshift.keys.freshness import KnowledgeView
-from chestnutshift.platform.backends.memory import MemoryPlatform
-from chestnutshift.platform.records import VmList, VmRecord, VmRole
+from chestnutshift.storage.backends.memory import MemoryPlatform
+from chestnutshift.storage.records import VmList, VmRecord, VmRole
 from chestnutshift.vms import ticks
 from chestnutshift.vms.assembly import make_state
 from chestnutshift.vms.state import VmState
--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -64,7 +64,12 @@
         self._stop = stop
         self._headers: Headers = []
         self._head_scope = trio.CancelScope()
-        self._end_watch = EndWatch(transport, self.intake, self.h11)
+        self._end_watch = EndWatch(
+            transport,
+            self.intake,
+            self.h11,
+            is_end_gone=limits.is_end_gone,
+        )
 
     @property
     def is_stopping(self) -> bool:
@@ -181,7 +186,8 @@
         event = self.h11.next_event()
         if event is not h11.NEED_DATA:
             return event
-        idle_s = 0 if self.is_stopping else self.limits.idle_s
+        limits = self.limits
+        idle_s = limits.stop_idle_s if self.is_stopping else limits.idle_s
         scope = trio.CancelScope(deadline=trio.current_time() + idle_s)
         self._head_scope = scope
         with scope:
--- a/chestnutshift/callers/end_watch.py
+++ b/chestnutshift/callers/end_watch.py
@@ -22,8 +22,11 @@
         transport: CallerTransport,
         intake: Intake,
         connection: h11.Connection,
+        *,
+        is_end_gone: bool = False,
     ) -> None:
         """Watch the connection that these belong to."""
+        self._is_end_gone = is_end_gone
         self.exchange: CallerExchange | None = None
         self._transport = transport
         self._intake = intake
@@ -34,7 +37,7 @@
         """Read; after the end, cancel what runs once the caller is gone."""
         await self._intake.run()
         while True:
-            if self.exchange is not None:
+            if self.exchange is not None and not self._is_end_gone:
                 await self._probe(self.exchange)
             if self.exchange is not None and self._is_gone():
                 self.exchange.abandon()
@@ -62,4 +65,6 @@
             self._probed.set()
 
     def _is_gone(self) -> bool:
-        return self._intake.is_broken or self._transport.is_gone
+        if self._is_end_gone or self._intake.is_broken:
+            return True
+        return self._transport.is_gone
--- a/chestnutshift/callers/limits.py
+++ b/chestnutshift/callers/limits.py
@@ -24,6 +24,8 @@
     body_silence_s: float = BODY_SILENCE_S
     linger_s: float = LINGER_S
     stop_idle_s: float = STOP_IDLE_S
+    # Whether a caller that ends its sending side is gone altogether.
+    is_end_gone: bool = False
 
 
 @attrs.define
--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -54,11 +54,17 @@
                 await stopping.wait()
                 acceptors.cancel_scope.cancel()
             now = trio.current_time()
-            self._stop.is_stopping = True
-            for connection in self._open:
-                connection.end_idle(now + self._limits.stop_idle_s)
+            self.begin_stop(now)
             connections.cancel_scope.deadline = now + self._limits.grace_s
 
+    def begin_stop(self, now: float) -> None:
+        """End each connection after its answer, and idle ones soon."""
+        if self._stop.is_stopping:
+            return
+        self._stop.is_stopping = True
+        for connection in self._open:
+            connection.end_idle(now + self._limits.stop_idle_s)
+
     async def _serve_stream(self, stream: CallerStream) -> None:
         connection = CallerConnection(
             CallerTransport(stream),
--- a/chestnutshift/configuration/follow.py
+++ b/chestnutshift/configuration/follow.py
@@ -12,8 +12,8 @@
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.records import VmList
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.records import VmList
 
 
 class PlatformFollower:
--- a/chestnutshift/configuration/store.py
+++ b/chestnutshift/configuration/store.py
@@ -10,9 +10,9 @@
     NoConfigurationError,
 )
 from chestnutshift.configuration.model import Configuration
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.exceptions import ConflictError
-from chestnutshift.platform.records import Condition, Transaction, Write
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.exceptions import ConflictError
+from chestnutshift.storage.records import Condition, Transaction, Write
 
 TABLE = 'configuration'
 KEY = 'current'
--- /dev/null
+++ b/chestnutshift/edge/admission.py
@@ -0,0 +1,120 @@
+"""Decide whether a request is served, and for which client account."""
+
+import attrs
+
+from chestnutshift.edge.dialect import InboundRequest
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.routes.model import Account, Route
+
+NO_TABLE = Problem(
+    503,
+    'table.none',
+    'this VM does not know the routes yet',
+    retry_after_s=0.5,
+)
+NO_ROUTE = Problem(404, 'request.no_route', 'no route matches')
+KEY_MISSING = Problem(401, 'keys.missing', 'the route needs a key')
+KEY_UNKNOWN = Problem(401, 'keys.unknown', 'the key is not known')
+KEYS_STALE = Problem(
+    503,
+    'keys.stale',
+    'this VM can not tell whether the key is still valid',
+    retry_after_s=0.3,
+)
+
+
+@attrs.frozen
+class Admitted:
+    """A request that may run; account is None on open routes."""
+
+    request: InboundRequest
+    route: Route
+    service: str
+    account: Account | None
+    table_version: int
+
+    @property
+    def account_name(self) -> str:
+        """The account's name, empty on open routes."""
+        return self.account.name if self.account else ''
+
+    @property
+    def priority(self) -> int:
+        """The rank: the account's before the route's, 0 the most urgent."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def home_regions(self) -> frozenset[str]:
+        """The regions that may serve it, empty for all."""
+        route_homes = self.route.home_regions
+        homes = self.account.home_regions if self.account else frozenset()
+        if not route_homes or not homes:
+            return route_homes or homes
+        return route_homes & homes
+
+    @property
+    def has_no_home(self) -> bool:
+        """Whether route and account have no region in common."""
+        if self.account is None or not self.route.home_regions:
+            return False
+        return bool(self.account.home_regions) and not self.home_regions
+
+
+def admit(
+    state: EdgeState,
+    request: InboundRequest,
+    now: float,
+) -> Admitted:
+    """Return the request with its route and account; raises RefusalError."""
+    table, index = state.table, state.index
+    if table is None or index is None:
+        raise RefusalError(NO_TABLE)
+    route = index.find(request.host, request.path)
+    if route is None:
+        raise RefusalError(NO_ROUTE)
+    account = None
+    if table.needs_keys and not route.is_open:
+        account = authenticate(state, request, now)
+    return Admitted(
+        request,
+        route,
+        state.splitter.choose(route),
+        account,
+        table.version,
+    )
+
+
+def authenticate(
+    state: EdgeState,
+    request: InboundRequest,
+    now: float,
+) -> Account:
+    """Return the account of the request's key; raises RefusalError."""
+    if not state.is_trusted(now):
+        # Neither that a key is valid nor that it is unknown is certain.
+        raise RefusalError(KEYS_STALE)
+    if request.key is None:
+        raise RefusalError(KEY_MISSING)
+    account = state.table.account_by_key.get(request.key)
+    if account is None:
+        raise RefusalError(KEY_UNKNOWN)
+    return account
+
+
+def charge(state: EdgeState, admitted: Admitted, now: float) -> None:
+    """Take the request from its account's share; raises RefusalError."""
+    if admitted.account is None:
+        return
+    wait_s = state.shares.admit(admitted.account, now)
+    if wait_s is not None:
+        raise RefusalError(
+            Problem(
+                429,
+                'accounts.over_limit',
+                'the account is over its rate',
+                retry_after_s=wait_s,
+            ),
+        )
--- /dev/null
+++ b/chestnutshift/edge/probing.py
@@ -0,0 +1,127 @@
+"""Clear upstreams in doubt by health checks."""
+
+import math
+import random
+
+import attrs
+import trio
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge import events
+from chestnutshift.edge.attempts import UpstreamPool
+from chestnutshift.edge.dialect import AnswerFacts, Dialect
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.steering.upstreams import Condition, Upstream
+from chestnutshift.upstreams.connection import (
+    UpstreamAnswer,
+    UpstreamError,
+)
+
+TICK_S = 0.05
+CHECK_TIMEOUT_S = 0.8
+# A failed check is repeated after this, longer each time.
+REPEAT_S = 0.4
+REPEAT_MAX_S = 2.0
+HTTP_OK = 200
+CONNECTIONS_MAX = 8
+
+
+@attrs.define
+class _Plan:
+    due_at: float = -math.inf
+    failures: int = 0
+    is_running: bool = False
+
+
+@attrs.define
+class Prober:
+    """Check the health of each upstream that is in doubt."""
+
+    _state: EdgeState
+    _dialect: Dialect
+    _pool: UpstreamPool
+    _event_log: EventLog
+    _rng: random.Random = attrs.field(factory=random.Random)
+    _plans: dict[Upstream, _Plan] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for upstream in self._due(boot_time()):
+                    self._plans[upstream].is_running = True
+                    nursery.start_soon(self._check, upstream)
+                await trio.sleep(TICK_S)
+
+    def _due(self, now: float) -> list[Upstream]:
+        """Return the upstreams to check now."""
+        doubted = [
+            upstream
+            for upstream in self._state.directory
+            if upstream.condition is Condition.UNPROVEN
+        ]
+        for known in self._plans.keys() - set(doubted):
+            self._plans.pop(known)
+        due = []
+        for upstream in doubted:
+            plan = self._plans.setdefault(upstream, _Plan())
+            if not plan.is_running and now >= plan.due_at:
+                due.append(upstream)
+        return due
+
+    async def _check(self, upstream: Upstream) -> None:
+        plan = self._plans[upstream]
+        status, facts = 0, None
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            status, facts = await self._ask(upstream)
+        plan.is_running = False
+        now = boot_time()
+        is_alive = facts is not None and (facts.is_not_run or status == HTTP_OK)
+        is_other = facts is not None and facts.upstream not in {
+            '',
+            upstream.name,
+        }
+        if not is_alive or is_other:
+            plan.failures += 1
+            pause_s = min(REPEAT_MAX_S, REPEAT_S * plan.failures)
+            plan.due_at = now + pause_s * self._rng.uniform(0.7, 1.3)
+            return
+        if upstream.condition is not Condition.UNPROVEN:
+            return
+        if facts.cold_s:
+            upstream.cold_until = max(upstream.cold_until, now + facts.cold_s)
+        upstream.condition = Condition.READY
+        upstream.answered_at = now
+        self._event_log.emit(
+            events.UPSTREAM_PROVEN,
+            upstream=upstream.name,
+            status=status,
+            cold_left_s=facts.cold_s or 0,
+        )
+
+    async def _ask(self, upstream: Upstream) -> tuple[int, AnswerFacts | None]:
+        """Return status and facts of a health check, 0 without an answer."""
+        registration = upstream.registration
+        table = self._state.table
+        service = table.services.get(registration.service) if table else None
+        path = service.health_path if service else '/'
+        host = f'{registration.address}:{registration.port}'
+        request = self._dialect.write_health_check(path, host)
+        found: list[tuple[int, AnswerFacts]] = []
+
+        async def take(answer: UpstreamAnswer) -> None:
+            facts = self._dialect.read_answer(answer.headers)
+            found.append((answer.status, facts))
+            part = answer.arrived()
+            while not part.is_last:
+                part = await answer.receive()
+
+        connections = self._pool.connections(upstream, CONNECTIONS_MAX)
+        try:
+            connection = await connections.take()
+            await connections.exchange(connection, request, b'', take)
+        except UpstreamError:
+            # The plan's count of failures is what follows from this.
+            return 0, None
+        return found[0]
--- /dev/null
+++ b/chestnutshift/edge/process.py
@@ -0,0 +1,189 @@
+"""The process of one edge VM: every task it runs, from start to stop."""
+
+import signal
+import time
+
+import attrs
+import trio
+
+from chestnutshift.callers.connection import Application
+from chestnutshift.callers.limits import CallerLimits
+from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge import events
+from chestnutshift.edge.attempts import UpstreamPool
+from chestnutshift.edge.dialect import Dialect
+from chestnutshift.edge.following import (
+    WAIT_MEMBERS_S,
+    WAIT_S,
+    Follower,
+    StateKeeper,
+)
+from chestnutshift.edge.forwarder import EdgeForwarder
+from chestnutshift.edge.observing import Observer
+from chestnutshift.edge.peers import PeerTalk
+from chestnutshift.edge.probing import Prober
+from chestnutshift.edge.registering import Registrar
+from chestnutshift.edge.settings import Endpoint
+from chestnutshift.edge.sources import Source
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.beats import MemberPhase
+
+UPKEEP_S = 0.25
+# Of the stop's grace: how long callers that still come are taken, and when
+# what is still under way is broken off.
+TAKES_CALLERS = 0.5
+ENDS_REQUESTS = 0.95
+# Idle callers may send so long after the stop began.
+STOP_IDLE_S = 1.0
+DESCRIPTORS_KEPT = 300
+
+
+@attrs.frozen
+class Backing:
+    """What keeps the fleet's state, and how it is spoken to."""
+
+    dialect: Dialect
+    operators: Source
+    upstreams: Source
+    members: Source
+    registrar: Registrar
+
+
+@attrs.define
+class EdgeProcess:
+    """Run the tasks of one VM until it is told to stop."""
+
+    _state: EdgeState
+    _backing: Backing
+    _entry: Application
+    _event_log: EventLog
+    _stopping: trio.Event = attrs.field(factory=trio.Event)
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then end what is in flight."""
+        state = self._state
+        self._event_log.emit(
+            events.STARTED,
+            incarnation=state.incarnation,
+            failure_domain=state.settings.failure_domain,
+        )
+        pool = UpstreamPool(self._backing.dialect)
+        async with trio.open_nursery() as nursery:
+            self._start_tasks(nursery, pool)
+            await self._serve(nursery, pool)
+            nursery.cancel_scope.cancel()
+        self._event_log.emit(events.STOPPED)
+
+    def _start_tasks(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
+        state, backing = self._state, self._backing
+        keeper = StateKeeper(state, self._event_log)
+        followed = (
+            (backing.operators, 'operators', WAIT_S, keeper.apply_operators),
+            (backing.upstreams, 'upstreams', WAIT_S, keeper.apply_upstreams),
+            (backing.members, 'members', WAIT_MEMBERS_S, keeper.apply_members),
+        )
+        for source, name, wait_s, apply in followed:
+            follower = Follower(
+                state, self._event_log, source, name, wait_s, apply
+            )
+            nursery.start_soon(follower.run)
+        prober = Prober(state, backing.dialect, pool, self._event_log)
+        nursery.start_soon(prober.run)
+        nursery.start_soon(PeerTalk(state, self._event_log).run)
+        nursery.start_soon(backing.registrar.run, state, self._event_log)
+        nursery.start_soon(self._keep_up, pool)
+        nursery.start_soon(self._watch_signals)
+
+    async def _serve(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
+        """Take callers until the stop is over."""
+        settings = self._state.settings
+        forwarder = EdgeForwarder(
+            self._state,
+            self._backing.dialect,
+            pool,
+            Observer(self._event_log),
+            self._event_log,
+        )
+        limits = CallerLimits(
+            connections_max=settings.descriptors_max - DESCRIPTORS_KEPT,
+            grace_s=settings.bounds.grace_s * (ENDS_REQUESTS - TAKES_CALLERS),
+            idle_s=60,
+            stop_idle_s=STOP_IDLE_S,
+            is_end_gone=True,
+        )
+        callers = CallersListener(forwarder, limits)
+        over = trio.Event()
+        endpoints = dict.fromkeys((settings.readiness, settings.lookups))
+        for endpoint in endpoints:
+            nursery.start_soon(self._serve_port, endpoint, self._entry, limits)
+        nursery.start_soon(self._stop_in_time, callers, over)
+        listeners = await _listen(settings.callers)
+        await callers.serve(listeners, over)
+
+    async def _serve_port(
+        self,
+        endpoint: Endpoint,
+        application: Application,
+        limits: CallerLimits,
+    ) -> None:
+        listener = CallersListener(application, limits)
+        await listener.serve(await _listen(endpoint), trio.Event())
+
+    async def _stop_in_time(
+        self,
+        callers: CallersListener,
+        over: trio.Event,
+    ) -> None:
+        await self._stopping.wait()
+        callers.begin_stop(trio.current_time())
+        grace_s = self._state.settings.bounds.grace_s
+        await trio.sleep(grace_s * TAKES_CALLERS)
+        over.set()
+
+    async def _keep_up(self, pool: UpstreamPool) -> None:
+        """Do what the passing of time asks for."""
+        state = self._state
+        was_ready = False
+        while True:
+            now = boot_time()
+            for name in state.directory.expire(now):
+                self._event_log.emit(events.UPSTREAM_GONE, upstream=name)
+            await pool.forget_gone(set(state.directory))
+            if state.phase is MemberPhase.STARTING and state.table:
+                state.phase = MemberPhase.SERVING
+            is_ready = state.is_ready(now)
+            if is_ready is not was_ready:
+                self._note_ready(now, is_ready=is_ready)
+            was_ready = is_ready
+            await trio.sleep(UPKEEP_S)
+
+    def _note_ready(self, now: float, *, is_ready: bool) -> None:
+        age_s = self._state.freshness.age_s(now)
+        self._event_log.emit(
+            events.READY,
+            is_ready=is_ready,
+            phase=self._state.phase.value,
+            proof_age_s=round(age_s, 3),
+        )
+
+    async def _watch_signals(self) -> None:
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*watched) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    self._event_log.emit(events.RELOADED)
+                    continue
+                self._state.phase = MemberPhase.STOPPING
+                self._event_log.emit(events.STOPPING, signal=int(number))
+                self._stopping.set()
+
+
+async def _listen(endpoint: Endpoint) -> list[trio.SocketListener]:
+    return await open_listeners(endpoint.address, endpoint.port)
+
+
+def make_incarnation() -> int:
+    """Return what tells this start of a VM from the earlier ones."""
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/chestnutshift/edge/registering.py
@@ -0,0 +1,60 @@
+"""Keep this VM in the list of VMs."""
+
+import abc
+import random
+
+import attrs
+import trio
+
+from chestnutshift.edge import events
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.exceptions import CodedError
+from chestnutshift.fleet.members import Member
+
+RETRY_S = 0.3
+RETRY_MAX_S = 2.0
+
+
+class MemberRegister(abc.ABC):
+    """Where VMs list themselves."""
+
+    @abc.abstractmethod
+    async def enlist(self, member: Member) -> None:
+        """Write the VM's row; raises CodedError if that is not certain."""
+
+
+@attrs.define
+class Registrar:
+    """Write this VM's row until that is certain; a repeat does no harm."""
+
+    _register: MemberRegister
+    _rng: random.Random = attrs.field(factory=random.Random)
+
+    async def run(self, state: EdgeState, event_log: EventLog) -> None:
+        """Register once."""
+        settings = state.settings
+        member = Member(
+            vm=settings.vm,
+            endpoint=attrs.evolve(settings.callers, port=settings.peer_port),
+            callers=str(settings.callers),
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            incarnation=state.incarnation,
+        )
+        failures = 0
+        while True:
+            try:
+                await self._register.enlist(member)
+            except CodedError as error:
+                failures += 1
+                event_log.emit(
+                    events.STORE_LOST,
+                    source='register',
+                    code=error.code,
+                    detail=error.detail,
+                )
+                pause_s = min(RETRY_MAX_S, RETRY_S * failures)
+                await trio.sleep(pause_s * self._rng.uniform(0.5, 1))
+            else:
+                return
--- /dev/null
+++ b/chestnutshift/edge/settings.py
@@ -0,0 +1,80 @@
+"""Settings of an edge VM, whatever format they came in."""
+
+from collections.abc import Mapping
+
+import attrs
+
+
+@attrs.frozen
+class Endpoint:
+    """An IP address and a port."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return address:port."""
+        return f'{self.address}:{self.port}'
+
+
+@attrs.frozen
+class StoreSettings:
+    """Where the store is and what it takes.
+
+    Rates are calls per second of all VMs together; upstreams that live renew
+    their registration every registration_period_s.
+    """
+
+    endpoint: Endpoint
+    reads_rate: float
+    writes_rate: float
+    registration_period_s: float
+
+
+@attrs.frozen
+class Bounds:
+    """What the deployment promises; _s are seconds.
+
+    Each bound counts from the store's confirmation of the change. Those that
+    a deployment leaves out keep the defaults here.
+    """
+
+    contact_s: float = 3
+    drain_s: float = 2.5
+    grace_s: float = 6
+    table_s: float = 2.5
+    withdrawal_s: float = 5
+    bounds_withdrawals: bool = True
+    evacuation_s: float = 5
+    address_reuse_s: float = 2
+    lookup_lifetime_s: float = 5
+    retry_ratio: float = 0.2
+    retry_slack: float = 64
+    retry_window_s: float = 10
+    account_over: float = 0.1
+    account_slack: float = 20
+    account_window_s: float = 5
+    cold_over: float = 1.5
+    cold_slack: float = 5
+    region_shift_max: float = 0.15
+
+
+@attrs.frozen
+class EdgeSettings:
+    """One edge VM: its place, its addresses, its store and its bounds.
+
+    regions maps each failure domain to its region.
+    """
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+    callers: Endpoint
+    readiness: Endpoint
+    lookups: Endpoint
+    peer_port: int
+    regions: Mapping[str, str]
+    descriptors_max: int
+    store: StoreSettings
+    bounds: Bounds
--- /dev/null
+++ b/chestnutshift/edge/state.py
@@ -0,0 +1,138 @@
+"""What one edge VM knows and holds."""
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from chestnutshift.edge.settings import EdgeSettings
+from chestnutshift.fleet.beats import MemberPhase, hash_upstream
+from chestnutshift.fleet.shares import AccountShares, Tolerance
+from chestnutshift.fleet.view import FleetView
+from chestnutshift.routes.matching import RouteIndex
+from chestnutshift.routes.model import RouteTable
+from chestnutshift.routes.splitting import Splitter
+from chestnutshift.steering.choice import POLICIES, ChoicePolicy
+from chestnutshift.steering.cold import ColdGate
+from chestnutshift.steering.directory import UpstreamDirectory
+from chestnutshift.steering.freshness import TableFreshness
+from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
+from chestnutshift.steering.work import WorkEstimate
+
+POLICY = 'soonest'
+# A peer that missed this many beats is not heard any more.
+BEATS_MISSED = 5
+BEAT_S = 0.25
+# Time between the check of a key and the upstream's receipt of the request.
+FRESHNESS_MARGIN_S = 0.7
+
+
+def _make_shares(state: 'EdgeState') -> AccountShares:
+    bounds = state.settings.bounds
+    return AccountShares(
+        Tolerance(
+            bounds.account_window_s,
+            bounds.account_over,
+            bounds.account_slack,
+        ),
+    )
+
+
+@attrs.define(eq=False)
+class EdgeState:
+    """The state that the tasks of one VM share."""
+
+    settings: EdgeSettings
+    incarnation: int
+    phase: MemberPhase = MemberPhase.STARTING
+    table: RouteTable | None = None
+    index: RouteIndex | None = None
+    splitter: Splitter = attrs.field(factory=Splitter)
+    # When the store last answered, and whether it answers now.
+    store_heard_at: float = -math.inf
+    directory: UpstreamDirectory = attrs.field(init=False)
+    policy: ChoicePolicy = attrs.field(init=False)
+    fleet: FleetView = attrs.field(init=False)
+    shares: AccountShares = attrs.field(init=False)
+    retries: FleetRetryBudget = attrs.field(init=False)
+    cold_gate: ColdGate = attrs.field(init=False)
+    freshness: TableFreshness = attrs.field(init=False)
+    works: dict[tuple[str, str], WorkEstimate] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the parts that the settings decide."""
+        settings = self.settings
+        bounds = settings.bounds
+        self.directory = UpstreamDirectory(settings.regions)
+        self.policy = POLICIES.get(POLICY)(
+            self.directory,
+            settings.failure_domain,
+            settings.region,
+        )
+        self.fleet = FleetView(settings.vm, BEAT_S * BEATS_MISSED)
+        self.shares = _make_shares(self)
+        self.retries = FleetRetryBudget(
+            RetryBounds(
+                bounds.retry_window_s,
+                bounds.retry_ratio,
+                bounds.retry_slack,
+            ),
+        )
+        self.cold_gate = ColdGate(settings.vm)
+        self.freshness = TableFreshness(
+            bounds.withdrawal_s,
+            FRESHNESS_MARGIN_S,
+        )
+
+    def is_trusted(self, now: float) -> bool:
+        """Tell whether keys may be accepted now."""
+        if not self.settings.bounds.bounds_withdrawals:
+            return True
+        return self.freshness.is_fresh(now)
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether callers should be sent here."""
+        if self.phase is not MemberPhase.SERVING or self.table is None:
+            return False
+        return not self.table.needs_keys or self.is_trusted(now)
+
+    def adopt(self, table: RouteTable) -> bool:
+        """Put a table in force unless it is older; tell whether it is new."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.index = RouteIndex(table)
+        return True
+
+    def cold_s(self) -> Mapping[str, float]:
+        """Return how long each service's upstreams stay cold."""
+        if self.table is None:
+            return {}
+        return {one.name: one.cold_s for one in self.table.services.values()}
+
+    def refresh(self, now: float) -> None:
+        """Bring what depends on the peers up to date."""
+        fleet = self.fleet
+        demands = [peer.beat.demand for peer in fleet.heard(now) if peer.beat]
+        self.shares.update(demands, fleet.claimants(now), now)
+        rates = {}
+        if self.table is not None:
+            services = self.table.services.values()
+            rates = {one.name: one.cold_rate for one in services}
+            proven_at = fleet.proof(self.table.version)
+            self.freshness.prove(proven_at)
+        self.cold_gate.update(fleet.names, rates)
+        self.cold_gate.forget(now)
+        counts = fleet.in_flight(now)
+        for upstream in self.directory:
+            upstream.peers_in_flight = counts.get(
+                hash_upstream(upstream.name), 0
+            )
+
+    def in_flight(self) -> dict[int, int]:
+        """Return this VM's requests by hash of the upstream's id."""
+        return {
+            hash_upstream(upstream.name): upstream.in_flight
+            for upstream in self.directory
+            if upstream.in_flight
+        }
--- /dev/null
+++ b/chestnutshift/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What the edge VMs tell each other, and what follows from it."""
--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -91,7 +91,7 @@
     KeyInTargetError when the path holds the key.
     """
     path, mark, query = request.target.partition(b'?')
-    headers = _end_to_end(request.headers, _TO_UPSTREAM)
+    headers = end_to_end(request.headers, _TO_UPSTREAM)
     headers.append((REQUEST_ID_HEADER, request.request_id.encode()))
     detector = _detector_of(request)
     hidden = hide_key(detector, path, query, headers)
@@ -108,7 +108,7 @@
 
     The names are in lower case.
     """
-    kept = _end_to_end(headers, _TO_CALLER)
+    kept = end_to_end(headers, _TO_CALLER)
     kept.append((REQUEST_ID_HEADER, request_id.encode()))
     return kept
 
@@ -121,7 +121,8 @@
     return None
 
 
-def _end_to_end(headers: Headers, dropped: frozenset[bytes]) -> Headers:
+def end_to_end(headers: Headers, dropped: frozenset[bytes]) -> Headers:
+    """Return the headers but those dropped or of one connection only."""
     named = _named_by_connection(headers)
     if named:
         dropped |= named
--- a/chestnutshift/idempotency/claiming.py
+++ b/chestnutshift/idempotency/claiming.py
@@ -17,15 +17,15 @@
     Verdict,
     judge,
 )
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     OverLimitError,
     PlatformUnavailableError,
     RequestRejectedError,
 )
-from chestnutshift.platform.records import Row, Transaction
+from chestnutshift.storage.records import Row, Transaction
 
 CLAIM_ROUNDS = 3
 COMMIT_TRIES = 2
--- a/chestnutshift/idempotency/claims.py
+++ b/chestnutshift/idempotency/claims.py
@@ -33,7 +33,7 @@
     TRUE_REFUSAL,
     verify,
 )
-from chestnutshift.platform.records import (
+from chestnutshift.storage.records import (
     ABSENT_VERSION,
     Condition,
     Row,
--- a/chestnutshift/idempotency/ledger.py
+++ b/chestnutshift/idempotency/ledger.py
@@ -36,7 +36,7 @@
     OutcomeUnknown,
     Verdict,
 )
-from chestnutshift.platform.backends.base import Platform
+from chestnutshift.storage.backends.base import Platform
 
 
 class Ledger:
--- a/chestnutshift/idempotency/retention.py
+++ b/chestnutshift/idempotency/retention.py
@@ -16,9 +16,9 @@
 from chestnutshift.idempotency.records import TABLE, Record, State, make_id
 from chestnutshift.idempotency.settling import STORE_ERRORS
 from chestnutshift.idempotency.verdicts import HolderIsGone
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.exceptions import ConflictError
-from chestnutshift.platform.records import Condition, Row, Transaction, Write
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.exceptions import ConflictError
+from chestnutshift.storage.records import Condition, Row, Transaction, Write
 
 RETENTION_S = 172_800
 PAGE_ROWS = 500
--- a/chestnutshift/idempotency/settling.py
+++ b/chestnutshift/idempotency/settling.py
@@ -9,15 +9,15 @@
 from chestnutshift.idempotency import events
 from chestnutshift.idempotency.claims import Claim, reconcile
 from chestnutshift.idempotency.records import make_id
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     OverLimitError,
     PlatformUnavailableError,
     RequestRejectedError,
 )
-from chestnutshift.platform.records import Transaction
+from chestnutshift.storage.records import Transaction
 
 GROUP_MAX = 32
 WAITING_MAX = 10_000
--- a/chestnutshift/management/commands.py
+++ b/chestnutshift/management/commands.py
@@ -21,7 +21,7 @@
 from chestnutshift.management.output import Output, table
 from chestnutshift.management.presets import read_preset
 from chestnutshift.management.status import status_lines
-from chestnutshift.platform.backends.http import HttpPlatform
+from chestnutshift.storage.backends.http import HttpPlatform
 from chestnutshift.vms.assembly import make_state
 from chestnutshift.vms.process import VmProcess
 
--- a/chestnutshift/operators/acceptance.py
+++ b/chestnutshift/operators/acceptance.py
@@ -17,7 +17,7 @@
 from chestnutshift.configuration.model import Configuration
 from chestnutshift.operators.changes import CHANGES
 from chestnutshift.operators.drains import make_plan
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.exceptions import (
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
--- /dev/null
+++ b/chestnutshift/platform/assembly.py
@@ -0,0 +1,33 @@
+"""Put an edge VM together with the platform's store and dialect."""
+
+from chestnutshift.edge.process import Backing, EdgeProcess, make_incarnation
+from chestnutshift.edge.registering import Registrar
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.platform.entry import EntryApplication
+from chestnutshift.platform.heads import PlatformDialect
+from chestnutshift.platform.settings import load_settings
+from chestnutshift.platform.sources import (
+    StoreRegister,
+    member_source,
+    operator_source,
+    upstream_source,
+)
+from chestnutshift.platform.store import StoreClient
+
+
+async def run_edge() -> None:
+    """Run until a stop signal; raises MalformedError for bad settings."""
+    settings = load_settings()
+    state = EdgeState(settings, make_incarnation())
+    store = StoreClient(settings.store.endpoint)
+    backing = Backing(
+        dialect=PlatformDialect(),
+        operators=operator_source(store),
+        upstreams=upstream_source(store),
+        members=member_source(store),
+        registrar=Registrar(StoreRegister(store)),
+    )
+    event_log = EventLog(settings.vm)
+    process = EdgeProcess(state, backing, EntryApplication(state), event_log)
+    await process.run()
--- /dev/null
+++ b/chestnutshift/platform/durations.py
@@ -0,0 +1,23 @@
+"""Durations as the platform writes them: a number and its unit."""
+
+import math
+import re
+
+from chestnutshift.platform.exceptions import MalformedError
+
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_SECONDS = {'ms': 0.001, 's': 1.0}
+
+
+def read_duration(text: object) -> float:
+    """Return the seconds; raise MalformedError."""
+    found = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise MalformedError(f'{text!r} is not a duration')
+    number, unit = found.groups()
+    return float(number) * _SECONDS[unit]
+
+
+def write_duration(duration_s: float) -> str:
+    """Return the duration in whole milliseconds, rounded down."""
+    return f'{math.floor(duration_s * 1000)}ms'
--- /dev/null
+++ b/chestnutshift/platform/entry.py
@@ -0,0 +1,69 @@
+"""The platform's calls to an edge VM: readiness and look-ups."""
+
+import json
+from urllib.parse import parse_qsl
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge.lookups import answer_lookup
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.forwarding.requests import Receive, Send
+from chestnutshift.platform import names
+from chestnutshift.platform.durations import write_duration
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+
+class EntryApplication:
+    """The ASGI application of the readiness and directory addresses."""
+
+    def __init__(self, state: EdgeState) -> None:
+        """Answer by the VM's state."""
+        self._state = state
+
+    async def __call__(
+        self, scope: dict, _receive: Receive, send: Send
+    ) -> None:
+        """Answer one call."""
+        path = scope['raw_path'].decode('latin-1')
+        if path == names.READINESS:
+            is_ready = self._state.is_ready(boot_time())
+            status = HTTP_OK if is_ready else HTTP_UNAVAILABLE
+            await _answer(send, status, b'')
+        elif path == names.LOOKUP:
+            await self._look_up(scope, send)
+        else:
+            await _answer(send, HTTP_NOT_FOUND, b'')
+
+    async def _look_up(self, scope: dict, send: Send) -> None:
+        asked = dict(parse_qsl(scope['query_string'].decode('latin-1')))
+        answer = answer_lookup(
+            self._state,
+            asked.get('region', ''),
+            asked.get('zone', ''),
+            boot_time(),
+        )
+        if not answer.addresses:
+            await _answer(send, HTTP_UNAVAILABLE, b'')
+            return
+        document = {
+            'addrs': answer.addresses,
+            'ttl': write_duration(answer.lifetime_s),
+        }
+        await _answer(send, HTTP_OK, json.dumps(document).encode())
+
+
+async def _answer(send: Send, status: int, body: bytes) -> None:
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers,
+        },
+    )
+    await send({'type': 'http.response.body', 'body': body})
--- /dev/null
+++ b/chestnutshift/platform/fields.py
@@ -0,0 +1,103 @@
+"""Typed fields of the platform's documents."""
+
+import json
+import math
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from chestnutshift.platform.exceptions import MalformedError
+
+
+def read_document(content: bytes) -> Mapping[str, Any]:
+    """Return a JSON object; raise MalformedError."""
+    try:
+        document = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise MalformedError(f'not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise MalformedError('not a JSON object')
+    return document
+
+
+def read_table(table: object) -> Iterator[Mapping[str, Any]]:
+    """Yield the rows of a columnar table; null fields are left out."""
+    if not isinstance(table, dict):
+        raise MalformedError('not a table')
+    columns = table.get('cols')
+    rows = table.get('rows')
+    if not isinstance(columns, list) or not isinstance(rows, list):
+        raise MalformedError('a table without columns or rows')
+    for row in rows:
+        if not isinstance(row, list) or len(row) != len(columns):
+            raise MalformedError('a row that does not fit its columns')
+        pairs = zip(columns, row, strict=True)
+        yield {name: cell for name, cell in pairs if cell is not None}
+
+
+def text_of(fields: Mapping[str, Any], name: str, default: str = '') -> str:
+    """Return a text; raise MalformedError for another type."""
+    text = fields.get(name, default)
+    if not isinstance(text, str):
+        raise MalformedError(f'{name} is not a text')
+    return text
+
+
+def required_text(fields: Mapping[str, Any], name: str) -> str:
+    """Return a text that is there; raise MalformedError."""
+    text = text_of(fields, name)
+    if not text:
+        raise MalformedError(f'{name} is missing')
+    return text
+
+
+def number_of(
+    fields: Mapping[str, Any],
+    name: str,
+    default: float = 0,
+) -> float:
+    """Return a finite number that is not negative."""
+    number = fields.get(name, default)
+    is_number = isinstance(number, (int, float))
+    if not is_number or isinstance(number, bool):
+        raise MalformedError(f'{name} is not a number')
+    if not math.isfinite(number) or number < 0:
+        raise MalformedError(f'{name} is out of range')
+    return number
+
+
+def whole_of(fields: Mapping[str, Any], name: str, default: int = 0) -> int:
+    """Return a whole number that is not negative."""
+    number = fields.get(name, default)
+    if not isinstance(number, int) or isinstance(number, bool) or number < 0:
+        raise MalformedError(f'{name} is not a whole number')
+    return number
+
+
+def flag_of(
+    fields: Mapping[str, Any],
+    name: str,
+    *,
+    default: bool = False,
+) -> bool:
+    """Return true or false; raise MalformedError for another type."""
+    flag = fields.get(name, default)
+    if not isinstance(flag, bool):
+        raise MalformedError(f'{name} is neither true nor false')
+    return flag
+
+
+def texts_of(fields: Mapping[str, Any], name: str) -> tuple[str, ...]:
+    """Return a list of texts, empty if it is left out."""
+    texts = fields.get(name, [])
+    is_list = isinstance(texts, list)
+    if not is_list or not all(isinstance(text, str) for text in texts):
+        raise MalformedError(f'{name} is not a list of texts')
+    return tuple(texts)
+
+
+def table_of(fields: Mapping[str, Any], name: str) -> Mapping[str, Any]:
+    """Return a nested object, empty if it is left out."""
+    nested = fields.get(name, {})
+    if not isinstance(nested, dict):
+        raise MalformedError(f'{name} is not an object')
+    return nested
--- /dev/null
+++ b/chestnutshift/platform/heads.py
@@ -0,0 +1,168 @@
+"""Decode and encode the heads of requests and answers."""
+
+import math
+from typing import Any
+
+from chestnutshift.edge.dialect import (
+    DIALECTS,
+    AnswerFacts,
+    Dialect,
+    InboundRequest,
+)
+from chestnutshift.forwarding.heads import HOP_BY_HOP, end_to_end, find_header
+from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.forwarding.requests import Headers
+from chestnutshift.platform import names
+from chestnutshift.steering.upstreams import LoadReport
+from chestnutshift.upstreams.connection import OutboundRequest
+
+DIGITS_MAX = 12
+MILLISECONDS = 1000
+_JSON = (b'content-type', b'application/json')
+# Never taken from a caller: what the system sets, and the key.
+_NOT_PASSED_ON = HOP_BY_HOP | {
+    b'authorization',
+    b'expect',
+    b'content-length',
+    names.DEADLINE,
+    names.ACCOUNT,
+    names.EXPECTED_UPSTREAM,
+}
+_MALFORMED = 400
+
+
+@DIALECTS.register('platform')
+class PlatformDialect(Dialect):
+    """The headers of the users' platform."""
+
+    def read_request(self, scope: dict[str, Any]) -> InboundRequest:
+        """Return the head that an ASGI scope carries; raises RefusalError."""
+        headers: Headers = scope['headers']
+        path = scope['raw_path']
+        target = path
+        if scope['query_string']:
+            target = b'%b?%b' % (path, scope['query_string'])
+        request_id = find_header(headers, names.REQUEST_ID)
+        if not request_id:
+            raise _malformed('the request has no id')
+        return InboundRequest(
+            request_id=request_id.decode('latin-1'),
+            method=scope['method'].encode(),
+            host=(find_header(headers, b'host') or b'').decode('latin-1'),
+            path=path.decode('latin-1'),
+            target=target,
+            headers=end_to_end(headers, _NOT_PASSED_ON),
+            object_key=find_header(headers, names.OBJECT) or b'',
+            timeout_s=_timeout_s(headers),
+            key=_key(headers),
+            length_b=_whole(find_header(headers, b'content-length')),
+        )
+
+    def write_request(
+        self,
+        request: InboundRequest,
+        upstream: str,
+        account: str,
+        remaining_s: float | None,
+        body_b: int | None,
+    ) -> OutboundRequest:
+        """Return the request for one upstream; body_b None is a stream."""
+        headers = list(request.headers)
+        headers.append((names.EXPECTED_UPSTREAM, upstream.encode()))
+        if remaining_s is not None:
+            remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS))
+            headers.append((names.DEADLINE, b'%d' % remaining_ms))
+        if account:
+            headers.append((names.ACCOUNT, account.encode()))
+        headers += _framing(request, body_b)
+        return OutboundRequest(request.method, request.target, headers)
+
+    def write_health_check(self, path: str, host: str) -> OutboundRequest:
+        """Return a health check of an upstream."""
+        headers = [(b'host', host.encode())]
+        return OutboundRequest(b'GET', path.encode(), headers)
+
+    def read_answer(self, headers: Headers) -> AnswerFacts:
+        """Return what the head of an upstream's answer says."""
+        found = dict(headers)
+        cold_ms = _whole(found.get(names.COLD))
+        return AnswerFacts(
+            request_id=found.get(names.REQUEST_ID, b'').decode('latin-1'),
+            upstream=found.get(names.UPSTREAM, b'').decode('latin-1'),
+            is_sealed=names.SEAL in found,
+            is_not_run=names.NOT_RUN in found,
+            is_encoded=b'content-encoding' in found,
+            keep_alive_s=_keep_alive_s(found.get(b'keep-alive', b'')),
+            load=_load(found.get(names.LOAD)),
+            cold_s=None if cold_ms is None else cold_ms / MILLISECONDS,
+        )
+
+    def caller_headers(self, headers: Headers) -> Headers:
+        """Return the headers of an upstream's answer for the caller."""
+        return end_to_end(headers, HOP_BY_HOP)
+
+    def refusal_headers(
+        self,
+        request_id: str,
+        retry_after_s: float | None,
+    ) -> Headers:
+        """Return the headers of an answer of the system's own."""
+        headers = [_JSON, (names.REQUEST_ID, request_id.encode('latin-1'))]
+        if retry_after_s is not None:
+            headers.append((b'retry-after', b'%.3f' % retry_after_s))
+        return headers
+
+
+def _malformed(detail: str) -> RefusalError:
+    return RefusalError(Problem(_MALFORMED, 'request.malformed', detail))
+
+
+def _whole(text: bytes | None) -> int | None:
+    if text is None or len(text) > DIGITS_MAX or not text.isdigit():
+        return None
+    return int(text)
+
+
+def _timeout_s(headers: Headers) -> float | None:
+    text = find_header(headers, names.DEADLINE)
+    if text is None:
+        return None
+    milliseconds = _whole(text)
+    if milliseconds is None:
+        raise _malformed('the deadline is not in milliseconds')
+    return milliseconds / MILLISECONDS
+
+
+def _key(headers: Headers) -> str | None:
+    text = find_header(headers, b'authorization') or b''
+    scheme, _, key = text.partition(b' ')
+    if scheme.lower() != names.KEY_SCHEME or not key:
+        return None
+    return key.strip().decode('latin-1')
+
+
+def _framing(request: InboundRequest, body_b: int | None) -> Headers:
+    if body_b:
+        return [(b'content-length', b'%d' % body_b)]
+    if body_b is None and request.length_b is not None:
+        return [(b'content-length', b'%d' % request.length_b)]
+    if body_b is None:
+        return [(b'transfer-encoding', b'chunked')]
+    if request.method in {b'GET', b'HEAD'}:
+        return []
+    return [(b'content-length', b'0')]
+
+
+def _keep_alive_s(text: bytes) -> float | None:
+    for part in text.split(b','):
+        name, _, seconds = part.strip().partition(b'=')
+        if name.lower() == b'timeout':
+            return _whole(seconds.strip())
+    return None
+
+
+def _load(text: bytes | None) -> LoadReport | None:
+    parts = [_whole(part.strip()) for part in (text or b'').split(b',')]
+    if len(parts) != len(('running', 'waiting', 'slots')) or None in parts:
+        return None
+    return LoadReport(*parts)
--- /dev/null
+++ b/chestnutshift/platform/names.py
@@ -0,0 +1,32 @@
+"""Names of the platform's headers, tables and calls."""
+
+REQUEST_ID = b'x-chestnutshift-request-id'
+DEADLINE = b'x-chestnutshift-deadline-ms'
+# The object that a request concerns, not a session of its caller.
+OBJECT = b'x-chestnutshift-affinity-key'
+ACCOUNT = b'x-chestnutshift-tenant'
+EXPECTED_UPSTREAM = b'x-chestnutshift-expect-instance'
+UPSTREAM = b'x-chestnutshift-instance-id'
+# Proves that the answer is an upstream's.
+SEAL = b'x-chestnutshift-server-seal'
+# Running requests, waiting requests and slots.
+LOAD = b'x-chestnutshift-server-load'
+NOT_RUN = b'x-chestnutshift-not-executed'
+COLD = b'x-chestnutshift-cold-ms'
+OWN_PREFIX = b'x-chestnutshift-'
+KEY_SCHEME = b'token'
+
+OPERATOR_TABLE = 'op'
+UPSTREAM_TABLE = 'servers'
+# The whole route table is one row.
+ROUTE_TABLE_KEY = 'config'
+EVACUATION_PREFIX = 'evacuate/'
+VM_TABLE = 'vms'
+
+READ_ROWS = '/-/rows-get'
+FOLLOW_ROWS = '/-/rows-feed'
+CHANGE_ROWS = '/-/rows-tx'
+READINESS = '/-/readyz'
+LOOKUP = '/-/resolve'
+
+SETTINGS_VARIABLE = 'CHESTNUTSHIFT_SETTINGS'
--- /dev/null
+++ b/chestnutshift/platform/route_tables.py
@@ -0,0 +1,149 @@
+"""Decode the platform's configuration into a route table."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from chestnutshift.platform.durations import read_duration
+from chestnutshift.platform.exceptions import MalformedError
+from chestnutshift.platform.fields import (
+    flag_of,
+    number_of,
+    read_document,
+    read_table,
+    required_text,
+    table_of,
+    text_of,
+    texts_of,
+    whole_of,
+)
+from chestnutshift.routes.model import (
+    Account,
+    CallerBounds,
+    Route,
+    RoutePart,
+    RouteTable,
+    Service,
+)
+
+HEXADECIMAL = 16
+# Every other kind, uploads included, may run at most once.
+_IDEMPOTENT_KIND = 'safe'
+
+
+def decode_route_table(content: bytes) -> RouteTable:
+    """Return the table; raise MalformedError if any part is wrong."""
+    document = read_document(content)
+    services = _services(document)
+    routes = tuple(_route(row) for row in _rows(document, 'routes'))
+    for route in routes:
+        _check_services(route, services)
+    accounts: dict[str, Account] = {}
+    by_key: dict[str, Account] = {}
+    for row in _rows(document, 'tenants'):
+        account = _account(row)
+        accounts[account.name] = account
+        by_key.update(dict.fromkeys(texts_of(row, 'api_keys'), account))
+    return RouteTable(
+        version=read_version(document),
+        routes=routes,
+        services=services,
+        accounts=accounts,
+        account_by_key=by_key,
+        bounds=_bounds(table_of(document, 'limits')),
+    )
+
+
+def read_version(document: Mapping[str, Any]) -> int:
+    """Return the table's number, which is written in hexadecimal."""
+    text = required_text(document, 'version')
+    try:
+        return int(text, HEXADECIMAL)
+    except ValueError as error:
+        raise MalformedError(f'{text!r} is not a version') from error
+
+
+def _rows(document: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
+    if document.get(name) is None:
+        return []
+    return list(read_table(document[name]))
+
+
+def _services(document: Mapping[str, Any]) -> dict[str, Service]:
+    services = (_service(row) for row in _rows(document, 'services'))
+    return {service.name: service for service in services}
+
+
+def _check_services(route: Route, services: Mapping[str, Service]) -> None:
+    for part in route.parts:
+        if part.service not in services:
+            raise MalformedError(f'{route.name}: no service {part.service!r}')
+
+
+def _service(row: Mapping[str, Any]) -> Service:
+    return Service(
+        name=required_text(row, 'name'),
+        health_path=text_of(row, 'health_path', '/healthz'),
+        # Connections of one upstream, not of the whole service.
+        connections_max=whole_of(row, 'max_conns', 100),
+        cold_s=_duration_of(row, 'cold') or 0,
+        cold_rate=number_of(row, 'cold_per_s'),
+    )
+
+
+def _duration_of(fields: Mapping[str, Any], name: str) -> float | None:
+    text = fields.get(name)
+    return None if text is None else read_duration(text)
+
+
+def _route(row: Mapping[str, Any]) -> Route:
+    return Route(
+        name=required_text(row, 'name'),
+        host=required_text(row, 'host').lower(),
+        prefix=required_text(row, 'prefix'),
+        parts=_parts(row),
+        is_idempotent=text_of(row, 'kind') == _IDEMPOTENT_KIND,
+        timeout_s=_duration_of(row, 'timeout'),
+        # The goal is a latency objective, not a limit.
+        objective_s=_duration_of(row, 'goal') or 1,
+        priority=whole_of(row, 'priority'),
+        attempts_max=max(1, whole_of(row, 'attempts', 1)),
+        is_open=flag_of(row, 'public'),
+        # Sticky speaks of objects that an upstream keeps, not of sessions.
+        has_affinity=flag_of(row, 'sticky'),
+        home_regions=frozenset(texts_of(row, 'home_regions')),
+    )
+
+
+def _parts(row: Mapping[str, Any]) -> tuple[RoutePart, ...]:
+    split = row.get('split')
+    if not split:
+        return (RoutePart(required_text(row, 'service'), 1),)
+    if not isinstance(split, list):
+        raise MalformedError('split is not a list')
+    parts = []
+    for part in split:
+        if not isinstance(part, dict):
+            raise MalformedError('a part of a split is not an object')
+        name = required_text(part, 'service')
+        parts.append(RoutePart(name, number_of(part, 'weight')))
+    return tuple(parts)
+
+
+def _account(row: Mapping[str, Any]) -> Account:
+    has_priority = 'priority' in row
+    return Account(
+        name=required_text(row, 'name'),
+        priority=whole_of(row, 'priority') if has_priority else None,
+        rate=number_of(row, 'rate_per_s'),
+        burst=number_of(row, 'burst'),
+        home_regions=frozenset(texts_of(row, 'home_regions')),
+    )
+
+
+def _bounds(limits: Mapping[str, Any]) -> CallerBounds:
+    return CallerBounds(
+        header_limit_b=whole_of(limits, 'max_header_bytes', 16_384),
+        body_limit_b=whole_of(limits, 'max_body_bytes', 67_108_864),
+        header_timeout_s=_duration_of(limits, 'header_timeout') or 3,
+        idle_timeout_s=_duration_of(limits, 'idle_timeout') or 15,
+    )
--- /dev/null
+++ b/chestnutshift/platform/settings.py
@@ -0,0 +1,119 @@
+"""Decode the settings file that the platform writes for each process."""
+
+import os
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from chestnutshift.edge.settings import (
+    Bounds,
+    EdgeSettings,
+    Endpoint,
+    StoreSettings,
+)
+from chestnutshift.platform import names
+from chestnutshift.platform.durations import read_duration
+from chestnutshift.platform.exceptions import MalformedError
+from chestnutshift.platform.fields import (
+    flag_of,
+    number_of,
+    required_text,
+    table_of,
+    whole_of,
+)
+from chestnutshift.platform.upstream_rows import split_address
+
+# Our name of each bound, and the platform's.
+_DURATIONS = {
+    'contact_s': 'contact',
+    'drain_s': 'drain',
+    'grace_s': 'grace',
+    'table_s': 'config',
+    'withdrawal_s': 'revoke',
+    'evacuation_s': 'evac',
+    'retry_window_s': 'retry_window',
+    'account_window_s': 'quota_window',
+    'address_reuse_s': 'reuse_after',
+    'lookup_lifetime_s': 'ttl_max',
+}
+_NUMBERS = {
+    'retry_ratio': 'retry_ratio',
+    'retry_slack': 'retry_slack',
+    'account_over': 'quota_over',
+    'account_slack': 'quota_slack',
+    'cold_over': 'cold_over',
+    'cold_slack': 'cold_slack',
+    'region_shift_max': 'shift_most',
+}
+
+
+def load_settings() -> EdgeSettings:
+    """Read the file that the environment names; raise MalformedError."""
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise MalformedError(f'{names.SETTINGS_VARIABLE} is not set')
+    return decode_settings(pathlib.Path(path).read_bytes())
+
+
+def decode_settings(content: bytes) -> EdgeSettings:
+    """Return the settings of this VM; raise MalformedError."""
+    try:
+        document = tomllib.loads(content.decode())
+    except ValueError as error:
+        raise MalformedError(f'not a settings file: {error}') from error
+    own = table_of(document, 'self')
+    network = table_of(document, 'network')
+    listen = table_of(network, 'listen')
+    ports = network.get('internal_ports')
+    if not isinstance(ports, list) or not ports:
+        raise MalformedError('internal_ports is missing')
+    return EdgeSettings(
+        vm=required_text(own, 'node'),
+        address=required_text(own, 'ip'),
+        failure_domain=required_text(own, 'zone'),
+        region=required_text(own, 'region'),
+        callers=_endpoint(listen, 'front'),
+        readiness=_endpoint(listen, 'ready'),
+        lookups=_endpoint(listen, 'directory'),
+        peer_port=int(ports[0]),
+        regions=_regions(table_of(network, 'zones')),
+        descriptors_max=whole_of(table_of(own, 'limits'), 'max_fds', 1024),
+        store=_store(table_of(document, 'platform')),
+        bounds=_bounds(table_of(table_of(document, 'terms'), 'bounds')),
+    )
+
+
+def _endpoint(listen: Mapping[str, Any], name: str) -> Endpoint:
+    return Endpoint(*split_address(required_text(listen, name)))
+
+
+def _regions(zones: Mapping[str, Any]) -> dict[str, str]:
+    """Return the region of each failure domain."""
+    return {zone: required_text(zones, zone) for zone in zones}
+
+
+def _store(platform: Mapping[str, Any]) -> StoreSettings:
+    store = table_of(platform, 'platform')
+    beat = platform.get('beat')
+    return StoreSettings(
+        endpoint=Endpoint(*split_address(required_text(store, 'addr'))),
+        reads_rate=number_of(store, 'reads_per_s', 1000),
+        writes_rate=number_of(store, 'writes_per_s', 100),
+        registration_period_s=1 if beat is None else read_duration(beat),
+    )
+
+
+def _bounds(bounds: Mapping[str, Any]) -> Bounds:
+    found: dict[str, float | bool] = {
+        own: read_duration(bounds[name])
+        for own, name in _DURATIONS.items()
+        if name in bounds
+    }
+    for own, name in _NUMBERS.items():
+        if name in bounds:
+            found[own] = number_of(bounds, name)
+    strict = flag_of(bounds, 'strict_revoke')
+    return attrs.evolve(Bounds(), bounds_withdrawals=strict, **found)
--- /dev/null
+++ b/chestnutshift/platform/sources.py
@@ -0,0 +1,124 @@
+"""The platform's tables as sources of typed state."""
+
+import json
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import attrs
+
+from chestnutshift.edge.registering import MemberRegister
+from chestnutshift.edge.settings import Endpoint
+from chestnutshift.edge.sources import Change, Evacuation, Source, View
+from chestnutshift.fleet.members import Member
+from chestnutshift.platform import names
+from chestnutshift.platform.exceptions import MalformedError
+from chestnutshift.platform.fields import (
+    read_document,
+    required_text,
+    whole_of,
+)
+from chestnutshift.platform.route_tables import decode_route_table
+from chestnutshift.platform.store import StoreClient, StoredRow, StoreView
+from chestnutshift.platform.upstream_rows import (
+    decode_registration,
+    read_address,
+)
+from chestnutshift.routes.model import RouteTable
+from chestnutshift.steering.upstreams import Registration
+
+State = TypeVar('State')
+
+
+@attrs.frozen
+class TableSource(Source[State], Generic[State]):
+    """One table; decode returns None for a row of no interest."""
+
+    _store: StoreClient
+    _table: str
+    _decode: Callable[[str, bytes], State | None]
+
+    async def read(self) -> View[State]:
+        """Return every row; raises StoreUnavailableError."""
+        return self._view(await self._store.read(self._table), is_whole=True)
+
+    async def follow(self, after: int, wait_s: float) -> View[State]:
+        """Return what changed; raises as StoreClient.follow does."""
+        found = await self._store.follow(self._table, after, wait_s)
+        return self._view(found, is_whole=False)
+
+    def _view(self, found: StoreView, *, is_whole: bool) -> View[State]:
+        changes = tuple(self._change(row) for row in found.rows)
+        return View(changes, found.version, found.asked_at, is_whole)
+
+    def _change(self, row: StoredRow) -> Change[State]:
+        if row.content is None:
+            return Change(row.key, None)
+        try:
+            return Change(row.key, self._decode(row.key, row.content))
+        except MalformedError as error:
+            return Change(row.key, None, problem=error.detail)
+
+
+def decode_operator_row(
+    key: str,
+    content: bytes,
+) -> RouteTable | Evacuation | None:
+    """Return what an operator wrote; raise MalformedError."""
+    if key == names.ROUTE_TABLE_KEY:
+        return decode_route_table(content)
+    if key.startswith(names.EVACUATION_PREFIX):
+        return Evacuation(key.removeprefix(names.EVACUATION_PREFIX))
+    return None
+
+
+def decode_member(key: str, content: bytes) -> Member:
+    """Return a VM that registered itself; raise MalformedError."""
+    document = read_document(content)
+    address, port = read_address(document)
+    return Member(
+        vm=key,
+        endpoint=Endpoint(address, port),
+        callers=required_text(document, 'callers'),
+        failure_domain=required_text(document, 'failure_domain'),
+        region=required_text(document, 'region'),
+        incarnation=whole_of(document, 'incarnation'),
+    )
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the row by which a VM registers itself."""
+    document = {
+        'addr': str(member.endpoint),
+        'callers': member.callers,
+        'failure_domain': member.failure_domain,
+        'region': member.region,
+        'incarnation': member.incarnation,
+    }
+    return json.dumps(document).encode()
+
+
+def operator_source(store: StoreClient) -> Source[RouteTable | Evacuation]:
+    """Return what operators write."""
+    return TableSource(store, names.OPERATOR_TABLE, decode_operator_row)
+
+
+def upstream_source(store: StoreClient) -> Source[Registration]:
+    """Return how upstreams register themselves."""
+    return TableSource(store, names.UPSTREAM_TABLE, decode_registration)
+
+
+def member_source(store: StoreClient) -> Source[Member]:
+    """Return how VMs register themselves."""
+    return TableSource(store, names.VM_TABLE, decode_member)
+
+
+@attrs.frozen
+class StoreRegister(MemberRegister):
+    """The table in which VMs list themselves."""
+
+    _store: StoreClient
+
+    async def enlist(self, member: Member) -> None:
+        """Write the VM's row; raises StoreUnavailableError."""
+        content = encode_member(member)
+        await self._store.write(names.VM_TABLE, member.vm, content)
--- /dev/null
+++ b/chestnutshift/platform/store.py
@@ -0,0 +1,236 @@
+"""The client of the platform's store: rows in tables, and their changes."""
+
+import base64
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import urlencode
+
+import attrs
+import trio
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge.exceptions import LostHistoryError
+from chestnutshift.edge.settings import Endpoint
+from chestnutshift.exceptions import CodedError
+from chestnutshift.platform import names
+from chestnutshift.platform.exceptions import (
+    MalformedError,
+    StoreUnavailableError,
+)
+from chestnutshift.platform.fields import read_document, text_of, whole_of
+from chestnutshift.storage.records import ABSENT_VERSION
+from chestnutshift.upstreams.connection import (
+    ConnectionOptions,
+    OutboundRequest,
+    UpstreamAnswer,
+)
+from chestnutshift.upstreams.connections import UpstreamConnections
+
+HTTP_OK = 200
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+CONNECTIONS_MAX = 6
+# The store answers a call that need not wait within this time, or is slow.
+ANSWER_S = 1.5
+_OPTIONS = ConnectionOptions(
+    idle_s=10,
+    connect_s=1,
+    unacknowledged_ms=1500,
+    ends_by_close=True,
+)
+
+
+@attrs.frozen
+class StoredRow:
+    """One row; content is None where the row was removed."""
+
+    key: str
+    content: bytes | None
+    version: int
+
+
+@attrs.frozen
+class StoreView:
+    """Rows as of one moment.
+
+    version is the newest of the store then; asked_at is the boot time in
+    seconds at which the call was sent, so everything that was confirmed
+    before it is in the rows.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    asked_at: float
+
+
+@attrs.frozen
+class _Reply:
+    status: int
+    content: bytes
+    asked_at: float
+
+
+class StoreClient:
+    """Calls to the store over a few connections that are kept."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        """Connect to the endpoint when needed."""
+        self._host = str(endpoint).encode()
+        self._connections = UpstreamConnections(
+            endpoint.address,
+            endpoint.port,
+            maximum=CONNECTIONS_MAX,
+            options=_OPTIONS,
+        )
+
+    async def read(self, table: str) -> StoreView:
+        """Return all rows of a table; raises StoreUnavailableError."""
+        rows: list[StoredRow] = []
+        start = ''
+        while True:
+            query = {'table': table, 'part': '', 'from': start}
+            if not start:
+                query.pop('from')
+            reply = await self._call('GET', names.READ_ROWS, query)
+            document = _document(reply)
+            rows.extend(_rows(document))
+            if not document.get('truncated') or not rows:
+                version = whole_of(document, 'ver')
+                return StoreView(tuple(rows), version, reply.asked_at)
+            # The smallest key beyond the last one.
+            start = f'{rows[-1].key}\0'
+
+    async def follow(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> StoreView:
+        """Return what changed after a version, waiting for a change.
+
+        Raises LostHistoryError when the table must be read afresh, and
+        StoreUnavailableError.
+        """
+        query = {
+            'table': table,
+            'after': after,
+            'wait_ms': round(wait_s * 1000),
+        }
+        reply = await self._call(
+            'GET',
+            names.FOLLOW_ROWS,
+            query,
+            timeout_s=wait_s + ANSWER_S,
+        )
+        if reply.status == HTTP_GONE:
+            raise LostHistoryError(f'{table}: no changes after {after}')
+        document = _document(reply)
+        version = whole_of(document, 'ver')
+        return StoreView(_rows(document), version, reply.asked_at)
+
+    async def write(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        expected: int | None = None,
+    ) -> bool:
+        """Write a row if it has the expected version; tell whether it had.
+
+        ABSENT_VERSION expects no row, None expects nothing. After
+        StoreUnavailableError the write may have been done, or be done later
+        while its condition still holds.
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        text = base64.b64encode(content).decode()
+        expect = [] if expected is None else [{**row, 'ver': expected}]
+        change = {
+            'expect': expect,
+            'upserts': [{**row, 'value': text}],
+            'remove': [],
+        }
+        body = json.dumps(change).encode()
+        reply = await self._call('POST', names.CHANGE_ROWS, {}, body)
+        if reply.status == HTTP_PRECONDITION_FAILED:
+            return False
+        _document(reply)
+        return True
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        await self._connections.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, object],
+        body: bytes = b'',
+        timeout_s: float = ANSWER_S,
+    ) -> _Reply:
+        target = f'{path}?{urlencode(query)}' if query else path
+        headers = [(b'host', self._host)]
+        if body:
+            headers += [
+                (b'content-type', b'application/json'),
+                (b'content-length', b'%d' % len(body)),
+            ]
+        request = OutboundRequest(method.encode(), target.encode(), headers)
+        asked_at = boot_time()
+        try:
+            with trio.fail_after(timeout_s):
+                status, content = await self._exchange(request, body)
+        except trio.TooSlowError as error:
+            raise StoreUnavailableError('no answer in time') from error
+        except CodedError as error:
+            raise StoreUnavailableError(error.detail) from error
+        return _Reply(status, content, asked_at)
+
+    async def _exchange(
+        self,
+        request: OutboundRequest,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        chunks: list[bytes] = []
+        statuses: list[int] = []
+
+        async def collect(answer: UpstreamAnswer) -> None:
+            statuses.append(answer.status)
+            part = answer.arrived()
+            chunks.append(part.content)
+            while not part.is_last:
+                part = await answer.receive()
+                chunks.append(part.content)
+
+        connection = await self._connections.take()
+        await self._connections.exchange(connection, request, body, collect)
+        return statuses[0], b''.join(chunks)
+
+
+def _document(reply: _Reply) -> Mapping[str, Any]:
+    if reply.status != HTTP_OK:
+        raise StoreUnavailableError(f'the store answered {reply.status}')
+    try:
+        return read_document(reply.content)
+    except MalformedError as error:
+        raise StoreUnavailableError(error.detail) from error
+
+
+def _rows(document: Mapping[str, Any]) -> tuple[StoredRow, ...]:
+    rows = document.get('rows')
+    if not isinstance(rows, Sequence):
+        raise StoreUnavailableError('an answer without rows')
+    return tuple(_row(row) for row in rows)
+
+
+def _row(row: Mapping[str, Any]) -> StoredRow:
+    try:
+        key = text_of(row, 'key')
+        version = whole_of(row, 'ver', ABSENT_VERSION)
+        if row.get('removed'):
+            return StoredRow(key, None, version)
+        content = base64.b64decode(text_of(row, 'value'))
+    except (MalformedError, ValueError, AttributeError) as error:
+        raise StoreUnavailableError(f'a broken row: {error!r}') from error
+    return StoredRow(key, content, version)
--- /dev/null
+++ b/chestnutshift/platform/upstream_rows.py
@@ -0,0 +1,62 @@
+"""Decode the rows by which upstreams register themselves."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from chestnutshift.platform.durations import read_duration
+from chestnutshift.platform.exceptions import MalformedError
+from chestnutshift.platform.fields import (
+    read_document,
+    required_text,
+    table_of,
+    whole_of,
+)
+from chestnutshift.steering.upstreams import Registration
+
+PORT_MAX = 65_535
+_IS_LEAVING = {'ready': False, 'draining': True}
+
+
+def decode_registration(upstream: str, content: bytes) -> Registration:
+    """Return what the upstream says of itself; raise MalformedError."""
+    document = read_document(content)
+    about = table_of(document, 'info')
+    status = table_of(document, 'status')
+    state = required_text(status, 'state')
+    if state not in _IS_LEAVING:
+        raise MalformedError(f'no state {state!r}')
+    address, port = read_address(document)
+    cold_left = status.get('cold_left')
+    return Registration(
+        upstream=upstream,
+        # Unix milliseconds of the start; a new start knows nothing of before.
+        started_at_ms=whole_of(document, 'born'),
+        service=required_text(about, 'service'),
+        address=address,
+        port=port,
+        failure_domain=required_text(about, 'zone'),
+        slots=_slots(about),
+        is_leaving=_IS_LEAVING[state],
+        cold_left_s=0 if cold_left is None else read_duration(cold_left),
+    )
+
+
+def _slots(about: Mapping[str, Any]) -> int:
+    slots = whole_of(about, 'slots')
+    if not slots:
+        raise MalformedError('slots is missing')
+    return slots
+
+
+def read_address(document: Mapping[str, Any]) -> tuple[str, int]:
+    """Return the IP address and port of the field `addr`."""
+    text = required_text(document, 'addr')
+    return split_address(text)
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return the parts of IP:port; raise MalformedError."""
+    address, _, port = text.rpartition(':')
+    if not address or not port.isdecimal() or int(port) > PORT_MAX:
+        raise MalformedError(f'{text!r} is not an address')
+    return address, int(port)
--- /dev/null
+++ b/chestnutshift/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes by host and path: what is served, for whom and how."""
--- /dev/null
+++ b/chestnutshift/steering/choice.py
@@ -0,0 +1,215 @@
+"""Choose the upstream that will answer a request soonest.
+
+The choice weighs what an upstream's knowledge of the object saves against
+the queue there, the way to it, and what it showed of late.
+"""
+
+import abc
+import math
+from collections.abc import Callable, Collection
+
+import attrs
+
+from chestnutshift.registry import Registry
+from chestnutshift.steering.affinity import Preference
+from chestnutshift.steering.directory import UpstreamDirectory
+from chestnutshift.steering.upstreams import Upstream
+from chestnutshift.steering.work import WorkEstimate
+
+# Upstreams that keep an object warm: in all regions, and in the VM's own.
+PREFERRED_ANYWHERE = 2
+PREFERRED_IN_REGION = 2
+# Each place down the order costs a little, so that few upstreams are warmed.
+RANK_S = 0.01
+OTHER_DOMAIN_S = 0.004
+OTHER_REGION_S = 0.06
+# What a byte of a body costs on its way, as waiting time.
+OTHER_DOMAIN_BYTE_S = 2e-6
+OTHER_REGION_BYTE_S = 5e-6
+# How slow an upstream may count at most, whatever its answers took.
+SLOWNESS_MAX = 8.0
+SLOWNESS_MIN = 0.7
+COLD_SLOWNESS = 2.0
+# An upstream that fails costs the repeat elsewhere.
+FAILURE_COST = 3.0
+
+# Tells whether a cold upstream may get one more request now.
+ColdGate = Callable[[Upstream, float], bool]
+
+
+@attrs.frozen
+class Demand:
+    """A request that wants an upstream.
+
+    object_key names the object that it concerns, empty for none; size_b is
+    the length of its body; regions are those that may serve it, empty for
+    all.
+    """
+
+    service: str
+    object_key: bytes = b''
+    size_b: int = 0
+    regions: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Choice:
+    """An upstream and the seconds after which its answer is expected."""
+
+    upstream: Upstream
+    expected_s: float
+    is_warm: bool
+
+
+POLICIES: Registry[type['ChoicePolicy']] = Registry('policy of steering')
+
+
+class ChoicePolicy(abc.ABC):
+    """Choose among the upstreams that may serve a request."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        failure_domain: str,
+        region: str,
+    ) -> None:
+        """Choose for a VM of that place."""
+        self._directory = directory
+        self._failure_domain = failure_domain
+        self._region = region
+
+    def choose(
+        self,
+        demand: Demand,
+        work: WorkEstimate,
+        avoided: Collection[Upstream],
+        may_warm: ColdGate,
+        now: float,
+    ) -> Choice | None:
+        """Return the best upstream, None if none may serve the request."""
+        ranked = self._rank(demand, work, now)
+        for choice in sorted(ranked, key=_expected_s):
+            upstream = choice.upstream
+            if upstream in avoided:
+                continue
+            if upstream.is_cold(now) and not may_warm(upstream, now):
+                continue
+            return choice
+        return None
+
+    @abc.abstractmethod
+    def _rank(
+        self,
+        demand: Demand,
+        work: WorkEstimate,
+        now: float,
+    ) -> list[Choice]:
+        """Return what each usable upstream would make of the request."""
+
+    def _may_serve(self, upstream: Upstream, demand: Demand) -> bool:
+        if demand.regions and upstream.region not in demand.regions:
+            return False
+        return self._directory.is_usable(upstream)
+
+
+@POLICIES.register('least_busy')
+class LeastBusyPolicy(ChoicePolicy):
+    """The upstream with the smallest part of its slots in use."""
+
+    def _rank(
+        self,
+        demand: Demand,
+        work: WorkEstimate,
+        now: float,
+    ) -> list[Choice]:
+        return [
+            Choice(
+                upstream,
+                work.cold_s * upstream.load(now) / upstream.slots,
+                is_warm=False,
+            )
+            for upstream in self._directory.of_service(demand.service)
+            if self._may_serve(upstream, demand)
+        ]
+
+
+@POLICIES.register('soonest')
+class SoonestPolicy(ChoicePolicy):
+    """The upstream from which an answer is expected first."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        failure_domain: str,
+        region: str,
+    ) -> None:
+        """Remember the order of each object."""
+        super().__init__(directory, failure_domain, region)
+        self._preference = Preference()
+
+    def _rank(
+        self,
+        demand: Demand,
+        work: WorkEstimate,
+        now: float,
+    ) -> list[Choice]:
+        directory = self._directory
+        order = self._preference.order(
+            demand.service,
+            demand.object_key,
+            directory.of_service(demand.service),
+            directory.generation,
+        )
+        usable = [one for one in order if self._may_serve(one, demand)]
+        preferred = self._preferred(usable)
+        choices = []
+        for upstream in usable:
+            rank = preferred.get(upstream)
+            is_warm = rank is not None or upstream.has_handled(
+                demand.object_key,
+                now,
+            )
+            expected_s = self._expect(upstream, demand, work, now, is_warm)
+            expected_s += RANK_S * (rank or 0)
+            choices.append(Choice(upstream, expected_s, is_warm))
+        return choices
+
+    def _preferred(self, usable: list[Upstream]) -> dict[Upstream, int]:
+        """Return the rank of each upstream that should know the object."""
+        near = [one for one in usable if one.region == self._region]
+        chosen = usable[:PREFERRED_ANYWHERE] + near[:PREFERRED_IN_REGION]
+        return {upstream: rank for rank, upstream in enumerate(chosen)}
+
+    def _expect(
+        self,
+        upstream: Upstream,
+        demand: Demand,
+        work: WorkEstimate,
+        now: float,
+        is_warm: bool,
+    ) -> float:
+        own_s = work.warm_s if is_warm else work.cold_s
+        slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
+        if upstream.is_cold(now):
+            slowness = max(slowness, COLD_SLOWNESS)
+        load = upstream.load(now)
+        queued = max(0, load + 1 - upstream.slots)
+        wait_s = queued / upstream.slots * work.warm_s
+        # Among free ones the emptier is a little better.
+        lean_s = work.warm_s * (load / upstream.slots) ** 2 / 4
+        expected_s = (own_s + wait_s + lean_s) * slowness
+        expected_s *= 1 + FAILURE_COST * upstream.failure_rate
+        return expected_s + self._travel_s(upstream, demand.size_b)
+
+    def _travel_s(self, upstream: Upstream, size_b: int) -> float:
+        if upstream.region != self._region:
+            return OTHER_REGION_S + size_b * OTHER_REGION_BYTE_S
+        if upstream.registration.failure_domain != self._failure_domain:
+            return OTHER_DOMAIN_S + size_b * OTHER_DOMAIN_BYTE_S
+        return 0
+
+
+def _expected_s(choice: Choice) -> float:
+    if math.isnan(choice.expected_s):
+        return math.inf
+    return choice.expected_s
--- /dev/null
+++ b/chestnutshift/steering/directory.py
@@ -0,0 +1,149 @@
+"""The upstreams of each service, as the store lists them."""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+
+from chestnutshift.steering.upstreams import (
+    Condition,
+    Registration,
+    Upstream,
+)
+
+
+class UpstreamDirectory:
+    """All upstreams by id and by service; boot times in seconds."""
+
+    def __init__(self, regions: Mapping[str, str]) -> None:
+        """Know the region of each failure domain."""
+        self._regions = regions
+        self._by_name: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        # Removals that came while registrations may just have lapsed.
+        self._doubtful: dict[str, float] = {}
+        self._trust_removals_at = -math.inf
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """A number that changes with the set of upstreams."""
+        return self._generation
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose upstreams get nothing."""
+        return self._evacuated
+
+    def __iter__(self) -> Iterable[Upstream]:
+        """Iterate over all upstreams that are not gone."""
+        return iter(tuple(self._by_name.values()))
+
+    def find(self, name: str) -> Upstream | None:
+        """Return the upstream of that id."""
+        return self._by_name.get(name)
+
+    def of_service(self, service: str) -> Sequence[Upstream]:
+        """Return the upstreams of a service that are not gone."""
+        return self._by_service.get(service, ())
+
+    def is_usable(self, upstream: Upstream) -> bool:
+        """Tell whether it may get requests, cold or not."""
+        if upstream.condition is not Condition.READY:
+            return False
+        return upstream.registration.failure_domain not in self._evacuated
+
+    def register(self, registration: Registration, now: float) -> Upstream:
+        """Take what an upstream says of itself; return its state."""
+        self._doubtful.pop(registration.upstream, None)
+        known = self._by_name.get(registration.upstream)
+        if known is None or _has_restarted(known, registration):
+            if known is not None:
+                self._drop(known)
+            known = self._add(registration)
+        known.registration = registration
+        if registration.cold_left_s:
+            cold_until = now + registration.cold_left_s
+            known.cold_until = max(known.cold_until, cold_until)
+        if registration.is_leaving:
+            known.condition = Condition.LEAVING
+        elif known.condition is Condition.LEAVING:
+            known.condition = Condition.READY
+        return known
+
+    def unregister(self, name: str, now: float) -> bool:
+        """Take that an entry was removed; tell whether it is gone already.
+
+        While entries may just have lapsed it counts as gone only later, in
+        `expire`.
+        """
+        known = self._by_name.get(name)
+        if known is None:
+            return False
+        if now < self._trust_removals_at:
+            self._doubtful.setdefault(name, self._trust_removals_at)
+            return False
+        self._drop(known)
+        return True
+
+    def expect_lapses(self, until: float) -> None:
+        """Believe removals only from then on: the store was away."""
+        self._trust_removals_at = until
+
+    def expire(self, now: float) -> list[str]:
+        """Drop what is still missing, and return the ids."""
+        due = [name for name, at in self._doubtful.items() if now >= at]
+        for name in due:
+            self._doubtful.pop(name)
+            known = self._by_name.get(name)
+            if known is not None:
+                self._drop(known)
+        return due
+
+    def keep_only(self, names: Iterable[str], now: float) -> None:
+        """Unregister all but these, after the whole list was read."""
+        for name in self._by_name.keys() - set(names):
+            self.unregister(name, now)
+
+    def evacuate(
+        self,
+        domains: frozenset[str],
+        cold_s: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Take the failure domains that are evacuated now.
+
+        Those that are taken back come back cold, for cold_s by service.
+        """
+        returned = self._evacuated - domains
+        self._evacuated = domains
+        for upstream in self._by_name.values():
+            registration = upstream.registration
+            if registration.failure_domain in returned:
+                left_s = cold_s.get(registration.service, 0)
+                cold_until = now + left_s
+                upstream.cold_until = max(upstream.cold_until, cold_until)
+
+    def _add(self, registration: Registration) -> Upstream:
+        domain = registration.failure_domain
+        upstream = Upstream(registration, self._regions.get(domain, ''))
+        self._by_name[upstream.name] = upstream
+        peers = self._by_service.setdefault(registration.service, [])
+        peers.append(upstream)
+        self._generation += 1
+        return upstream
+
+    def _drop(self, upstream: Upstream) -> None:
+        upstream.condition = Condition.GONE
+        self._by_name.pop(upstream.name)
+        self._by_service[upstream.registration.service].remove(upstream)
+        self._generation += 1
+
+
+def _has_restarted(known: Upstream, registration: Registration) -> bool:
+    before = known.registration
+    return (
+        before.started_at_ms != registration.started_at_ms
+        or before.service != registration.service
+        or before.address != registration.address
+        or before.port != registration.port
+    )
--- a/chestnutshift/platform/backends/base.py
+++ b/chestnutshift/storage/backends/base.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from chestnutshift.platform.records import Row, Transaction, VmList
+from chestnutshift.storage.records import Row, Transaction, VmList
 from chestnutshift.registry import Registry
 
 SCAN_LIMIT = 1000
--- a/chestnutshift/platform/backends/http.py
+++ b/chestnutshift/storage/backends/http.py
@@ -12,8 +12,8 @@
 import trio
 
 from chestnutshift.conf import defaults
-from chestnutshift.platform.backends.base import BACKENDS, SCAN_LIMIT, Platform
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.base import BACKENDS, SCAN_LIMIT, Platform
+from chestnutshift.storage.exceptions import (
     ConflictError,
     MissingTlsContextError,
     OutcomeUnknownError,
@@ -21,7 +21,7 @@
     PlatformUnavailableError,
     RequestRejectedError,
 )
-from chestnutshift.platform.records import Row, Transaction, VmList
+from chestnutshift.storage.records import Row, Transaction, VmList
 
 COMMIT_ATTEMPTS = 3
 CONNECT_TIMEOUT_S = defaults.PLATFORM_TIMEOUT_S / 2
--- a/chestnutshift/platform/backends/memory.py
+++ b/chestnutshift/storage/backends/memory.py
@@ -9,13 +9,13 @@
 import attrs
 import trio
 
-from chestnutshift.platform.backends.base import BACKENDS, SCAN_LIMIT, Platform
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.base import BACKENDS, SCAN_LIMIT, Platform
+from chestnutshift.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     PlatformUnavailableError,
 )
-from chestnutshift.platform.records import (
+from chestnutshift.storage.records import (
     ABSENT_VERSION,
     Condition,
     Row,
--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -26,6 +26,24 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+@attrs.frozen
+class ConnectionOptions:
+    """How connections to one kind of upstream behave.
+
+    An idle connection older than idle_s is not used again; a path that
+    acknowledges nothing for unacknowledged_ms is given up. Where
+    ends_by_close, an answer without a length ends with its connection.
+    """
+
+    idle_s: float = 15.0
+    connect_s: float = 1.0
+    unacknowledged_ms: int = UNACKNOWLEDGED_MS
+    ends_by_close: bool = False
+
+
+DEFAULT_OPTIONS = ConnectionOptions()
+
+
 class UpstreamError(CodedError):
     """An attempt at an upstream gave no answer to pass on."""
 
@@ -72,22 +90,30 @@
         return await self._connection.receive()
 
 
-def watch_path(sock: trio.socket.SocketType) -> None:
+def watch_path(
+    sock: trio.socket.SocketType,
+    unacknowledged_ms: int = UNACKNOWLEDGED_MS,
+) -> None:
     """Let the kernel notice a path that has gone silent, within seconds."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 class UpstreamConnection:
     """One connection; it carries one exchange at a time."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        options: ConnectionOptions = DEFAULT_OPTIONS,
+    ) -> None:
         """Take over a stream that has just connected."""
         self._stream = stream
+        self._options = options
         self._h11 = h11.Connection(
             h11.CLIENT,
             max_incomplete_event_size=defaults.HEADER_LIMIT_B,
@@ -95,7 +121,7 @@
         self._sent_at = trio.current_time()
         self._heard_at = self._sent_at
         self._sent_b = 0
-        watch_path(stream.socket)
+        watch_path(stream.socket, options.unacknowledged_ms)
 
     @property
     def sent_b(self) -> int:
@@ -162,7 +188,8 @@
                 await self._read()
             event = self._take_event()
         headers = list(event.headers)
-        if not _has_end(method, event.status_code, headers):
+        has_end = _has_end(method, event.status_code, headers)
+        if not has_end and not self._options.ends_by_close:
             raise ExchangeBrokenError('the answer does not say its length')
         return UpstreamAnswer(event.status_code, headers, self)
 
--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import socket
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -13,6 +14,8 @@
 from chestnutshift.conf import defaults
 from chestnutshift.exceptions import CodedError
 from chestnutshift.upstreams.connection import (
+    DEFAULT_OPTIONS,
+    ConnectionOptions,
     ExchangeBrokenError,
     OutboundRequest,
     UpstreamAnswer,
@@ -20,9 +23,6 @@
     UpstreamError,
 )
 
-CONNECT_S = 1.0
-# An idle connection unused for this long is not worth its risk.
-IDLE_MAX_S = 15.0
 # An exchange given up after this long without a byte makes idle
 # connections suspect that were last heard before it began.
 STALL_S = 0.5
@@ -51,12 +51,14 @@
         port: int,
         pace_s: float = defaults.CONNECTION_PACE_S,
         maximum: int = defaults.CONNECTIONS_MAX,
+        options: ConnectionOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Connect when needed, one new connection each pace_s."""
         self._address = address
         self._port = port
         self._pace_s = pace_s
         self._maximum = maximum
+        self._options = options
         # The one used last is at the right.
         self._idle: deque[UpstreamConnection] = deque()
         self._open_count = 0
@@ -78,14 +80,16 @@
         """Connections that wait for an exchange."""
         return len(self._idle)
 
-    async def take(self, *, fresh: bool = False) -> UpstreamConnection:
+    async def take(self, idle_s: float = math.inf) -> UpstreamConnection:
         """Return an idle connection that still stands, or a new one.
 
-        The caller hands it to `exchange` or `give_back`. Raises
-        NotConnectedError or ConnectionsExhaustedError.
+        One that was idle for more than idle_s seconds is left alone. The
+        caller hands it to `exchange` or `give_back`. Raises NotConnectedError
+        or ConnectionsExhaustedError.
         """
-        self._drop_older(trio.current_time() - IDLE_MAX_S)
-        while self._idle and not fresh:
+        now = trio.current_time()
+        self._drop_older(now - self._options.idle_s)
+        while self._idle and self._idle[-1].heard_at >= now - idle_s:
             connection = self._idle.pop()
             if not connection.is_readable:
                 return connection
@@ -151,9 +155,9 @@
         dial_at = max(trio.current_time(), self._dial_at)
         self._dial_at = dial_at + self._pace_s
         await trio.sleep_until(dial_at)
-        with trio.fail_after(CONNECT_S):
-            stream = await trio.open_tcp_stream(self._address, self._port)
-        return UpstreamConnection(stream)
+        with trio.fail_after(self._options.connect_s):
+            stream = await _open_stream(self._address, self._port)
+        return UpstreamConnection(stream, self._options)
 
     def _drop_older(self, heard_before: float) -> None:
         old = [one for one in self._idle if one.heard_at <= heard_before]
@@ -166,6 +170,18 @@
         connection.close()
 
 
+async def _open_stream(address: str, port: int) -> trio.SocketStream:
+    """Connect to a numeric address; raises OSError."""
+    family = socket.AF_INET6 if ':' in address else socket.AF_INET
+    sock = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await sock.connect((address, port))
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
 class _Upload:
     """An exchange whose body streams while the answer may begin."""
 
--- a/chestnutshift/upstreams/directory.py
+++ b/chestnutshift/upstreams/directory.py
@@ -5,7 +5,7 @@
 import attrs
 
 from chestnutshift.conf import defaults
-from chestnutshift.platform.records import ListedState, VmRecord, VmRole
+from chestnutshift.storage.records import ListedState, VmRecord, VmRole
 from chestnutshift.upstreams.connections import UpstreamConnections
 
 
--- a/chestnutshift/vms/assembly.py
+++ b/chestnutshift/vms/assembly.py
@@ -19,7 +19,7 @@
 from chestnutshift.keys.watch import Watch
 from chestnutshift.metrics.measures import Measures
 from chestnutshift.metrics.sender import make_metrics
-from chestnutshift.platform.backends.base import Platform
+from chestnutshift.storage.backends.base import Platform
 from chestnutshift.vms import seats
 from chestnutshift.vms.lookups import LookupKeeper
 from chestnutshift.vms.membership import Membership
--- a/chestnutshift/vms/process.py
+++ b/chestnutshift/vms/process.py
@@ -14,7 +14,7 @@
 from chestnutshift.links.peer import Identity, PeerLink
 from chestnutshift.links.server import LinkServer
 from chestnutshift.operators import timeline
-from chestnutshift.platform.records import VmList
+from chestnutshift.storage.records import VmList
 from chestnutshift.vms import (
     beats,
     events,
--- a/chestnutshift/vms/seats.py
+++ b/chestnutshift/vms/seats.py
@@ -7,8 +7,8 @@
 from chestnutshift.accounts.keeper import SeatKeeper, SeatRow
 from chestnutshift.accounts.seats import SEATS_TABLE, SeatRecord
 from chestnutshift.events.log import EventLog
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.records import (
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.records import (
     ABSENT_VERSION,
     Condition,
     Transaction,
--- a/chestnutshift/vms/state.py
+++ b/chestnutshift/vms/state.py
@@ -20,8 +20,8 @@
 from chestnutshift.links.peer import PeerLink
 from chestnutshift.lookup.answers import LookupAnswer, Question
 from chestnutshift.metrics.measures import Measures
-from chestnutshift.platform import records
-from chestnutshift.platform.backends.base import Platform
+from chestnutshift.storage import records
+from chestnutshift.storage.backends.base import Platform
 from chestnutshift.vms.lookups import LookupKeeper
 from chestnutshift.vms.membership import Membership, Peer, VmPhase
 from chestnutshift.vms.steering import RegionSteering
--- a/chestnutshift/vms/work.py
+++ b/chestnutshift/vms/work.py
@@ -6,7 +6,7 @@
 from chestnutshift.conf.settings import Settings
 from chestnutshift.configuration.model import Preset
 from chestnutshift.events.log import EventLog
-from chestnutshift.platform.records import ListedState
+from chestnutshift.storage.records import ListedState
 from chestnutshift.regions.model import Place
 from chestnutshift.upstreams.candidates import CandidatePool
 from chestnutshift.upstreams.directory import UpstreamDirectory
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,8 +14,8 @@
 import trio
 from hypercorn.trio import serve
 
-from chestnutshift.platform.backends import memory
-from chestnutshift.platform.records import Transaction, VmRecord, Write
+from chestnutshift.storage.backends import memory
+from chestnutshift.storage.records import Transaction, VmRecord, Write
 from standins import serving
 
 Answer = serving.Answer
--- a/tests/assembled.py
+++ b/tests/assembled.py
@@ -21,7 +21,7 @@
     Service,
 )
 from chestnutshift.keys import credentials
-from chestnutshift.platform.backends.memory import MemoryPlatform
+from chestnutshift.storage.backends.memory import MemoryPlatform
 from chestnutshift.vms.assembly import make_state
 from chestnutshift.vms.membership import VmPhase
 from chestnutshift.vms.state import VmState
--- a/tests/idempotency/__init__.py
+++ b/tests/idempotency/__init__.py
@@ -10,7 +10,7 @@
 from chestnutshift.idempotency.outcomes import AnswerRecorder, Outcome
 from chestnutshift.idempotency.records import Holder
 from chestnutshift.idempotency.verdicts import HolderIsGone
-from chestnutshift.platform.backends.memory import MemoryPlatform, Store
+from chestnutshift.storage.backends.memory import MemoryPlatform, Store
 from tests.enforcement import enforced  # noqa: F401 - for the tests
 
 START = Moment(now=1000, wall_s=1_700_000_000)
--- a/tests/idempotency/test_ledger.py
+++ b/tests/idempotency/test_ledger.py
@@ -19,7 +19,7 @@
     StillRunning,
 )
 from chestnutshift.invariants.registry import InvariantViolationError
-from chestnutshift.platform.records import Transaction, Write
+from chestnutshift.storage.records import Transaction, Write
 from tests.idempotency import (
     START,
     TIMEOUT_S,
--- a/tests/idempotency/world.py
+++ b/tests/idempotency/world.py
@@ -21,8 +21,8 @@
     Replay,
     Verdict,
 )
-from chestnutshift.platform.backends.memory import MemoryPlatform, Store
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.memory import MemoryPlatform, Store
+from chestnutshift.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     PlatformUnavailableError,
--- a/tests/operators/test_operators.py
+++ b/tests/operators/test_operators.py
@@ -10,7 +10,7 @@
 from chestnutshift.keys import credentials
 from chestnutshift.metrics.measures import Measures
 from chestnutshift.operators.application import make_operators
-from chestnutshift.platform.records import (
+from chestnutshift.storage.records import (
     Transaction,
     VmList,
     VmRecord,
--- /dev/null
+++ b/tests/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's client and of both stand-ins."""
--- a/tests/platform/test_backends.py
+++ b/tests/storage/test_backends.py
@@ -5,11 +5,11 @@
 
 from trio.testing import trio_test
 
-from chestnutshift.platform.backends.base import Platform
-from chestnutshift.platform.backends.http import HttpPlatform
-from chestnutshift.platform.backends.memory import MemoryPlatform, Store
-from chestnutshift.platform.exceptions import ConflictError
-from chestnutshift.platform.records import (
+from chestnutshift.storage.backends.base import Platform
+from chestnutshift.storage.backends.http import HttpPlatform
+from chestnutshift.storage.backends.memory import MemoryPlatform, Store
+from chestnutshift.storage.exceptions import ConflictError
+from chestnutshift.storage.records import (
     Condition,
     Row,
     Transaction,
@@ -18,7 +18,7 @@
     Write,
 )
 from standins.platform import PlatformApp
-from tests.platform.serving import serving
+from tests.storage.serving import serving
 
 VM = {
     'vm': 'entry-1',
--- a/tests/platform/test_faults.py
+++ b/tests/storage/test_faults.py
@@ -10,22 +10,22 @@
 from trio.testing import trio_test
 
 from chestnutshift.exceptions import CodedError
-from chestnutshift.platform.backends.http import HttpPlatform
-from chestnutshift.platform.backends.memory import MemoryPlatform
-from chestnutshift.platform.exceptions import (
+from chestnutshift.storage.backends.http import HttpPlatform
+from chestnutshift.storage.backends.memory import MemoryPlatform
+from chestnutshift.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     OverLimitError,
     PlatformUnavailableError,
 )
-from chestnutshift.platform.records import (
+from chestnutshift.storage.records import (
     Condition,
     ListedState,
     Transaction,
     Write,
 )
 from standins.platform import PlatformApp
-from tests.platform.serving import serving
+from tests.storage.serving import serving
 
 CREATE = Transaction(
     operation_id='create',
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -1,7 +1,7 @@
 """The VMs of a failure domain share what an upstream can take."""
 
 from chestnutshift.conf import defaults
-from chestnutshift.platform.records import VmRecord, VmRole
+from chestnutshift.storage.records import VmRecord, VmRole
 from chestnutshift.upstreams.directory import UpstreamDirectory
 
 VMS = 2
