Write bounded structured logs and serve metrics on each edge VM

Cause: the users' engineers have only logs and metrics after a failure. Lines are JSON, held in memory up to a bound, written without blocking; what is left out is counted and told. Metrics are text by prometheus-client.

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -95,6 +95,12 @@
     'Proof of the newest table became too old for keys, or fresh again.',
     logging.WARNING,
 )
+LINES_LEFT_OUT = define(
+    8050,
+    'log.lines_left_out',
+    'Log lines were left out: over the rate, or because nobody read them.',
+    logging.WARNING,
+)
 REQUEST_SENT = define(
     8100,
     'request.sent',
--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -11,7 +11,6 @@
 from chestnutshift.edge.exceptions import LostHistoryError
 from chestnutshift.edge.sources import Evacuation, Source, View
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.members import Member
 from chestnutshift.routes.model import RouteTable
@@ -19,10 +18,10 @@
 
 # A question that nothing changes is answered after this; it bounds how old
 # the proof of the newest table gets, and how late a dead path is noticed.
-WAIT_S = 1.5
+WAIT_S = 2.4
 WAIT_MEMBERS_S = 8.0
 # After a change, so that those that follow come in one answer.
-SETTLE_S = 0.1
+SETTLE_S = 0.4
 RETRY_S = 0.2
 RETRY_MAX_S = 1.0
 # The store was away if it was silent for so long; entries of upstreams that
@@ -36,7 +35,6 @@
     """Read a source, then its changes, for ever."""
 
     _state: EdgeState
-    _event_log: EventLog
     _source: Source
     _name: str
     _wait_s: float
@@ -52,7 +50,7 @@
             try:
                 await self._step()
             except LostHistoryError as error:
-                self._event_log.emit(
+                self._state.event_log.emit(
                     events.HISTORY_LOST,
                     source=self._name,
                     detail=error.detail,
@@ -68,6 +66,7 @@
         else:
             view = await self._source.follow(version, self._wait_s)
         now = boot_time()
+        self._count('answered')
         self._note_return(now)
         self._apply(view, now)
         self._version = max(view.version, version or 0)
@@ -76,7 +75,7 @@
 
     def _note_return(self, now: float) -> None:
         if self._failures:
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.STORE_REGAINED,
                 source=self._name,
                 failures=self._failures,
@@ -88,9 +87,13 @@
         if last is not None and now - last > self._wait_s + AWAY_S:
             self._state.directory.expect_lapses(now + LAPSE_S)
 
+    def _count(self, outcome: str) -> None:
+        self._state.metrics.store_calls.labels(self._name, outcome).inc()
+
     async def _pause(self, error: CodedError) -> None:
+        self._count(error.code)
         if not self._failures:
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.STORE_LOST,
                 source=self._name,
                 code=error.code,
@@ -106,7 +109,6 @@
     """Bring what the sources say into the VM's state."""
 
     _state: EdgeState
-    _event_log: EventLog
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
     # Rows of operators that can't be read: what they say is not known.
     _unread: set[str] = attrs.field(factory=set)
@@ -146,7 +148,7 @@
             self._note_problem('upstreams', change.key, change.problem)
             if change.state is not None:
                 upstream = directory.register(change.state, now)
-                self._event_log.emit(
+                self._state.event_log.emit(
                     events.UPSTREAM_LISTED,
                     upstream=change.key,
                     service=change.state.service,
@@ -154,7 +156,9 @@
                     cold_left_s=change.state.cold_left_s,
                 )
             elif directory.unregister(change.key, now):
-                self._event_log.emit(events.UPSTREAM_GONE, upstream=change.key)
+                self._state.event_log.emit(
+                    events.UPSTREAM_GONE, upstream=change.key
+                )
 
     def apply_members(self, view: View[Member], now: float) -> None:
         """Take the list of VMs."""
@@ -173,7 +177,7 @@
     def _adopt(self, table: RouteTable) -> None:
         before = self._state.table
         if self._state.adopt(table):
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.TABLE_IN_FORCE,
                 version=table.version,
                 before=before.version if before else 0,
@@ -189,14 +193,14 @@
         if domains == state.directory.evacuated:
             return
         state.directory.evacuate(domains, state.cold_s(), now)
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.EVACUATIONS_CHANGED,
             domains=sorted(domains),
         )
 
     def _note_problem(self, source: str, key: str, problem: str) -> None:
         if problem:
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.ROW_MALFORMED,
                 source=source,
                 key=key,
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -22,7 +22,6 @@
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.observing import Observer
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import (
     Problem,
@@ -87,7 +86,6 @@
     _dialect: Dialect
     _pool: UpstreamPool
     _observer: Observer
-    _event_log: EventLog
     _rng: random.Random = attrs.field(factory=random.Random)
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
@@ -97,7 +95,7 @@
         try:
             await self._serve(caller, scope, receive, now)
         except (CallerGoneError, trio.Cancelled):
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.REQUEST_ABANDONED,
                 request=caller.request_id,
                 after_s=round(boot_time() - now, 3),
@@ -105,7 +103,7 @@
             raise
         except StreamCutError as error:
             # Returning without the end of the body aborts the connection.
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.REQUEST_ABORTED,
                 request=caller.request_id,
                 detail=str(error),
@@ -120,7 +118,8 @@
         started_at: float,
     ) -> None:
         problem = problem_of(error, Ran.NOT_RUN)
-        self._event_log.emit(
+        self._state.metrics.ended.labels(caller.route, problem.code).inc()
+        self._state.event_log.emit(
             events.REQUEST_REFUSED,
             request=caller.request_id,
             account=caller.account,
@@ -245,7 +244,7 @@
             job.caller.begin,
             job.caller.pass_part,
         )
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.REQUEST_SENT,
             request=admitted.request.request_id,
             upstream=upstream.name,
@@ -299,7 +298,8 @@
     async def _conclude(self, job: Job, end: AttemptEnd) -> None:
         if end.kind is EndKind.ANSWERED:
             await job.caller.answer_reply(end.reply)
-            self._event_log.emit(
+            self._count(job, end.reply.status)
+            self._state.event_log.emit(
                 events.REQUEST_ENDED,
                 request=job.admitted.request.request_id,
                 account=job.admitted.account_name,
@@ -315,6 +315,12 @@
             Problem(502, 'upstreams.broken', end.detail, Ran.UNKNOWN),
         )
 
+    def _count(self, job: Job, status: int) -> None:
+        metrics = self._state.metrics
+        metrics.ended.labels(job.admitted.route.name, f'{status}').inc()
+        took_s = boot_time() - job.started_at
+        metrics.latency.labels(job.admitted.service).observe(took_s)
+
     def _unserved(
         self,
         job: Job,
--- /dev/null
+++ b/chestnutshift/edge/metrics.py
@@ -0,0 +1,92 @@
+"""What an edge VM counts, as text in the exposition format of Prometheus."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+
+PREFIX = 'chestnutshift'
+LATENCY_BUCKETS_S = (
+    0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10, 20,
+)  # fmt: skip
+
+
+class EdgeMetrics:
+    """Counters, gauges and histograms of one VM since its start."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.registry = CollectorRegistry()
+        self.ended = self._counter(
+            'requests_total',
+            'Requests by route and how they ended: the status of an upstream '
+            'or the code of a refusal.',
+            'route',
+            'outcome',
+        )
+        self.latency = Histogram(
+            'request_seconds',
+            'Time from the head of a request to the end of its answer.',
+            ('service',),
+            namespace=PREFIX,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.attempts = self._counter(
+            'attempts_total',
+            'Attempts at upstreams by service and how they ended.',
+            'service',
+            'outcome',
+        )
+        self.checks = self._counter(
+            'health_checks_total',
+            'Health checks of upstreams in doubt by outcome.',
+            'outcome',
+        )
+        self.store_calls = self._counter(
+            'store_calls_total',
+            'Calls to the store by source and outcome.',
+            'source',
+            'outcome',
+        )
+        self.log_left_out = self._gauge(
+            'log_lines_left_out',
+            'Log lines left out since the start.',
+        )
+        self.proof_age = self._gauge(
+            'table_proof_age_seconds',
+            'Age of the proof that the route table is the newest.',
+        )
+        self.table_version = self._gauge(
+            'table_version',
+            'Version of the route table in force.',
+        )
+        self.peers = self._gauge('peers_heard', 'Peers heard lately.')
+        self.connections = self._gauge(
+            'caller_connections',
+            'Open connections of callers.',
+        )
+        self.in_flight = self._gauge(
+            'upstream_requests_in_flight',
+            "This VM's requests at upstreams.",
+        )
+
+    def render(self) -> bytes:
+        """Return the text of all metrics."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, meaning: str, *labels: str) -> Counter:
+        return Counter(
+            name,
+            meaning,
+            labels,
+            namespace=PREFIX,
+            registry=self.registry,
+        )
+
+    def _gauge(self, name: str, meaning: str) -> Gauge:
+        return Gauge(name, meaning, namespace=PREFIX, registry=self.registry)
--- /dev/null
+++ b/chestnutshift/edge/metrics_page.py
@@ -0,0 +1,44 @@
+"""Serve the metrics of an edge VM."""
+
+import attrs
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.forwarding.requests import Receive, Send
+
+CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
+
+
+@attrs.define
+class MetricsApplication:
+    """The ASGI application of the metrics address."""
+
+    _state: EdgeState
+
+    async def __call__(
+        self, _scope: dict, _receive: Receive, send: Send
+    ) -> None:
+        """Answer every path alike."""
+        update_gauges(self._state, boot_time())
+        body = self._state.metrics.render()
+        headers = [
+            (b'content-type', CONTENT_TYPE),
+            (b'content-length', b'%d' % len(body)),
+        ]
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': headers,
+            },
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+
+def update_gauges(state: EdgeState, now: float) -> None:
+    """Set the gauges to what holds now."""
+    metrics = state.metrics
+    metrics.proof_age.set(state.freshness.age_s(now))
+    metrics.table_version.set(state.table.version if state.table else 0)
+    metrics.peers.set(len(state.fleet.heard(now)))
+    metrics.in_flight.set(sum(one.in_flight for one in state.directory))
--- a/chestnutshift/edge/observing.py
+++ b/chestnutshift/edge/observing.py
@@ -9,7 +9,7 @@
 from chestnutshift.edge import events
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempts import AttemptEnd, EndKind
-from chestnutshift.events.log import EventLog
+from chestnutshift.edge.state import EdgeState
 from chestnutshift.steering.choice import Choice
 from chestnutshift.steering.upstreams import Condition, Upstream
 from chestnutshift.steering.work import WorkEstimate
@@ -29,7 +29,7 @@
 class Observer:
     """Keep the upstreams' states true to what attempts show."""
 
-    _event_log: EventLog
+    _state: EdgeState
 
     @contextmanager
     def observe(
@@ -62,7 +62,7 @@
         if upstream.condition is not Condition.READY:
             return
         upstream.condition = Condition.UNPROVEN
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.UPSTREAM_UNPROVEN,
             upstream=upstream.name,
             reason=reason,
@@ -76,9 +76,12 @@
         started_at: float,
         now: float,
     ) -> None:
+        self._state.metrics.attempts.labels(
+            admitted.service, end.kind.value
+        ).inc()
         if end.kind is EndKind.ANSWERED:
             return
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.REQUEST_ATTEMPT_FAILED,
             request=admitted.request.request_id,
             upstream=upstream.name,
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -6,7 +6,6 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.state import BEAT_S, EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.beats import Beat, decode_beat, encode_beat
 from chestnutshift.fleet.exceptions import BrokenBeatError
 from chestnutshift.fleet.view import Peer
@@ -19,7 +18,6 @@
     """Exchange beats with the peers, one datagram each."""
 
     _state: EdgeState
-    _event_log: EventLog
     _number: int = 0
     _heard: set[str] = attrs.field(factory=set)
     _socket: trio.socket.SocketType | None = None
@@ -69,7 +67,7 @@
             await self._socket.sendto(datagram, address)
         except OSError as error:
             # The peer's silence is noticed and logged; a beat is never resent.
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.BEAT_UNSENT,
                 address=address[0],
                 detail=str(error),
@@ -81,7 +79,9 @@
                 datagram, address = await self._socket.recvfrom(DATAGRAM_B)
             except OSError as error:
                 # A refusal that an earlier datagram met.
-                self._event_log.emit(events.BEAT_UNSENT, detail=str(error))
+                self._state.event_log.emit(
+                    events.BEAT_UNSENT, detail=str(error)
+                )
                 continue
             self._hear(datagram, address[0])
 
@@ -89,7 +89,7 @@
         try:
             beat = decode_beat(datagram)
         except BrokenBeatError as error:
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.BEAT_BROKEN,
                 address=address,
                 detail=error.detail,
@@ -100,9 +100,9 @@
     def _note_heard(self, now: float) -> None:
         heard = {peer.member.vm for peer in self._state.fleet.heard(now)}
         for vm in heard - self._heard:
-            self._event_log.emit(events.PEER_REGAINED, peer=vm)
+            self._state.event_log.emit(events.PEER_REGAINED, peer=vm)
         for vm in self._heard - heard:
-            self._event_log.emit(
+            self._state.event_log.emit(
                 events.PEER_LOST,
                 peer=vm,
                 silent_s=_silent_s(self._state.fleet.find(vm), now),
--- a/chestnutshift/edge/probing.py
+++ b/chestnutshift/edge/probing.py
@@ -11,7 +11,6 @@
 from chestnutshift.edge.attempts import UpstreamPool
 from chestnutshift.edge.dialect import AnswerFacts, Dialect
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.steering.upstreams import Condition, Upstream
 from chestnutshift.upstreams.connection import (
     UpstreamAnswer,
@@ -41,7 +40,6 @@
     _state: EdgeState
     _dialect: Dialect
     _pool: UpstreamPool
-    _event_log: EventLog
     _rng: random.Random = attrs.field(factory=random.Random)
     _plans: dict[Upstream, _Plan] = attrs.field(factory=dict)
 
@@ -82,6 +80,8 @@
             '',
             upstream.name,
         }
+        outcome = 'alive' if is_alive and not is_other else 'failed'
+        self._state.metrics.checks.labels(outcome).inc()
         if not is_alive or is_other:
             plan.failures += 1
             pause_s = min(REPEAT_MAX_S, REPEAT_S * plan.failures)
@@ -93,7 +93,7 @@
             upstream.cold_until = max(upstream.cold_until, now + facts.cold_s)
         upstream.condition = Condition.READY
         upstream.answered_at = now
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.UPSTREAM_PROVEN,
             upstream=upstream.name,
             status=status,
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -20,6 +20,7 @@
     StateKeeper,
 )
 from chestnutshift.edge.forwarder import EdgeForwarder
+from chestnutshift.edge.metrics_page import MetricsApplication
 from chestnutshift.edge.observing import Observer
 from chestnutshift.edge.peers import PeerTalk
 from chestnutshift.edge.probing import Prober
@@ -27,10 +28,11 @@
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.sources import Source
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.beats import MemberPhase
+from chestnutshift.logs.bounded import FLUSH_S, BoundedLines
 
 UPKEEP_S = 0.25
+LEFT_OUT_TOLD_S = 1.0
 # Of the stop's grace: how long callers that still come are taken, and when
 # what is still under way is broken off.
 TAKES_CALLERS = 0.5
@@ -58,13 +60,13 @@
     _state: EdgeState
     _backing: Backing
     _entry: Application
-    _event_log: EventLog
+    _lines: BoundedLines
     _stopping: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
         """Serve until a stop signal, then end what is in flight."""
         state = self._state
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.STARTED,
             incarnation=state.incarnation,
             failure_domain=state.settings.failure_domain,
@@ -74,26 +76,26 @@
             self._start_tasks(nursery, pool)
             await self._serve(nursery, pool)
             nursery.cancel_scope.cancel()
-        self._event_log.emit(events.STOPPED)
+        self._state.event_log.emit(events.STOPPED)
+        self._lines.flush()
 
     def _start_tasks(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
         state, backing = self._state, self._backing
-        keeper = StateKeeper(state, self._event_log)
+        keeper = StateKeeper(state)
         followed = (
             (backing.operators, 'operators', WAIT_S, keeper.apply_operators),
             (backing.upstreams, 'upstreams', WAIT_S, keeper.apply_upstreams),
             (backing.members, 'members', WAIT_MEMBERS_S, keeper.apply_members),
         )
         for source, name, wait_s, apply in followed:
-            follower = Follower(
-                state, self._event_log, source, name, wait_s, apply
-            )
+            follower = Follower(state, source, name, wait_s, apply)
             nursery.start_soon(follower.run)
-        prober = Prober(state, backing.dialect, pool, self._event_log)
+        prober = Prober(state, backing.dialect, pool)
         nursery.start_soon(prober.run)
-        nursery.start_soon(PeerTalk(state, self._event_log).run)
-        nursery.start_soon(backing.registrar.run, state, self._event_log)
+        nursery.start_soon(PeerTalk(state).run)
+        nursery.start_soon(backing.registrar.run, state)
         nursery.start_soon(self._keep_up, pool)
+        nursery.start_soon(self._write_log)
         nursery.start_soon(self._watch_signals)
 
     async def _serve(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
@@ -103,8 +105,7 @@
             self._state,
             self._backing.dialect,
             pool,
-            Observer(self._event_log),
-            self._event_log,
+            Observer(self._state),
         )
         limits = CallerLimits(
             connections_max=settings.descriptors_max - DESCRIPTORS_KEPT,
@@ -118,6 +119,12 @@
         endpoints = dict.fromkeys((settings.readiness, settings.lookups))
         for endpoint in endpoints:
             nursery.start_soon(self._serve_port, endpoint, self._entry, limits)
+        nursery.start_soon(
+            self._serve_port,
+            attrs.evolve(settings.callers, port=settings.metrics_port),
+            MetricsApplication(self._state),
+            limits,
+        )
         nursery.start_soon(self._stop_in_time, callers, over)
         listeners = await _listen(settings.callers)
         await callers.serve(listeners, over)
@@ -142,6 +149,25 @@
         await trio.sleep(grace_s * TAKES_CALLERS)
         over.set()
 
+    async def _write_log(self) -> None:
+        """Write the log's lines, and tell each second what was left out."""
+        lines = self._lines
+        told_at = boot_time()
+        while True:
+            lines.flush()
+            await trio.sleep(FLUSH_S)
+            now = boot_time()
+            if now - told_at >= LEFT_OUT_TOLD_S:
+                told_at = now
+                self._tell_left_out()
+
+    def _tell_left_out(self) -> None:
+        left_out = self._lines.left_out
+        self._state.metrics.log_left_out.set(left_out.total)
+        counts = left_out.report()
+        if any(counts.values()):
+            self._state.event_log.emit(events.LINES_LEFT_OUT, **counts)
+
     async def _keep_up(self, pool: UpstreamPool) -> None:
         """Do what the passing of time asks for."""
         state = self._state
@@ -149,7 +175,7 @@
         while True:
             now = boot_time()
             for name in state.directory.expire(now):
-                self._event_log.emit(events.UPSTREAM_GONE, upstream=name)
+                self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
             await pool.forget_gone(set(state.directory))
             if state.phase is MemberPhase.STARTING and state.table:
                 state.phase = MemberPhase.SERVING
@@ -161,7 +187,7 @@
 
     def _note_ready(self, now: float, *, is_ready: bool) -> None:
         age_s = self._state.freshness.age_s(now)
-        self._event_log.emit(
+        self._state.event_log.emit(
             events.READY,
             is_ready=is_ready,
             phase=self._state.phase.value,
@@ -173,10 +199,10 @@
         with trio.open_signal_receiver(*watched) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    self._event_log.emit(events.RELOADED)
+                    self._state.event_log.emit(events.RELOADED)
                     continue
                 self._state.phase = MemberPhase.STOPPING
-                self._event_log.emit(events.STOPPING, signal=int(number))
+                self._state.event_log.emit(events.STOPPING, signal=int(number))
                 self._stopping.set()
 
 
--- a/chestnutshift/edge/registering.py
+++ b/chestnutshift/edge/registering.py
@@ -8,7 +8,6 @@
 
 from chestnutshift.edge import events
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.members import Member
 
@@ -31,7 +30,7 @@
     _register: MemberRegister
     _rng: random.Random = attrs.field(factory=random.Random)
 
-    async def run(self, state: EdgeState, event_log: EventLog) -> None:
+    async def run(self, state: EdgeState) -> None:
         """Register once."""
         settings = state.settings
         member = Member(
@@ -48,7 +47,7 @@
                 await self._register.enlist(member)
             except CodedError as error:
                 failures += 1
-                event_log.emit(
+                state.event_log.emit(
                     events.STORE_LOST,
                     source='register',
                     code=error.code,
--- a/chestnutshift/edge/settings.py
+++ b/chestnutshift/edge/settings.py
@@ -74,6 +74,7 @@
     readiness: Endpoint
     lookups: Endpoint
     peer_port: int
+    metrics_port: int
     regions: Mapping[str, str]
     descriptors_max: int
     store: StoreSettings
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -5,7 +5,9 @@
 
 import attrs
 
+from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
+from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.beats import MemberPhase, hash_upstream
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.view import FleetView
@@ -44,6 +46,8 @@
 
     settings: EdgeSettings
     incarnation: int
+    event_log: EventLog
+    metrics: EdgeMetrics = attrs.field(factory=EdgeMetrics)
     phase: MemberPhase = MemberPhase.STARTING
     table: RouteTable | None = None
     index: RouteIndex | None = None
--- a/chestnutshift/events/log.py
+++ b/chestnutshift/events/log.py
@@ -33,6 +33,23 @@
         """Return the event as one line of JSON."""
         return json.dumps(attrs.asdict(self), sort_keys=True, default=str)
 
+    def as_line(self, wall_s: float, level: str) -> str:
+        """Return the event as a line of the log, without what is empty."""
+        told = {
+            'at': round(wall_s, 3),
+            'timestamp': self.timestamp,
+            'vm': self.vm,
+            'level': level,
+            'event': self.number,
+            'name': self.name,
+            'request': self.request,
+            'account': self.account,
+            'upstream': self.upstream,
+        }
+        line = {name: part for name, part in told.items() if part != ''}
+        line.update(self.facts)
+        return json.dumps(line, default=str)
+
 
 @attrs.frozen
 class EventFilter:
@@ -60,11 +77,16 @@
 class EventLog:
     """The events of one VM: logged at once, the newest kept in memory."""
 
-    def __init__(self, vm: str, clock: HybridClock | None = None) -> None:
-        """Start an empty log for the named VM."""
+    def __init__(
+        self,
+        vm: str,
+        clock: HybridClock | None = None,
+        kept: int = KEPT_EVENTS,
+    ) -> None:
+        """Start an empty log for the named VM that keeps so many events."""
         self._vm = vm
         self._clock = clock or HybridClock()
-        self._events: deque[Event] = deque(maxlen=KEPT_EVENTS)
+        self._events: deque[Event] = deque(maxlen=kept)
 
     @property
     def clock(self) -> HybridClock:
--- a/chestnutshift/platform/assembly.py
+++ b/chestnutshift/platform/assembly.py
@@ -1,9 +1,13 @@
 """Put an edge VM together with the platform's store and dialect."""
 
+import sys
+import time
+
 from chestnutshift.edge.process import Backing, EdgeProcess, make_incarnation
 from chestnutshift.edge.registering import Registrar
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.events.log import EventLog
+from chestnutshift.logs.bounded import set_up_bounded_logging
 from chestnutshift.platform.entry import EntryApplication
 from chestnutshift.platform.heads import PlatformDialect
 from chestnutshift.platform.settings import load_settings
@@ -15,11 +19,16 @@
 )
 from chestnutshift.platform.store import StoreClient
 
+# The log is the record; memory keeps few events.
+EVENTS_KEPT = 200
+
 
 async def run_edge() -> None:
     """Run until a stop signal; raises MalformedError for bad settings."""
     settings = load_settings()
-    state = EdgeState(settings, make_incarnation())
+    lines = set_up_bounded_logging(sys.stdout.fileno(), time.time())
+    event_log = EventLog(settings.vm, kept=EVENTS_KEPT)
+    state = EdgeState(settings, make_incarnation(), event_log)
     store = StoreClient(settings.store.endpoint)
     backing = Backing(
         dialect=PlatformDialect(),
@@ -28,6 +37,5 @@
         members=member_source(store),
         registrar=Registrar(StoreRegister(store)),
     )
-    event_log = EventLog(settings.vm)
-    process = EdgeProcess(state, backing, EntryApplication(state), event_log)
+    process = EdgeProcess(state, backing, EntryApplication(state), lines)
     await process.run()
--- a/chestnutshift/platform/settings.py
+++ b/chestnutshift/platform/settings.py
@@ -79,6 +79,7 @@
         readiness=_endpoint(listen, 'ready'),
         lookups=_endpoint(listen, 'directory'),
         peer_port=int(ports[0]),
+        metrics_port=int(ports[0]) + 1,
         regions=_regions(table_of(network, 'zones')),
         descriptors_max=whole_of(table_of(own, 'limits'), 'max_fds', 1024),
         store=_store(table_of(document, 'platform')),
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -32,7 +32,7 @@
 HTTP_PRECONDITION_FAILED = 412
 CONNECTIONS_MAX = 6
 # The store answers a call that need not wait within this time, or is slow.
-ANSWER_S = 1.5
+ANSWER_S = 1.0
 _OPTIONS = ConnectionOptions(
     idle_s=10,
     connect_s=1,
