Date the store's answers by its clock; ignore late registrations

The store's steady clock bounds when it answered. Cause 2: a heartbeat of an upstream may be written late, after the one that says it leaves, or after its removal; sequence numbers tell.

--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -135,7 +135,7 @@
             else:
                 self._evacuations.pop(change.key, None)
         if not self._unread:
-            self._state.freshness.prove(view.asked_at)
+            self._state.freshness.prove(self._given_at(view, now))
         self._evacuate(now)
 
     def apply_upstreams(self, view: View[Registration], now: float) -> None:
@@ -152,7 +152,8 @@
                     events.UPSTREAM_LISTED,
                     upstream=change.key,
                     service=change.state.service,
-                    condition=upstream.condition.value,
+                    condition=upstream.condition.value if upstream else 'gone',
+                    sequence=change.state.sequence,
                     cold_left_s=change.state.cold_left_s,
                 )
             elif directory.unregister(change.key, now):
@@ -174,6 +175,13 @@
             else:
                 fleet.enlist(change.state, now)
 
+    def _given_at(self, view: View, now: float) -> float:
+        """Return a time, not before which the store gave the answer."""
+        if view.store_now is None:
+            return view.asked_at
+        clock = self._state.store_clock
+        return clock.given_at(view.store_now, view.asked_at, now)
+
     def _adopt(self, table: RouteTable) -> None:
         before = self._state.table
         if self._state.adopt(table):
--- a/chestnutshift/edge/sources.py
+++ b/chestnutshift/edge/sources.py
@@ -32,13 +32,15 @@
     """Changes up to a version of the store.
 
     Everything that was confirmed before asked_at (boot time, seconds) is in
-    it. is_whole tells whether it lists every row.
+    it. is_whole tells whether it lists every row. store_now is the store's
+    steady clock at the answer, None if it did not say.
     """
 
     changes: tuple[Change[State], ...]
     version: int
     asked_at: float
     is_whole: bool
+    store_now: float | None = None
 
 
 class Source(abc.ABC, Generic[State]):
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -19,6 +19,7 @@
 from chestnutshift.steering.directory import UpstreamDirectory
 from chestnutshift.steering.freshness import TableFreshness
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
+from chestnutshift.steering.store_clock import StoreClock
 from chestnutshift.steering.work import WorkEstimate
 
 POLICY = 'soonest'
@@ -51,6 +52,7 @@
     phase: MemberPhase = MemberPhase.STARTING
     table: RouteTable | None = None
     index: RouteIndex | None = None
+    store_clock: StoreClock = attrs.field(factory=StoreClock)
     splitter: Splitter = attrs.field(factory=Splitter)
     # When the store last answered, and whether it answers now.
     store_heard_at: float = -math.inf
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -48,7 +48,13 @@
 
     def _view(self, found: StoreView, *, is_whole: bool) -> View[State]:
         changes = tuple(self._change(row) for row in found.rows)
-        return View(changes, found.version, found.asked_at, is_whole)
+        return View(
+            changes,
+            found.version,
+            found.asked_at,
+            is_whole,
+            found.store_now,
+        )
 
     def _change(self, row: StoredRow) -> Change[State]:
         if row.content is None:
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -14,6 +14,7 @@
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.exceptions import CodedError
 from chestnutshift.platform import names
+from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import (
     MalformedError,
     StoreUnavailableError,
@@ -56,12 +57,14 @@
 
     version is the newest of the store then; asked_at is the boot time in
     seconds at which the call was sent, so everything that was confirmed
-    before it is in the rows.
+    before it is in the rows. store_now is the store's steady clock in seconds
+    at the answer, None if it did not say.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     asked_at: float
+    store_now: float | None = None
 
 
 @attrs.frozen
@@ -97,7 +100,12 @@
             rows.extend(_rows(document))
             if not document.get('truncated') or not rows:
                 version = whole_of(document, 'ver')
-                return StoreView(tuple(rows), version, reply.asked_at)
+                return StoreView(
+                    tuple(rows),
+                    version,
+                    reply.asked_at,
+                    _store_now(document),
+                )
             # The smallest key beyond the last one.
             start = f'{rows[-1].key}\0'
 
@@ -127,7 +135,12 @@
             raise LostHistoryError(f'{table}: no changes after {after}')
         document = _document(reply)
         version = whole_of(document, 'ver')
-        return StoreView(_rows(document), version, reply.asked_at)
+        return StoreView(
+            _rows(document),
+            version,
+            reply.asked_at,
+            _store_now(document),
+        )
 
     async def write(
         self,
@@ -217,6 +230,15 @@
         raise StoreUnavailableError(error.detail) from error
 
 
+def _store_now(document: Mapping[str, Any]) -> float | None:
+    if 'now' not in document:
+        return None
+    try:
+        return read_duration(document['now'])
+    except MalformedError as error:
+        raise StoreUnavailableError(error.detail) from error
+
+
 def _rows(document: Mapping[str, Any]) -> tuple[StoredRow, ...]:
     rows = document.get('rows')
     if not isinstance(rows, Sequence):
--- a/chestnutshift/platform/upstream_rows.py
+++ b/chestnutshift/platform/upstream_rows.py
@@ -36,6 +36,7 @@
         port=port,
         failure_domain=required_text(about, 'zone'),
         slots=_slots(about),
+        sequence=whole_of(status, 'seq'),
         is_leaving=_IS_LEAVING[state],
         cold_left_s=0 if cold_left is None else read_duration(cold_left),
     )
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -9,6 +9,8 @@
     Upstream,
 )
 
+LAST_WORDS_KEPT = 1000
+
 
 class UpstreamDirectory:
     """All upstreams by id and by service; boot times in seconds."""
@@ -19,6 +21,8 @@
         self._by_name: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        # The last registration of those that are gone, against late ones.
+        self._last_words: dict[str, Registration] = {}
         # Removals that came while registrations may just have lapsed.
         self._doubtful: dict[str, float] = {}
         self._trust_removals_at = -math.inf
@@ -52,14 +56,26 @@
             return False
         return upstream.registration.failure_domain not in self._evacuated
 
-    def register(self, registration: Registration, now: float) -> Upstream:
-        """Take what an upstream says of itself; return its state."""
+    def register(
+        self,
+        registration: Registration,
+        now: float,
+    ) -> Upstream | None:
+        """Take what an upstream says of itself; return its state.
+
+        None if it is gone, and the registration was written before.
+        """
         self._doubtful.pop(registration.upstream, None)
         known = self._by_name.get(registration.upstream)
-        if known is None or _has_restarted(known, registration):
+        if known is None or _has_restarted(known.registration, registration):
+            last = self._last_words.get(registration.upstream)
+            if known is None and last and _is_older(last, registration):
+                return None
             if known is not None:
                 self._drop(known)
             known = self._add(registration)
+        elif _is_older(known.registration, registration):
+            return known
         known.registration = registration
         if registration.cold_left_s:
             cold_until = now + registration.cold_left_s
@@ -135,12 +151,27 @@
     def _drop(self, upstream: Upstream) -> None:
         upstream.condition = Condition.GONE
         self._by_name.pop(upstream.name)
+        self._last_words[upstream.name] = upstream.registration
+        if len(self._last_words) > LAST_WORDS_KEPT:
+            self._last_words.pop(next(iter(self._last_words)))
         self._by_service[upstream.registration.service].remove(upstream)
         self._generation += 1
 
 
-def _has_restarted(known: Upstream, registration: Registration) -> bool:
-    before = known.registration
+def _is_older(before: Registration, registration: Registration) -> bool:
+    """Tell whether the registration was written late.
+
+    Without the time of its start an upstream can't be told from its next
+    start, whose sequence begins anew.
+    """
+    if not registration.started_at_ms:
+        return False
+    if before.started_at_ms != registration.started_at_ms:
+        return False
+    return registration.sequence < before.sequence
+
+
+def _has_restarted(before: Registration, registration: Registration) -> bool:
     return (
         before.started_at_ms != registration.started_at_ms
         or before.service != registration.service
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -20,7 +20,8 @@
     """What an upstream says of itself.
 
     started_at_ms is unix time; two starts under one name differ in it.
-    cold_left_s counts from when the registration was read.
+    sequence grows with each registration of a start; cold_left_s counts from
+    when the registration was read.
     """
 
     upstream: str
@@ -30,6 +31,7 @@
     port: int
     failure_domain: str
     slots: int
+    sequence: int = 0
     is_leaving: bool = False
     cold_left_s: float = 0
 
--- /dev/null
+++ b/tests/steering/world.py
@@ -0,0 +1,35 @@
+"""Upstreams and a directory for tests of decisions."""
+
+import attrs
+
+from chestnutshift.steering.directory import UpstreamDirectory
+from chestnutshift.steering.upstreams import Registration, Upstream
+
+REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'c1': 'c'}
+SERVICE = 'listings'
+NOW = 1000.0
+
+
+def register(
+    directory: UpstreamDirectory,
+    name: str,
+    **changes: object,
+) -> Upstream | None:
+    """Register an upstream of three slots in a1, but for the changes."""
+    registration = Registration(
+        upstream=name,
+        started_at_ms=1,
+        service=SERVICE,
+        address='127.0.0.1',
+        port=8000,
+        failure_domain='a1',
+        slots=3,
+        sequence=1,
+    )
+    changed = attrs.evolve(registration, **changes)
+    return directory.register(changed, NOW)
+
+
+def make_directory() -> UpstreamDirectory:
+    """Return an empty directory of four failure domains."""
+    return UpstreamDirectory(REGIONS)
