--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -49,6 +49,9 @@
 RETRY_AFTER_SPREAD = 0.5
 # An answer that is expected this much later than the time left is not.
 OVERDUE = 1.3
+# A request queues only while its answer is expected within this multiple of
+# its latency objective: longer queues make every caller late.
+QUEUE_OBJECTIVES = 1.1
 
 
 @attrs.define
@@ -208,13 +211,16 @@
                 ),
             )
         left_s = job.deadline - now
-        if choice.expected_s > left_s * OVERDUE and not job.sent:
+        objective_s = admitted.route.objective_s
+        worth_s = min(left_s * OVERDUE, objective_s * QUEUE_OBJECTIVES)
+        is_late = choice.expected_s > worth_s
+        if is_late and not choice.has_room and not job.sent:
             raise RefusalError(
                 self._unserved(
                     job,
                     'upstreams.busy',
                     'no upstream would answer in time',
-                    choice.expected_s - left_s,
+                    choice.expected_s - worth_s,
                 ),
             )
         return choice
--- a/chestnutshift/steering/affinity.py
+++ b/chestnutshift/steering/affinity.py
@@ -1,17 +1,37 @@
 """The order in which upstreams are preferred for an object.
 
-Every VM computes the same order from the ids alone (rendezvous hashing), so
-no message is needed, and an upstream that comes or goes moves only its own
-objects.
+Every VM of a region computes the same order from the ids alone (weighted
+rendezvous hashing), so no message is needed, and an upstream that comes or
+goes moves only its own objects. Upstreams that are near weigh more; the order
+does not depend on load, so the regions in which a region's requests run stay
+the same while load swings.
 """
 
+import math
 from collections.abc import Sequence
 from hashlib import blake2b
 
+import attrs
+
 from chestnutshift.steering.upstreams import Upstream
 
 SCORE_B = 8
+SCORE_END = 2 ** (8 * SCORE_B)
 ORDERS_KEPT = 4096
+# A body from this length on is heavy: the way it goes is what it costs.
+HEAVY_B = 16_384
+
+
+@attrs.frozen
+class Weights:
+    """How much more an upstream near the VM weighs than one far away."""
+
+    same_domain: float
+    same_region: float
+
+
+LIGHT = Weights(same_domain=2.0, same_region=2.0)
+HEAVY = Weights(same_domain=12.0, same_region=4.0)
 
 
 def score(object_key: bytes, name: str) -> int:
@@ -23,15 +43,18 @@
 class Preference:
     """The upstreams of a service in the order of an object, remembered."""
 
-    def __init__(self) -> None:
-        """Start with nothing remembered."""
+    def __init__(self, failure_domain: str, region: str) -> None:
+        """Prefer what is near that place."""
+        self._failure_domain = failure_domain
+        self._region = region
         self._generation = -1
-        self._orders: dict[tuple[str, bytes], tuple[Upstream, ...]] = {}
+        self._orders: dict[tuple[str, bytes, bool], tuple[Upstream, ...]] = {}
 
     def order(
         self,
         service: str,
         object_key: bytes,
+        size_b: int,
         upstreams: Sequence[Upstream],
         generation: int,
     ) -> tuple[Upstream, ...]:
@@ -42,18 +65,29 @@
         if generation != self._generation or len(self._orders) > ORDERS_KEPT:
             self._orders.clear()
             self._generation = generation
-        found = self._orders.get((service, object_key))
+        is_heavy = size_b >= HEAVY_B
+        found = self._orders.get((service, object_key, is_heavy))
         if found is None:
-            found = _order(object_key, upstreams)
-            self._orders[service, object_key] = found
+            weights = HEAVY if is_heavy else LIGHT
+            found = self._order(object_key, upstreams, weights)
+            self._orders[service, object_key, is_heavy] = found
         return found
 
+    def _order(
+        self,
+        object_key: bytes,
+        upstreams: Sequence[Upstream],
+        weights: Weights,
+    ) -> tuple[Upstream, ...]:
+        def distance(upstream: Upstream) -> float:
+            drawn = (score(object_key, upstream.name) + 1) / (SCORE_END + 1)
+            return -math.log(drawn) / self._weight(upstream, weights)
 
-def _order(
-    object_key: bytes,
-    upstreams: Sequence[Upstream],
-) -> tuple[Upstream, ...]:
-    def weight(upstream: Upstream) -> int:
-        return score(object_key, upstream.name)
+        return tuple(sorted(upstreams, key=distance))
 
-    return tuple(sorted(upstreams, key=weight, reverse=True))
+    def _weight(self, upstream: Upstream, weights: Weights) -> float:
+        if upstream.registration.failure_domain == self._failure_domain:
+            return weights.same_domain
+        if upstream.region == self._region:
+            return weights.same_region
+        return 1
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -5,7 +5,6 @@
 """
 
 import abc
-import math
 from collections.abc import Callable, Collection
 
 import attrs
@@ -16,13 +15,17 @@
 from chestnutshift.steering.upstreams import Upstream
 from chestnutshift.steering.work import WorkEstimate
 
-# Upstreams that keep an object warm: in all regions, and in the VM's own.
-PREFERRED_ANYWHERE = 2
-PREFERRED_IN_REGION = 2
+# Upstreams that keep an object warm.
+PREFERRED = 3
+# From this part of a service's slots on, warming more upstreams is dear.
+SPILL_FREE_LOAD = 0.6
+# Then an upstream that does not know the object costs so many times what it
+# needs longer than one that does.
+SPILL_PRICE_MAX = 3.0
 # Each place down the order costs a little, so that few upstreams are warmed.
-RANK_S = 0.01
+RANK_S = 0.02
 OTHER_DOMAIN_S = 0.004
-OTHER_REGION_S = 0.06
+OTHER_REGION_S = 0.04
 # What a byte of a body costs on its way, as waiting time.
 OTHER_DOMAIN_BYTE_S = 2e-6
 OTHER_REGION_BYTE_S = 5e-6
@@ -54,11 +57,17 @@
 
 @attrs.frozen
 class Choice:
-    """An upstream and the seconds after which its answer is expected."""
+    """An upstream and the seconds after which its answer is expected.
+
+    cost_s is what the choice is made by; has_room tells whether a slot is
+    probably free.
+    """
 
     upstream: Upstream
     expected_s: float
     is_warm: bool
+    cost_s: float = 0
+    has_room: bool = True
 
 
 POLICIES: Registry[type['ChoicePolicy']] = Registry('policy of steering')
@@ -88,7 +97,7 @@
     ) -> Choice | None:
         """Return the best upstream, None if none may serve the request."""
         ranked = self._rank(demand, work, now)
-        for choice in sorted(ranked, key=_expected_s):
+        for choice in sorted(ranked, key=_cost_s):
             upstream = choice.upstream
             if upstream in avoided:
                 continue
@@ -125,8 +134,10 @@
         return [
             Choice(
                 upstream,
-                work.cold_s * upstream.load(now) / upstream.slots,
+                work.cold_s * (1 + upstream.load(now) / upstream.slots),
                 is_warm=False,
+                cost_s=upstream.load(now) / upstream.slots,
+                has_room=upstream.load(now) < upstream.slots,
             )
             for upstream in self._directory.of_service(demand.service)
             if self._may_serve(upstream, demand)
@@ -145,7 +156,7 @@
     ) -> None:
         """Remember the order of each object."""
         super().__init__(directory, failure_domain, region)
-        self._preference = Preference()
+        self._preference = Preference(failure_domain, region)
 
     def _rank(
         self,
@@ -157,28 +168,34 @@
         order = self._preference.order(
             demand.service,
             demand.object_key,
+            demand.size_b,
             directory.of_service(demand.service),
             directory.generation,
         )
+        spill_s = self._spill_price(demand.service) * (
+            work.cold_s - work.warm_s
+        )
         usable = [one for one in order if self._may_serve(one, demand)]
-        preferred = self._preferred(usable)
         choices = []
-        for upstream in usable:
-            rank = preferred.get(upstream)
-            is_warm = rank is not None or upstream.has_handled(
-                demand.object_key,
-                now,
+        for rank, upstream in enumerate(usable):
+            is_warm = rank < PREFERRED
+            if is_warm:
+                extra_s = RANK_S * rank
+            elif upstream.has_handled(demand.object_key, now):
+                is_warm = True
+                extra_s = RANK_S * PREFERRED
+            else:
+                extra_s = spill_s
+            choices.append(
+                self._expect(upstream, demand, work, now, is_warm, extra_s),
             )
-            expected_s = self._expect(upstream, demand, work, now, is_warm)
-            expected_s += RANK_S * (rank or 0)
-            choices.append(Choice(upstream, expected_s, is_warm))
         return choices
 
-    def _preferred(self, usable: list[Upstream]) -> dict[Upstream, int]:
-        """Return the rank of each upstream that should know the object."""
-        near = [one for one in usable if one.region == self._region]
-        chosen = usable[:PREFERRED_ANYWHERE] + near[:PREFERRED_IN_REGION]
-        return {upstream: rank for rank, upstream in enumerate(chosen)}
+    def _spill_price(self, service: str) -> float:
+        """Return what warming another upstream takes from other requests."""
+        load = self._directory.busy_part(service)
+        over = (load - SPILL_FREE_LOAD) / (1 - SPILL_FREE_LOAD)
+        return SPILL_PRICE_MAX * min(1, max(0, over))
 
     def _expect(
         self,
@@ -187,7 +204,8 @@
         work: WorkEstimate,
         now: float,
         is_warm: bool,
-    ) -> float:
+        extra_s: float,
+    ) -> Choice:
         own_s = work.warm_s if is_warm else work.cold_s
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
@@ -197,9 +215,16 @@
         wait_s = queued / upstream.slots * work.warm_s
         # Among free ones the emptier is a little better.
         lean_s = work.warm_s * (load / upstream.slots) ** 2 / 4
-        expected_s = (own_s + wait_s + lean_s) * slowness
-        expected_s *= 1 + FAILURE_COST * upstream.failure_rate
-        return expected_s + self._travel_s(upstream, demand.size_b)
+        travel_s = self._travel_s(upstream, demand.size_b)
+        expected_s = (own_s + wait_s) * slowness + travel_s
+        retried = 1 + FAILURE_COST * upstream.failure_rate
+        return Choice(
+            upstream,
+            expected_s,
+            is_warm,
+            cost_s=(expected_s + lean_s * slowness) * retried + extra_s,
+            has_room=queued <= 0,
+        )
 
     def _travel_s(self, upstream: Upstream, size_b: int) -> float:
         if upstream.region != self._region:
@@ -209,7 +234,5 @@
         return 0
 
 
-def _expected_s(choice: Choice) -> float:
-    if math.isnan(choice.expected_s):
-        return math.inf
-    return choice.expected_s
+def _cost_s(choice: Choice) -> float:
+    return choice.cost_s
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -27,6 +27,7 @@
         self._doubtful: dict[str, float] = {}
         self._trust_removals_at = -math.inf
         self._generation = 0
+        self._busy: dict[str, float] = {}
 
     @property
     def generation(self) -> int:
@@ -56,6 +57,18 @@
             return False
         return upstream.registration.failure_domain not in self._evacuated
 
+    def busy_part(self, service: str) -> float:
+        """Return the load of a service's usable slots, over 1 with queues."""
+        return self._busy.get(service, 0)
+
+    def measure(self, now: float) -> None:
+        """Add up how busy each service is."""
+        for service, upstreams in self._by_service.items():
+            usable = [one for one in upstreams if self.is_usable(one)]
+            slots = sum(one.slots for one in usable)
+            load = sum(one.load(now) for one in usable)
+            self._busy[service] = load / slots if slots else 1
+
     def register(
         self,
         registration: Registration,
