--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -23,7 +23,7 @@
 # After a change, so that those that follow come in one answer.
 SETTLE_S = 0.4
 RETRY_S = 0.2
-RETRY_MAX_S = 1.0
+RETRY_MAX_S = 0.5
 # The store was away if it was silent for so long; entries of upstreams that
 # live may have lapsed, and are back this long after its return.
 AWAY_S = 2.0
@@ -144,9 +144,12 @@
         if view.is_whole:
             named = [change.key for change in view.changes if change.state]
             directory.keep_only(named, now)
+        removed: list[str] = []
         for change in view.changes:
             self._note_problem('upstreams', change.key, change.problem)
-            if change.state is not None:
+            if change.state is None:
+                removed.append(change.key)
+            else:
                 upstream = directory.register(change.state, now)
                 self._state.event_log.emit(
                     events.UPSTREAM_LISTED,
@@ -156,10 +159,8 @@
                     sequence=change.state.sequence,
                     cold_left_s=change.state.cold_left_s,
                 )
-            elif directory.unregister(change.key, now):
-                self._state.event_log.emit(
-                    events.UPSTREAM_GONE, upstream=change.key
-                )
+        for name in directory.unregister(removed, now):
+            self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
 
     def apply_members(self, view: View[Member], now: float) -> None:
         """Take the list of VMs."""
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -135,8 +135,6 @@
                 hash_upstream(upstream.name), 0
             )
 
-        self.directory.measure(now)
-
     def in_flight(self) -> dict[int, int]:
         """Return this VM's requests by hash of the upstream's id."""
         return {
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -36,7 +36,7 @@
 ANSWER_S = 1.0
 _OPTIONS = ConnectionOptions(
     idle_s=10,
-    connect_s=1,
+    connect_s=0.6,
     unacknowledged_ms=1500,
     ends_by_close=True,
 )
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -16,7 +16,7 @@
 from chestnutshift.steering.work import WorkEstimate
 
 # Upstreams that keep an object warm.
-PREFERRED = 3
+PREFERRED = 2
 # From this part of a service's slots on, warming more upstreams is dear.
 SPILL_FREE_LOAD = 0.6
 # Then an upstream that does not know the object costs so many times what it
@@ -172,7 +172,7 @@
             directory.of_service(demand.service),
             directory.generation,
         )
-        spill_s = self._spill_price(demand.service) * (
+        spill_s = self._spill_price(demand.service, now) * (
             work.cold_s - work.warm_s
         )
         usable = [one for one in order if self._may_serve(one, demand)]
@@ -191,9 +191,9 @@
             )
         return choices
 
-    def _spill_price(self, service: str) -> float:
+    def _spill_price(self, service: str, now: float) -> float:
         """Return what warming another upstream takes from other requests."""
-        load = self._directory.busy_part(service)
+        load = self._directory.busy_part(service, now)
         over = (load - SPILL_FREE_LOAD) / (1 - SPILL_FREE_LOAD)
         return SPILL_PRICE_MAX * min(1, max(0, over))
 
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -10,6 +10,9 @@
 )
 
 LAST_WORDS_KEPT = 1000
+# After an outage missing entries have lapsed if less than this is left; with
+# more left, doing without a few costs less than using one that leaves.
+FEW_LEFT = 0.6
 
 
 class UpstreamDirectory:
@@ -27,7 +30,8 @@
         self._doubtful: dict[str, float] = {}
         self._trust_removals_at = -math.inf
         self._generation = 0
-        self._busy: dict[str, float] = {}
+        # The most upstreams that each service had.
+        self._most: dict[str, int] = {}
 
     @property
     def generation(self) -> int:
@@ -47,6 +51,14 @@
         """Return the upstream of that id."""
         return self._by_name.get(name)
 
+    def busy_part(self, service: str, now: float) -> float:
+        """Return the load of a service's usable slots, over 1 with queues."""
+        usable = [
+            one for one in self.of_service(service) if self.is_usable(one)
+        ]
+        slots = sum(one.slots for one in usable)
+        return sum(one.load(now) for one in usable) / slots if slots else 1
+
     def of_service(self, service: str) -> Sequence[Upstream]:
         """Return the upstreams of a service that are not gone."""
         return self._by_service.get(service, ())
@@ -57,18 +69,6 @@
             return False
         return upstream.registration.failure_domain not in self._evacuated
 
-    def busy_part(self, service: str) -> float:
-        """Return the load of a service's usable slots, over 1 with queues."""
-        return self._busy.get(service, 0)
-
-    def measure(self, now: float) -> None:
-        """Add up how busy each service is."""
-        for service, upstreams in self._by_service.items():
-            usable = [one for one in upstreams if self.is_usable(one)]
-            slots = sum(one.slots for one in usable)
-            load = sum(one.load(now) for one in usable)
-            self._busy[service] = load / slots if slots else 1
-
     def register(
         self,
         registration: Registration,
@@ -99,20 +99,35 @@
             known.condition = Condition.READY
         return known
 
-    def unregister(self, name: str, now: float) -> bool:
-        """Take that an entry was removed; tell whether it is gone already.
+    def unregister(self, names: Iterable[str], now: float) -> list[str]:
+        """Take that entries were removed; return those that are gone already.
 
-        While entries may just have lapsed it counts as gone only later, in
-        `expire`.
+        While entries may just have lapsed, and few would be left of a
+        service, its missing ones count as gone only later, in `expire`.
         """
-        known = self._by_name.get(name)
-        if known is None:
-            return False
-        if now < self._trust_removals_at:
-            self._doubtful.setdefault(name, self._trust_removals_at)
-            return False
-        self._drop(known)
-        return True
+        missing = [
+            self._by_name[name] for name in names if name in self._by_name
+        ]
+        is_doubtful = now < self._trust_removals_at
+        needed: set[str] = set()
+        if is_doubtful:
+            names_out = {one.name for one in missing} | set(self._doubtful)
+            needed = {
+                service
+                for service, upstreams in self._by_service.items()
+                if _are_few(upstreams, names_out, self._most[service])
+            }
+        gone = []
+        for upstream in missing:
+            if upstream.registration.service in needed:
+                self._doubtful.setdefault(
+                    upstream.name, self._trust_removals_at
+                )
+            else:
+                self._doubtful.pop(upstream.name, None)
+                self._drop(upstream)
+                gone.append(upstream.name)
+        return gone
 
     def expect_lapses(self, until: float) -> None:
         """Believe removals only from then on: the store was away."""
@@ -130,8 +145,7 @@
 
     def keep_only(self, names: Iterable[str], now: float) -> None:
         """Unregister all but these, after the whole list was read."""
-        for name in self._by_name.keys() - set(names):
-            self.unregister(name, now)
+        self.unregister(sorted(self._by_name.keys() - set(names)), now)
 
     def evacuate(
         self,
@@ -159,6 +173,8 @@
         peers = self._by_service.setdefault(registration.service, [])
         peers.append(upstream)
         self._generation += 1
+        most = self._most.get(registration.service, 0)
+        self._most[registration.service] = max(most, len(peers))
         return upstream
 
     def _drop(self, upstream: Upstream) -> None:
@@ -171,6 +187,16 @@
         self._generation += 1
 
 
+def _are_few(
+    upstreams: list[Upstream],
+    missing: set[str],
+    most: int,
+) -> bool:
+    """Tell whether few of a service's upstreams are left."""
+    left = sum(upstream.name not in missing for upstream in upstreams)
+    return left < most * FEW_LEFT
+
+
 def _is_older(before: Registration, registration: Registration) -> bool:
     """Tell whether the registration was written late.
 
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -19,7 +19,7 @@
     """A heartbeat written after the removal names no upstream."""
     directory = make_directory()
     register(directory, 'u1', sequence=7)
-    directory.unregister('u1', NOW)
+    directory.unregister(('u1',), NOW)
     assert register(directory, 'u1', sequence=6) is None
     assert directory.find('u1') is None
     assert register(directory, 'u1', sequence=8) is not None
@@ -48,7 +48,7 @@
     """An upstream that leaves without a word is gone with its entry."""
     directory = make_directory()
     upstream = register(directory, 'u1')
-    assert directory.unregister('u1', NOW)
+    assert directory.unregister(('u1',), NOW) == ['u1']
     assert not directory.is_usable(upstream)
 
 
@@ -67,6 +67,18 @@
     assert not directory.is_usable(lost)
 
 
+def test_one_missing_of_many_is_gone_at_once() -> None:
+    """A VM that was cut off alone must not use what left meanwhile."""
+    directory = make_directory()
+    names = [f'u{number}' for number in range(6)]
+    for name in names:
+        register(directory, name)
+    left = directory.find('u0')
+    directory.expect_lapses(NOW + 2)
+    directory.keep_only(names[1:], NOW)
+    assert not directory.is_usable(left)
+
+
 def test_evacuated_upstreams_come_back_cold() -> None:
     """They may have been idle for the whole evacuation."""
     directory = make_directory()
