Keep an object on one upstream, and spill only against the price of warming another

Cause: each further preferred upstream must first run an object cold, which takes three times the work; under load that work is what callers wait for.

--- a/chestnutshift/steering/affinity.py
+++ b/chestnutshift/steering/affinity.py
@@ -30,7 +30,7 @@
     same_region: float
 
 
-LIGHT = Weights(same_domain=1.0, same_region=1.0)
+LIGHT = Weights(same_domain=2.0, same_region=2.0)
 HEAVY = Weights(same_domain=12.0, same_region=4.0)
 
 
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -15,8 +15,8 @@
 from chestnutshift.steering.upstreams import Upstream
 from chestnutshift.steering.work import WorkEstimate
 
-# Upstreams that keep an object warm.
-PREFERRED = 2
+# Upstreams of each region's order that keep an object warm.
+PREFERRED = 1
 # From this part of a service's slots on, warming more upstreams is dear.
 SPILL_FREE_LOAD = 0.6
 # Then an upstream that does not know the object costs so many times what it
