--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -156,7 +156,7 @@
         left_s = deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope_of_time:
             await body.hold(BODY_HELD_B)
-            charge(self._state, admitted, boot_time())
+            await charge(self._state, admitted)
             await self._run(job)
         if scope_of_time.cancelled_caught:
             if caller.is_started:
--- a/chestnutshift/fleet/shares.py
+++ b/chestnutshift/fleet/shares.py
@@ -104,6 +104,10 @@
     def admit(self, account: Account, now: float) -> float | None:
         """Take a request; return None, or the seconds to wait if refused."""
         self._demands.setdefault(account.name, Demand()).count(now)
+        return self.retry(account, now)
+
+    def retry(self, account: Account, now: float) -> float | None:
+        """Do as `admit` for a request that was counted before."""
         if account.rate <= 0:
             return None
         bucket = self._limit(account, now).bucket
