--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package that mirrors this one."""
