Send a held body by its length, however the caller framed it

Cause: a chunked body that came with its head was held whole and then sent without a length; h11 refused it and the caller got 500.

--- a/chestnutshift/forwarding/attempt.py
+++ b/chestnutshift/forwarding/attempt.py
@@ -155,7 +155,7 @@
             account,
             target.host,
             deadline - trio.current_time(),
-            has_stream=body.whole is None,
+            body_b=None if body.whole is None else len(body.whole),
             extra_headers=target.extra_headers,
         )
 
--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -62,13 +62,17 @@
         host: bytes,
         remaining_s: float,
         *,
-        has_stream: bool,
+        body_b: int | None,
         extra_headers: Headers,
     ) -> OutboundRequest:
-        """Return the request for one upstream or VM."""
+        """Return the request for one upstream or VM.
+
+        body_b is the length of a body that is held whole, however the caller
+        framed it, None for one that is still arriving.
+        """
         headers = self.headers + extra_headers
-        if has_stream and not _has_length(headers):
-            headers.append((b'transfer-encoding', b'chunked'))
+        if not _has_length(headers):
+            headers += _framing(body_b)
         remaining_ms = max(1, int(remaining_s * MILLISECONDS))
         headers += [(b'host', host), (DEADLINE_HEADER, b'%d' % remaining_ms)]
         if account:
@@ -142,6 +146,14 @@
     ) - {b'content-length'}
 
 
+def _framing(body_b: int | None) -> Headers:
+    if body_b is None:
+        return [(b'transfer-encoding', b'chunked')]
+    if body_b:
+        return [(b'content-length', b'%d' % body_b)]
+    return []
+
+
 def _has_length(headers: Headers) -> bool:
     return any(name == b'content-length' for name, _ in headers)
 
