Read the settings again on SIGHUP and when the file changes unannounced

Cause: the event of a reload was written though nothing was read. Bounds of newer settings come into force; other differences are told by name. VMs that register one after the other are read in fewer calls.

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -17,6 +17,12 @@
     'edge.reloaded',
     'An edge VM read its settings file again.',
 )
+RELOAD_FAILED = define(
+    8006,
+    'edge.reload_failed',
+    'The settings file can not be read; the settings before stay in force.',
+    logging.WARNING,
+)
 STORE_LOST = define(
     8010,
     'store.lost',
--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -22,6 +22,8 @@
 WAIT_MEMBERS_S = 8.0
 # After a change, so that those that follow come in one answer.
 SETTLE_S = 0.4
+# VMs come one after the other at a start, and none is in a hurry to know.
+SETTLE_MEMBERS_S = 1.5
 RETRY_S = 0.2
 RETRY_MAX_S = 0.5
 # The store was away if it was silent for so long; entries of upstreams that
@@ -39,6 +41,7 @@
     _name: str
     _wait_s: float
     _apply: Callable[[View, float], None]
+    _settle_s: float = SETTLE_S
     _rng: random.Random = attrs.field(factory=random.Random)
     _failures: int = 0
     _answered_at: float | None = None
@@ -71,7 +74,7 @@
         self._apply(view, now)
         self._version = max(view.version, version or 0)
         if version is not None and view.changes:
-            await trio.sleep(SETTLE_S)
+            await trio.sleep(self._settle_s)
 
     def _note_return(self, now: float) -> None:
         if self._failures:
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -14,6 +15,7 @@
 from chestnutshift.edge.attempts import UpstreamPool
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.following import (
+    SETTLE_MEMBERS_S,
     WAIT_MEMBERS_S,
     WAIT_S,
     Follower,
@@ -25,13 +27,15 @@
 from chestnutshift.edge.peers import PeerTalk
 from chestnutshift.edge.probing import Prober
 from chestnutshift.edge.registering import Registrar
-from chestnutshift.edge.settings import Endpoint
+from chestnutshift.edge.settings import EdgeSettings, Endpoint
 from chestnutshift.edge.sources import Source
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.beats import MemberPhase
 from chestnutshift.logs.bounded import FLUSH_S, BoundedLines
 
 UPKEEP_S = 0.25
+SETTINGS_READ_S = 3.0
 LEFT_OUT_TOLD_S = 1.0
 # Of the stop's grace: how long callers that still come are taken, and when
 # what is still under way is broken off.
@@ -51,6 +55,7 @@
     upstreams: Source
     members: Source
     registrar: Registrar
+    read_settings: Callable[[], EdgeSettings]
 
 
 @attrs.define
@@ -82,13 +87,31 @@
     def _start_tasks(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
         state, backing = self._state, self._backing
         keeper = StateKeeper(state)
-        followed = (
-            (backing.operators, 'operators', WAIT_S, keeper.apply_operators),
-            (backing.upstreams, 'upstreams', WAIT_S, keeper.apply_upstreams),
-            (backing.members, 'members', WAIT_MEMBERS_S, keeper.apply_members),
+        followers = (
+            Follower(
+                state,
+                backing.operators,
+                'operators',
+                WAIT_S,
+                keeper.apply_operators,
+            ),
+            Follower(
+                state,
+                backing.upstreams,
+                'upstreams',
+                WAIT_S,
+                keeper.apply_upstreams,
+            ),
+            Follower(
+                state,
+                backing.members,
+                'members',
+                WAIT_MEMBERS_S,
+                keeper.apply_members,
+                SETTLE_MEMBERS_S,
+            ),
         )
-        for source, name, wait_s, apply in followed:
-            follower = Follower(state, source, name, wait_s, apply)
+        for follower in followers:
             nursery.start_soon(follower.run)
         prober = Prober(state, backing.dialect, pool)
         nursery.start_soon(prober.run)
@@ -96,6 +119,7 @@
         nursery.start_soon(backing.registrar.run, state)
         nursery.start_soon(self._keep_up, pool)
         nursery.start_soon(self._write_log)
+        nursery.start_soon(self._watch_settings)
         nursery.start_soon(self._watch_signals)
 
     async def _serve(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
@@ -194,12 +218,29 @@
             proof_age_s=round(age_s, 3),
         )
 
+    async def _watch_settings(self) -> None:
+        """Read the settings now and then: they may change unannounced."""
+        while True:
+            await trio.sleep(SETTINGS_READ_S)
+            self._reload(is_asked=False)
+
+    def _reload(self, *, is_asked: bool) -> None:
+        state = self._state
+        try:
+            settings = self._backing.read_settings()
+        except (CodedError, OSError) as error:
+            state.event_log.emit(events.RELOAD_FAILED, detail=str(error))
+            return
+        changed = state.reload(settings)
+        if is_asked or changed:
+            state.event_log.emit(events.RELOADED, changed=changed)
+
     async def _watch_signals(self) -> None:
         watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*watched) as received:
             async for number in received:
                 if number == signal.SIGHUP:
-                    self._state.event_log.emit(events.RELOADED)
+                    self._reload(is_asked=True)
                     continue
                 self._state.phase = MemberPhase.STOPPING
                 self._state.event_log.emit(events.STOPPING, signal=int(number))
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -90,6 +90,19 @@
             FRESHNESS_MARGIN_S,
         )
 
+    def reload(self, settings: EdgeSettings) -> list[str]:
+        """Take the bounds of newer settings; return what differs by name.
+
+        Addresses stay until the process starts again.
+        """
+        before = attrs.asdict(self.settings, recurse=False)
+        after = attrs.asdict(settings, recurse=False)
+        changed = [name for name in before if before[name] != after[name]]
+        if 'bounds' in changed:
+            self.settings = attrs.evolve(self.settings, bounds=settings.bounds)
+            self.freshness.bound_s = settings.bounds.withdrawal_s
+        return changed
+
     def is_trusted(self, now: float) -> bool:
         """Tell whether keys may be accepted now."""
         if not self.settings.bounds.bounds_withdrawals:
--- a/chestnutshift/platform/assembly.py
+++ b/chestnutshift/platform/assembly.py
@@ -36,6 +36,7 @@
         upstreams=upstream_source(store),
         members=member_source(store),
         registrar=Registrar(StoreRegister(store)),
+        read_settings=load_settings,
     )
     process = EdgeProcess(state, backing, EntryApplication(state), lines)
     await process.run()
--- a/chestnutshift/steering/freshness.py
+++ b/chestnutshift/steering/freshness.py
@@ -12,7 +12,8 @@
 
     def __init__(self, bound_s: float, margin_s: float) -> None:
         """Trust a proof for bound_s less margin_s."""
-        self._trust_s = bound_s - margin_s
+        self.bound_s = bound_s
+        self._margin_s = margin_s
         self._proven_at = -math.inf
 
     @property
@@ -24,14 +25,10 @@
         """Take an answer to a question that was asked then."""
         self._proven_at = max(self._proven_at, asked_at)
 
-    def restart(self) -> None:
-        """Forget the proof: another table came without one."""
-        self._proven_at = -math.inf
-
     def age_s(self, now: float) -> float:
         """Return the age of the proof, infinite without one."""
         return now - self._proven_at
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether keys may be trusted."""
-        return self.age_s(now) <= self._trust_s
+        return self.age_s(now) <= self.bound_s - self._margin_s
