Explain a request from the logs; test the whole path of an edge VM against stand-ins

An upstream that refuses work while it says it has free slots counts as failing, so that its objects move (grey upstreams whose health is good). tests.edge plays the store and upstreams over real connections.

--- a/chestnutshift/edge/observing.py
+++ b/chestnutshift/edge/observing.py
@@ -91,6 +91,8 @@
         )
         if end.kind is EndKind.NOT_RUN:
             upstream.answered_at = now
+            if _is_needless(end):
+                upstream.record_failure(now)
             return
         upstream.record_failure(now)
         is_alive = now - upstream.answered_at <= ALIVE_S
@@ -98,6 +100,12 @@
             self.doubt(upstream, end.detail)
 
 
+def _is_needless(end: AttemptEnd) -> bool:
+    """Tell whether an upstream refused work while it had slots free."""
+    load = end.facts.load if end.facts else None
+    return load is not None and load.running < load.slots
+
+
 def learn_facts(upstream: Upstream, end: AttemptEnd, now: float) -> None:
     """Take what the head of an answer says of its upstream."""
     facts = end.facts
--- a/chestnutshift/management/commands.py
+++ b/chestnutshift/management/commands.py
@@ -1,7 +1,9 @@
 """The commands, one method each; fire makes the command line of them."""
 
 import functools
+import itertools
 import pathlib
+import sys
 
 import attrs
 import trio
@@ -14,6 +16,7 @@
 from chestnutshift.conf.loader import load_settings
 from chestnutshift.conf.settings import Settings
 from chestnutshift.keys import credentials
+from chestnutshift.logs import explaining
 from chestnutshift.logs.setup import set_up_logging
 from chestnutshift.management.actions import postponed
 from chestnutshift.management.changing import Changer
@@ -153,9 +156,9 @@
 class Commands:
     """Steer callers over regions and failure domains.
 
-    Every command but `serve` and `check` asks the operators' port of the VM
-    that --settings names. --json prints JSON for scripts; --dry_run shows
-    what a change would do.
+    Every command but `serve`, `check` and `explain` asks the operators' port
+    of the VM that --settings names. --json prints JSON for scripts;
+    --dry_run shows what a change would do.
     """
 
     def __init__(
@@ -234,6 +237,24 @@
             lines.append(f'not heard: {missing}')
         self._session.output.show(document, *lines)
 
+    @TEXTS
+    def explain(self, request: str, *logs: str) -> None:
+        """Tell from the logs of edge VMs what became of a request.
+
+        Without files the logs are read from standard input.
+        """
+        texts = itertools.chain.from_iterable(
+            pathlib.Path(path).read_text(encoding='utf-8').splitlines()
+            for path in logs
+        )
+        story = explaining.explain(texts if logs else sys.stdin, request)
+        self._session.output.show(
+            {'reason': story.reason, **attrs.asdict(story)},
+            *(explaining.describe(line) for line in story.background),
+            *(explaining.describe(line) for line in story.lines),
+            f'{request}: {story.reason}',
+        )
+
     @TEXTS
     def declare_dead(self, vm: str) -> None:
         """Stop waiting for a VM that surely runs no longer.
--- /dev/null
+++ b/tests/edge/stand_ins.py
@@ -0,0 +1,175 @@
+"""Stand-ins of the platform for tests: its store and its upstreams."""
+
+import base64
+import json
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import trio
+
+from chestnutshift.callers.limits import CallerLimits
+from chestnutshift.callers.listener import CallersListener, open_listeners
+
+LIMITS = CallerLimits(grace_s=0)
+Row = dict[str, Any]
+
+
+@asynccontextmanager
+async def served(application: Any) -> AsyncIterator[int]:
+    """Serve an ASGI application for the block; yield its port."""
+    listeners = await open_listeners('127.0.0.1', 0)
+    listener = CallersListener(application, LIMITS)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.serve, listeners, trio.Event())
+        yield listeners[0].socket.getsockname()[1]
+        nursery.cancel_scope.cancel()
+
+
+async def answer(
+    send: Any,
+    status: int,
+    body: bytes,
+    *headers: tuple[bytes, bytes],
+) -> None:
+    """Send a whole answer."""
+    length = (b'content-length', b'%d' % len(body))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [length, *headers],
+        },
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return the whole body of a request."""
+    parts = []
+    more = True
+    while more:
+        message = await receive()
+        parts.append(message['body'])
+        more = message['more_body']
+    return b''.join(parts)
+
+
+@attrs.define
+class StoreStandIn:
+    """Rows in tables and a feed of their changes, as ASGI."""
+
+    rows: dict[tuple[str, str], Row] = attrs.field(factory=dict)
+    version: int = 0
+    is_down: bool = False
+    _changed: trio.Event = attrs.field(factory=trio.Event)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one call."""
+        asked = parse_qs(scope['query_string'].decode())
+        body = await read_body(receive)
+        if self.is_down:
+            await answer(send, 503, b'')
+            return
+        calls = {
+            '/-/rows-get': self._get,
+            '/-/rows-feed': self._feed,
+            '/-/rows-tx': self._change,
+        }
+        document = await calls[scope['path']](asked, body)
+        document |= {'ver': self.version, 'now': f'{trio.current_time():.3f}s'}
+        await answer(send, 200, json.dumps(document).encode())
+
+    def write(self, table: str, key: str, content: bytes) -> None:
+        """Write a row as another writer would."""
+        self.version += 1
+        self.rows[table, key] = {
+            'table': table,
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'ver': self.version,
+        }
+        self._tell()
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.version += 1
+        self.rows[table, key] = {
+            'table': table,
+            'key': key,
+            'removed': True,
+            'ver': self.version,
+        }
+        self._tell()
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _after(self, table: str, version: int) -> list[Row]:
+        return [
+            row
+            for (where, _), row in self.rows.items()
+            if where == table and row['ver'] > version
+        ]
+
+    async def _get(self, asked: dict[str, list[str]], _body: bytes) -> Row:
+        rows = self._after(asked['table'][0], 0)
+        there = [row for row in rows if not row.get('removed')]
+        return {'rows': there, 'truncated': False}
+
+    async def _feed(self, asked: dict[str, list[str]], _body: bytes) -> Row:
+        table, after = asked['table'][0], int(asked['after'][0])
+        with trio.move_on_after(int(asked['wait_ms'][0]) / 1000):
+            while not self._after(table, after):
+                await self._changed.wait()
+        return {'rows': self._after(table, after)}
+
+    async def _change(self, _asked: dict[str, list[str]], body: bytes) -> Row:
+        for row in json.loads(body)['upserts']:
+            content = base64.b64decode(row['value'])
+            self.write(row['table'], row['key'], content)
+        return {}
+
+
+@attrs.define
+class UpstreamStandIn:
+    """An upstream that echoes, sheds, breaks off or is silent."""
+
+    name: str
+    behaviour: str = 'serve'
+    seen: list[dict[str, str]] = attrs.field(factory=list)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Do as the behaviour says."""
+        body = await read_body(receive)
+        headers = {
+            name.decode(): text.decode() for name, text in scope['headers']
+        }
+        if scope['path'] == '/healthz':
+            await answer(send, 200, b'', self._own())
+            return
+        self.seen.append(headers)
+        request_id = headers['x-chestnutshift-request-id'].encode()
+        own = (b'x-chestnutshift-request-id', request_id)
+        if self.behaviour == 'shed':
+            mark = (b'x-chestnutshift-not-executed', b'1')
+            await answer(send, 503, b'', own, mark)
+        elif self.behaviour == 'silent':
+            await trio.sleep(math.inf)
+        elif self.behaviour == 'crossed':
+            crossed = (b'x-chestnutshift-request-id', b'another')
+            seal = (b'x-chestnutshift-server-seal', b's')
+            await answer(send, 200, b'not yours', crossed, seal)
+        elif self.behaviour == 'unsealed':
+            await answer(send, 200, b'from nobody', own)
+        else:
+            seal = (b'x-chestnutshift-server-seal', self.name.encode())
+            text = b'%b %b' % (scope['method'].encode(), body)
+            await answer(send, 200, text, own, seal, self._own())
+
+    def _own(self) -> tuple[bytes, bytes]:
+        return (b'x-chestnutshift-instance-id', self.name.encode())
--- /dev/null
+++ b/tests/edge/world.py
@@ -0,0 +1,160 @@
+"""One edge VM between a caller, a store and upstreams, all stand-ins."""
+
+import json
+import os
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import attrs
+import httpx
+import trio
+
+from chestnutshift.edge.process import Backing, EdgeProcess
+from chestnutshift.edge.registering import Registrar
+from chestnutshift.edge.settings import (
+    Bounds,
+    EdgeSettings,
+    Endpoint,
+    StoreSettings,
+)
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.logs.bounded import BoundedLines
+from chestnutshift.platform.entry import EntryApplication
+from chestnutshift.platform.heads import PlatformDialect
+from chestnutshift.platform.sources import (
+    StoreRegister,
+    member_source,
+    operator_source,
+    upstream_source,
+)
+from chestnutshift.platform.store import StoreClient
+from tests.edge.stand_ins import StoreStandIn, UpstreamStandIn, served
+from tests.platform.samples import REGISTRATION, route_table
+
+ADDRESS = '127.0.0.1'
+SEARCH = '/a/1'
+BOOK = '/a/b/1'
+PATIENCE_S = 20.0
+
+
+@attrs.define
+class World:
+    """The VM, what it talks to, and how callers reach it."""
+
+    state: EdgeState
+    store: StoreStandIn
+    upstreams: list[UpstreamStandIn]
+
+    async def ask(
+        self,
+        path: str = SEARCH,
+        key: str = 'k1',
+        method: str = 'GET',
+        body: bytes = b'',
+        **headers: str,
+    ) -> httpx.Response:
+        """Return the answer to one request on a new connection."""
+        given = {
+            'host': 'one.example',
+            'x-chestnutshift-request-id': f'r-{os.urandom(4).hex()}',
+            'x-chestnutshift-deadline-ms': '4000',
+            'x-chestnutshift-affinity-key': '17',
+            'authorization': f'Token {key}',
+        }
+        given |= {name.replace('_', '-'): one for name, one in headers.items()}
+        url = f'http://{self.state.settings.callers}{path}'
+        async with httpx.AsyncClient(timeout=PATIENCE_S) as client:
+            return await client.request(
+                method, url, headers=given, content=body
+            )
+
+    async def call(self, endpoint: Endpoint, target: str) -> httpx.Response:
+        """Return the answer to a call of the platform."""
+        async with httpx.AsyncClient(timeout=PATIENCE_S) as client:
+            return await client.get(f'http://{endpoint}{target}')
+
+    def register(self, upstream: UpstreamStandIn, port: int) -> None:
+        """List an upstream of the first service."""
+        document = json.loads(json.dumps(REGISTRATION))
+        document['addr'] = f'{ADDRESS}:{port}'
+        document['status']['cold_left'] = '0ms'
+        content = json.dumps(document).encode()
+        self.store.write('servers', upstream.name, content)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until the condition holds."""
+    with trio.fail_after(PATIENCE_S):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+@asynccontextmanager
+async def edge(*behaviours: str, **tables: object) -> AsyncIterator[World]:
+    """Run an edge VM before upstreams that behave so."""
+    async with AsyncExitStack() as stack:
+        store = StoreStandIn()
+        store_port = await stack.enter_async_context(served(store))
+        state = EdgeState(_settings(store_port), 1, EventLog('vm-1'))
+        upstreams = [
+            UpstreamStandIn(f'i-{number}', behaviour)
+            for number, behaviour in enumerate(behaviours)
+        ]
+        world = World(state, store, upstreams)
+        store.write('op', 'config', route_table(**tables))
+        for upstream in upstreams:
+            port = await stack.enter_async_context(served(upstream))
+            world.register(upstream, port)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        nursery.start_soon(_process(state).run)
+        await until(
+            lambda: state.is_ready(trio.current_time()) or _is_up(state)
+        )
+        await until(lambda: len(list(state.directory)) == len(upstreams))
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+def _is_up(state: EdgeState) -> bool:
+    return state.table is not None and state.phase.value == 'serving'
+
+
+def _settings(store_port: int) -> EdgeSettings:
+    ports = [_free_port() for _ in range(5)]
+    return EdgeSettings(
+        vm='vm-1',
+        address=ADDRESS,
+        failure_domain='a1',
+        region='a',
+        callers=Endpoint(ADDRESS, ports[0]),
+        readiness=Endpoint(ADDRESS, ports[1]),
+        lookups=Endpoint(ADDRESS, ports[2]),
+        peer_port=ports[3],
+        metrics_port=ports[4],
+        regions={'a1': 'a', 'b1': 'b'},
+        descriptors_max=1000,
+        store=StoreSettings(Endpoint(ADDRESS, store_port), 100, 100, 1),
+        bounds=Bounds(),
+    )
+
+
+def _free_port() -> int:
+    with trio.socket.socket() as sock:
+        sock._sock.bind((ADDRESS, 0))  # noqa: SLF001
+        return sock.getsockname()[1]
+
+
+def _process(state: EdgeState) -> EdgeProcess:
+    store = StoreClient(state.settings.store.endpoint)
+    backing = Backing(
+        dialect=PlatformDialect(),
+        operators=operator_source(store),
+        upstreams=upstream_source(store),
+        members=member_source(store),
+        registrar=Registrar(StoreRegister(store)),
+        read_settings=lambda: state.settings,
+    )
+    sink = os.open(os.devnull, os.O_WRONLY)
+    lines = BoundedLines(sink, 0)
+    return EdgeProcess(state, backing, EntryApplication(state), lines)
