--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -66,10 +66,6 @@
             'Version of the route table in force.',
         )
         self.peers = self._gauge('peers_heard', 'Peers heard lately.')
-        self.connections = self._gauge(
-            'caller_connections',
-            'Open connections of callers.',
-        )
         self.in_flight = self._gauge(
             'upstream_requests_in_flight',
             "This VM's requests at upstreams.",
