Split the forwarder, the backing and the log's task; beat by the size of the fleet

Beats go out at most 65 a second from one VM, so that a fleet of 80 does not spend a small VM's core on them; at 12 VMs nothing changes.

--- /dev/null
+++ b/chestnutshift/edge/backing.py
@@ -0,0 +1,22 @@
+"""What stands behind an edge VM, whatever it runs on."""
+
+from collections.abc import Callable
+
+import attrs
+
+from chestnutshift.edge.dialect import Dialect
+from chestnutshift.edge.registering import Registrar
+from chestnutshift.edge.settings import EdgeSettings
+from chestnutshift.edge.sources import Source
+
+
+@attrs.frozen
+class Backing:
+    """What keeps the fleet's state, and how it is spoken to."""
+
+    dialect: Dialect
+    operators: Source
+    upstreams: Source
+    members: Source
+    registrar: Registrar
+    read_settings: Callable[[], EdgeSettings]
--- /dev/null
+++ b/chestnutshift/edge/jobs.py
@@ -0,0 +1,58 @@
+"""A request on its way through an edge VM."""
+
+import math
+
+import attrs
+
+from chestnutshift.edge.admission import Admitted
+from chestnutshift.edge.answering import Caller
+from chestnutshift.forwarding.problems import Ran
+from chestnutshift.forwarding.requests import RequestBody
+from chestnutshift.steering.choice import Demand
+from chestnutshift.steering.upstreams import Upstream
+
+# A body up to this length is held, so that it can be sent again.
+BODY_HELD_B = 1_048_576
+
+
+@attrs.define
+class Job:
+    """A request on its way; times are boot time in seconds."""
+
+    admitted: Admitted
+    body: RequestBody
+    caller: Caller
+    started_at: float
+    deadline: float
+    sent: int = 0
+    unreached: int = 0
+    ran: Ran = Ran.NOT_RUN
+    avoided: set[Upstream] = attrs.field(factory=set)
+
+    @property
+    def size_b(self) -> int:
+        """Bytes of the body, as far as they are known."""
+        if self.body.whole is not None:
+            return len(self.body.whole)
+        return self.admitted.request.length_b or BODY_HELD_B
+
+    @property
+    def demand(self) -> Demand:
+        """What the choice of an upstream goes by."""
+        return Demand(
+            self.admitted.service,
+            self.admitted.request.object_key,
+            self.size_b,
+            self.admitted.home_regions,
+        )
+
+    @property
+    def can_repeat(self) -> bool:
+        """Whether the body is still there to be sent."""
+        return not self.body.is_passing
+
+
+def allowed_s(admitted: Admitted) -> float:
+    """Return the seconds that caller and route allow."""
+    limits = (admitted.request.timeout_s, admitted.route.timeout_s)
+    return min((one for one in limits if one is not None), default=math.inf)
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -5,7 +5,7 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
-from chestnutshift.edge.state import BEAT_S, EdgeState
+from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.beats import Beat, decode_beat, encode_beat
 from chestnutshift.fleet.exceptions import BrokenBeatError
 from chestnutshift.fleet.view import Peer
@@ -32,7 +32,7 @@
                 nursery.start_soon(self._listen)
                 while True:
                     await self.tell()
-                    await trio.sleep(BEAT_S)
+                    await trio.sleep(self._state.fleet.beat_s)
 
     async def tell(self) -> None:
         """Send each listed peer a beat."""
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -1,8 +1,6 @@
 """The process of one edge VM: every task it runs, from start to stop."""
 
 import signal
-import time
-from collections.abc import Callable
 
 import attrs
 import trio
@@ -13,7 +11,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.attempts import UpstreamPool
-from chestnutshift.edge.dialect import Dialect
+from chestnutshift.edge.backing import Backing
 from chestnutshift.edge.following import (
     SETTLE_MEMBERS_S,
     WAIT_MEMBERS_S,
@@ -22,21 +20,20 @@
     StateKeeper,
 )
 from chestnutshift.edge.forwarder import EdgeForwarder
+from chestnutshift.edge.log_writing import write_log
 from chestnutshift.edge.metrics_page import MetricsApplication
 from chestnutshift.edge.observing import Observer
 from chestnutshift.edge.peers import PeerTalk
+from chestnutshift.edge.placing import Placer
 from chestnutshift.edge.probing import Prober
-from chestnutshift.edge.registering import Registrar
-from chestnutshift.edge.settings import EdgeSettings, Endpoint
-from chestnutshift.edge.sources import Source
+from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.beats import MemberPhase
-from chestnutshift.logs.bounded import FLUSH_S, BoundedLines
+from chestnutshift.logs.bounded import BoundedLines
 
 UPKEEP_S = 0.25
 SETTINGS_READ_S = 3.0
-LEFT_OUT_TOLD_S = 1.0
 # Of the stop's grace: how long callers that still come are taken, and when
 # what is still under way is broken off.
 TAKES_CALLERS = 0.5
@@ -46,18 +43,6 @@
 DESCRIPTORS_KEPT = 300
 
 
-@attrs.frozen
-class Backing:
-    """What keeps the fleet's state, and how it is spoken to."""
-
-    dialect: Dialect
-    operators: Source
-    upstreams: Source
-    members: Source
-    registrar: Registrar
-    read_settings: Callable[[], EdgeSettings]
-
-
 @attrs.define
 class EdgeProcess:
     """Run the tasks of one VM until it is told to stop."""
@@ -118,19 +103,16 @@
         nursery.start_soon(PeerTalk(state).run)
         nursery.start_soon(backing.registrar.run, state)
         nursery.start_soon(self._keep_up, pool)
-        nursery.start_soon(self._write_log)
+        nursery.start_soon(write_log, state, self._lines)
         nursery.start_soon(self._watch_settings)
         nursery.start_soon(self._watch_signals)
 
     async def _serve(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
         """Take callers until the stop is over."""
         settings = self._state.settings
-        forwarder = EdgeForwarder(
-            self._state,
-            self._backing.dialect,
-            pool,
-            Observer(self._state),
-        )
+        state, dialect = self._state, self._backing.dialect
+        placer = Placer(state, dialect, pool, Observer(state))
+        forwarder = EdgeForwarder(state, dialect, placer)
         limits = CallerLimits(
             connections_max=settings.descriptors_max - DESCRIPTORS_KEPT,
             grace_s=settings.bounds.grace_s * (ENDS_REQUESTS - TAKES_CALLERS),
@@ -173,25 +155,6 @@
         await trio.sleep(grace_s * TAKES_CALLERS)
         over.set()
 
-    async def _write_log(self) -> None:
-        """Write the log's lines, and tell each second what was left out."""
-        lines = self._lines
-        told_at = boot_time()
-        while True:
-            lines.flush()
-            await trio.sleep(FLUSH_S)
-            now = boot_time()
-            if now - told_at >= LEFT_OUT_TOLD_S:
-                told_at = now
-                self._tell_left_out()
-
-    def _tell_left_out(self) -> None:
-        left_out = self._lines.left_out
-        self._state.metrics.log_left_out.set(left_out.total)
-        counts = left_out.report()
-        if any(counts.values()):
-            self._state.event_log.emit(events.LINES_LEFT_OUT, **counts)
-
     async def _keep_up(self, pool: UpstreamPool) -> None:
         """Do what the passing of time asks for."""
         state = self._state
@@ -249,8 +212,3 @@
 
 async def _listen(endpoint: Endpoint) -> list[trio.SocketListener]:
     return await open_listeners(endpoint.address, endpoint.port)
-
-
-def make_incarnation() -> int:
-    """Return what tells this start of a VM from the earlier ones."""
-    return time.time_ns() // 1_000_000
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -1,6 +1,7 @@
 """What one edge VM knows and holds."""
 
 import math
+import time
 from collections.abc import Mapping
 
 import attrs
@@ -23,9 +24,6 @@
 from chestnutshift.steering.work import WorkEstimate
 
 POLICY = 'soonest'
-# A peer that missed this many beats is not heard any more.
-BEATS_MISSED = 5
-BEAT_S = 0.25
 # Time between the check of a key and the upstream's receipt of the request.
 FRESHNESS_MARGIN_S = 0.7
 
@@ -75,7 +73,7 @@
             settings.failure_domain,
             settings.region,
         )
-        self.fleet = FleetView(settings.vm, BEAT_S * BEATS_MISSED)
+        self.fleet = FleetView(settings.vm)
         self.shares = _make_shares(self)
         self.retries = FleetRetryBudget(
             RetryBounds(
@@ -155,3 +153,8 @@
             for upstream in self.directory
             if upstream.in_flight
         }
+
+
+def make_incarnation() -> int:
+    """Return what tells this start of a VM from the earlier ones."""
+    return time.time_ns() // 1_000_000
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -11,6 +11,12 @@
 
 # A listed VM that nobody heard for this long has no claim to a share.
 FORGET_S = 30.0
+# Beats of one VM, to all peers together, take no more of its time than this
+# many a second; a small fleet beats faster than it would need to.
+BEATS_RATE = 65.0
+BEAT_MIN_S = 0.25
+BEATS_MISSED = 3
+SILENCE_MIN_S = 1.25
 
 
 @attrs.define(eq=False)
@@ -31,10 +37,9 @@
 class FleetView:
     """All VMs but this one."""
 
-    def __init__(self, vm: str, silence_s: float) -> None:
-        """A peer that is silent for silence_s seconds does not count."""
+    def __init__(self, vm: str) -> None:
+        """Start without a peer, for the named VM."""
         self._vm = vm
-        self._silence_s = silence_s
         self._peers: dict[str, Peer] = {}
 
     def __iter__(self) -> Iterator[Peer]:
@@ -46,6 +51,16 @@
         """Every listed VM, this one included, in alphabetical order."""
         return sorted([self._vm, *self._peers])
 
+    @property
+    def beat_s(self) -> float:
+        """Seconds between two beats to a peer, by the size of the fleet."""
+        return max(BEAT_MIN_S, len(self._peers) / BEATS_RATE)
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds of silence after which a peer does not count."""
+        return max(SILENCE_MIN_S, BEATS_MISSED * self.beat_s)
+
     def find(self, vm: str) -> Peer | None:
         """Return the peer of that name."""
         return self._peers.get(vm)
@@ -80,7 +95,7 @@
 
     def is_heard(self, peer: Peer, now: float) -> bool:
         """Tell whether the peer spoke lately."""
-        return now - peer.heard_at <= self._silence_s
+        return now - peer.heard_at <= self.silence_s
 
     def heard(self, now: float) -> list[Peer]:
         """Return the peers that spoke lately."""
--- a/chestnutshift/platform/assembly.py
+++ b/chestnutshift/platform/assembly.py
@@ -3,9 +3,10 @@
 import sys
 import time
 
-from chestnutshift.edge.process import Backing, EdgeProcess, make_incarnation
+from chestnutshift.edge.backing import Backing
+from chestnutshift.edge.process import EdgeProcess
 from chestnutshift.edge.registering import Registrar
-from chestnutshift.edge.state import EdgeState
+from chestnutshift.edge.state import EdgeState, make_incarnation
 from chestnutshift.events.log import EventLog
 from chestnutshift.logs.bounded import set_up_bounded_logging
 from chestnutshift.platform.entry import EntryApplication
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -9,7 +9,8 @@
 import httpx
 import trio
 
-from chestnutshift.edge.process import Backing, EdgeProcess
+from chestnutshift.edge.backing import Backing
+from chestnutshift.edge.process import EdgeProcess
 from chestnutshift.edge.registering import Registrar
 from chestnutshift.edge.settings import (
     Bounds,
