--- a/chestnutshift/edge/lookups.py
+++ b/chestnutshift/edge/lookups.py
@@ -37,11 +37,11 @@
     lifetime_s = min(LIFETIME_S, state.settings.bounds.lookup_lifetime_s)
     here = [one for one in entries if one.failure_domain == failure_domain]
     near = [one for one in entries if one.region == region]
-    for chosen in (here, near, entries):
-        if len(chosen) >= min(DOMAIN_VMS_MIN, len(entries)):
-            addresses = tuple(one.callers for one in chosen[:ADDRESSES_MAX])
-            return EntryAnswer(addresses, lifetime_s)
-    return EntryAnswer((), lifetime_s)
+    # Callers of routes with homes must not be sent to another region while
+    # their own has a VM.
+    chosen = here if len(here) >= DOMAIN_VMS_MIN else near or entries
+    addresses = tuple(one.callers for one in chosen[:ADDRESSES_MAX])
+    return EntryAnswer(addresses, lifetime_s)
 
 
 def _serving(state: EdgeState, now: float) -> list[_Entry]:
--- /dev/null
+++ b/tests/edge/test_lookups.py
@@ -0,0 +1,93 @@
+"""Callers are told of VMs near them that take callers."""
+
+import attrs
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge.lookups import answer_lookup
+from chestnutshift.edge.settings import (
+    Bounds,
+    EdgeSettings,
+    Endpoint,
+    StoreSettings,
+)
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.beats import Beat, MemberPhase
+from tests.fleet.world import make_member
+
+HERE = Endpoint('10.0.0.1', 1)
+SETTINGS = EdgeSettings(
+    vm='vm-1',
+    address='10.0.0.1',
+    failure_domain='a1',
+    region='a',
+    callers=HERE,
+    readiness=HERE,
+    lookups=HERE,
+    peer_port=2,
+    metrics_port=3,
+    regions={'a1': 'a', 'a2': 'a', 'b1': 'b'},
+    descriptors_max=100,
+    store=StoreSettings(HERE, 1, 1, 1),
+    bounds=Bounds(),
+)
+
+
+def make_state(
+    *peers: tuple[str, str],
+    phase: MemberPhase = MemberPhase.SERVING,
+) -> EdgeState:
+    """Return a VM that hears these peers, by name and failure domain."""
+    state = EdgeState(SETTINGS, 1, EventLog('vm-1'), phase=phase)
+    now = boot_time()
+    for name, domain in peers:
+        member = attrs.evolve(
+            make_member(name),
+            callers=name,
+            failure_domain=domain,
+            region=domain[0],
+        )
+        state.fleet.enlist(member, now)
+        beat = Beat(name, 1, 1, now, MemberPhase.SERVING, 1)
+        state.fleet.hear(beat, now)
+    return state
+
+
+def ask(state: EdgeState, domain: str) -> set[str]:
+    """Return the addresses for a caller of that failure domain."""
+    answer = answer_lookup(state, domain[0], domain, boot_time())
+    return set(answer.addresses)
+
+
+def test_own_failure_domain_first() -> None:
+    """With two VMs there the others are not named."""
+    state = make_state(('p1', 'b1'), ('p2', 'b1'), ('p3', 'a2'))
+    assert ask(state, 'b1') == {'p1', 'p2'}
+
+
+def test_a_single_vm_brings_in_its_region() -> None:
+    """One VM alone would be one failure away from none."""
+    state = make_state(('p1', 'a1'), ('p2', 'a2'), ('p3', 'b1'))
+    assert ask(state, 'a1') == {'p1', 'p2'}
+
+
+def test_the_last_vm_of_a_region_keeps_its_callers() -> None:
+    """Planned work on a small region sends nobody away from it."""
+    state = make_state(('p1', 'a1'), ('p2', 'a2'), ('p3', 'b1'))
+    assert ask(state, 'b1') == {'p3'}
+
+
+def test_a_lost_region_is_served_by_the_others() -> None:
+    """Any VM is better than none."""
+    state = make_state(('p1', 'a1'), ('p2', 'a2'))
+    assert ask(state, 'b1') == {'p1', 'p2'}
+
+
+def test_a_stopping_vm_names_itself_never() -> None:
+    """It leaves the look-ups at once."""
+    assert not ask(make_state(phase=MemberPhase.STOPPING), 'a1')
+
+
+def test_a_vm_alone_names_itself() -> None:
+    """Cut off from all others it still takes callers."""
+    assert ask(make_state(), 'b1') == {str(HERE)}
