--- a/tests/edge/test_lookups.py
+++ b/tests/edge/test_lookups.py
@@ -71,7 +71,7 @@
     assert ask(state, 'a1') == {'p1', 'p2'}
 
 
-def test_the_last_vm_of_a_region_keeps_its_callers() -> None:
+def test_last_vm_of_a_region_keeps_callers() -> None:
     """Planned work on a small region sends nobody away from it."""
     state = make_state(('p1', 'a1'), ('p2', 'a2'), ('p3', 'b1'))
     assert ask(state, 'b1') == {'p3'}
