--- /dev/null
+++ b/tests/edge/test_metrics.py
@@ -0,0 +1,22 @@
+"""The page of metrics names each, and nothing else."""
+
+import pathlib
+import re
+
+from chestnutshift.edge.metrics import PREFIX, EdgeMetrics
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+PAGE = ROOT / 'docs/reference/edge-metrics.md'
+
+
+def test_page_is_complete() -> None:
+    """Every metric that is served has its row, with no prefix."""
+    text = PAGE.read_text(encoding='utf-8')
+    told = set(re.findall(r'^\| `(\w+)`', text, re.MULTILINE))
+    families = EdgeMetrics().registry.collect()
+    served = {
+        family.name.removeprefix(f'{PREFIX}_')
+        + ('_total' if family.type == 'counter' else '')
+        for family in families
+    }
+    assert told == served
