--- a/tests/edge/test_metrics.py
+++ b/tests/edge/test_metrics.py
@@ -13,10 +13,9 @@
     """Every metric that is served has its row, with no prefix."""
     text = PAGE.read_text(encoding='utf-8')
     told = set(re.findall(r'^\| `(\w+)`', text, re.MULTILINE))
-    families = EdgeMetrics().registry.collect()
+    suffixes = {'counter': '_total'}
     served = {
-        family.name.removeprefix(f'{PREFIX}_')
-        + ('_total' if family.type == 'counter' else '')
-        for family in families
+        family.name.removeprefix(f'{PREFIX}_') + suffixes.get(family.type, '')
+        for family in EdgeMetrics().registry.collect()
     }
     assert told == served
