--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -43,17 +43,10 @@
         return self.account.name if self.account else ''
 
     @property
-    def priority(self) -> int:
-        """The rank: the account's before the route's, 0 the most urgent."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-    @property
-    def home_regions(self) -> frozenset[str]:
+    def homes(self) -> frozenset[str]:
         """The regions that may serve it, empty for all."""
-        route_homes = self.route.home_regions
-        homes = self.account.home_regions if self.account else frozenset()
+        route_homes = self.route.homes
+        homes = self.account.homes if self.account else frozenset()
         if not route_homes or not homes:
             return route_homes or homes
         return route_homes & homes
@@ -61,9 +54,9 @@
     @property
     def has_no_home(self) -> bool:
         """Whether route and account have no region in common."""
-        if self.account is None or not self.route.home_regions:
+        if self.account is None or not self.route.homes:
             return False
-        return bool(self.account.home_regions) and not self.home_regions
+        return bool(self.account.homes) and not self.homes
 
 
 def admit(
--- a/chestnutshift/edge/jobs.py
+++ b/chestnutshift/edge/jobs.py
@@ -43,7 +43,7 @@
             self.admitted.service,
             self.admitted.request.object_key,
             self.size_b,
-            self.admitted.home_regions,
+            self.admitted.homes,
         )
 
     @property
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -110,7 +110,7 @@
         is_open=flag_of(row, 'public'),
         # Sticky speaks of objects that an upstream keeps, not of sessions.
         has_affinity=flag_of(row, 'sticky'),
-        home_regions=frozenset(texts_of(row, 'home_regions')),
+        homes=frozenset(texts_of(row, 'home_regions')),
     )
 
 
@@ -136,7 +136,7 @@
         priority=whole_of(row, 'priority') if has_priority else None,
         rate=number_of(row, 'rate_per_s'),
         burst=number_of(row, 'burst'),
-        home_regions=frozenset(texts_of(row, 'home_regions')),
+        homes=frozenset(texts_of(row, 'home_regions')),
     )
 
 
--- a/chestnutshift/routes/model.py
+++ b/chestnutshift/routes/model.py
@@ -33,7 +33,7 @@
     attempts_max: int = 1
     is_open: bool = False
     has_affinity: bool = False
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -59,7 +59,7 @@
     priority: int | None = None
     rate: float = 0
     burst: float = 0
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -10,7 +10,7 @@
 GENERATED = PACKAGE / 'wire' / 'generated'
 WIRE_NAMES = re.compile(
     'x-chestnutshift-|/-/|server-seal|not-executed|expect-instance|cold_left'
-    '_?[\'"]|home_regions[\'"]|rows-(tx|get|feed)|strict_revoke|api_keys|'
+    '_?[\'"]|home_regions|rows-(tx|get|feed)|strict_revoke|api_keys|'
     'base_ver|[\'"]cols[\'"]|internal_ports',
     re.IGNORECASE,
 )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -31,7 +31,7 @@
     assert search.is_idempotent and not book.is_idempotent
     assert int(search.timeout_s * 1000) == 1500
     assert [part.weight for part in book.parts] == [90, 10]
-    assert book.home_regions == {'north'}
+    assert book.homes == {'north'}
     assert table.account_by_key['k2'].name == 'konya'
     assert table.services['s1'].connections_max == 390
 
