Name how long an upstream is cold by the project's words

Cause: cold_left_s was the wire's name beyond the adapter. The field says how long a registration is cold, counted from when it was read. Only the name changes; tests.steering and tests.platform: 65 passed.

--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -160,7 +160,7 @@
                     service=change.state.service,
                     condition=upstream.condition.value if upstream else 'gone',
                     sequence=change.state.sequence,
-                    cold_left_s=change.state.cold_left_s,
+                    cold_for_s=change.state.cold_for_s,
                 )
         for name in directory.unregister(removed, now):
             self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
--- a/chestnutshift/edge/probing.py
+++ b/chestnutshift/edge/probing.py
@@ -97,7 +97,7 @@
             events.UPSTREAM_PROVEN,
             upstream=upstream.name,
             status=status,
-            cold_left_s=facts.cold_s or 0,
+            cold_for_s=facts.cold_s or 0,
         )
 
     async def _ask(self, upstream: Upstream) -> tuple[int, AnswerFacts | None]:
--- a/chestnutshift/platform/upstream_rows.py
+++ b/chestnutshift/platform/upstream_rows.py
@@ -38,7 +38,7 @@
         slots=_slots(about),
         sequence=whole_of(status, 'seq'),
         is_leaving=_IS_LEAVING[state],
-        cold_left_s=0 if cold_left is None else read_duration(cold_left),
+        cold_for_s=0 if cold_left is None else read_duration(cold_left),
     )
 
 
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -90,8 +90,8 @@
         elif _is_older(known.registration, registration):
             return known
         known.registration = registration
-        if registration.cold_left_s:
-            cold_until = now + registration.cold_left_s
+        if registration.cold_for_s:
+            cold_until = now + registration.cold_for_s
             known.cold_until = max(known.cold_until, cold_until)
         if registration.is_leaving:
             known.condition = Condition.LEAVING
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -20,7 +20,7 @@
     """What an upstream says of itself.
 
     started_at_ms is unix time; two starts under one name differ in it.
-    sequence grows with each registration of a start; cold_left_s counts from
+    sequence grows with each registration of a start; cold_for_s counts from
     when the registration was read.
     """
 
@@ -33,7 +33,7 @@
     slots: int
     sequence: int = 0
     is_leaving: bool = False
-    cold_left_s: float = 0
+    cold_for_s: float = 0
 
 
 class Condition(enum.StrEnum):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -66,7 +66,7 @@
     assert found.started_at_ms == 1782362216345
     assert found.sequence == 4
     assert not found.is_leaving
-    assert int(found.cold_left_s * 1000) == 1500
+    assert int(found.cold_for_s * 1000) == 1500
 
 
 @params(
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -33,7 +33,7 @@
 
 def test_cold_upstream_is_paced_by_all_vms() -> None:
     """Pattern: cold return, every VM wanting the upstream all the time."""
-    upstream = register(make_directory(), 'u1', cold_left_s=3.0)
+    upstream = register(make_directory(), 'u1', cold_for_s=3.0)
     gates = [ColdGate(vm) for vm in VMS]
     sent: list[float] = []
     for gate in gates:
@@ -50,7 +50,7 @@
 
 def test_vms_that_disagree_about_the_fleet() -> None:
     """VMs that know other halves of the list do no harm either."""
-    upstream = register(make_directory(), 'u1', cold_left_s=3.0)
+    upstream = register(make_directory(), 'u1', cold_for_s=3.0)
     sent: list[float] = []
     for known in (VMS[:6], VMS[6:]):
         for vm in known:
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -94,9 +94,9 @@
 def test_cold_time_never_shrinks_by_an_older_word() -> None:
     """The longest known cold time holds."""
     directory = make_directory()
-    upstream = register(directory, 'u1', cold_left_s=3.0)
+    upstream = register(directory, 'u1', cold_for_s=3.0)
     registration = attrs.evolve(
-        upstream.registration, cold_left_s=1.0, sequence=2
+        upstream.registration, cold_for_s=1.0, sequence=2
     )
     directory.register(registration, NOW)
     assert upstream.is_cold(NOW + 2.9)
