Let few VMs of a large fleet ask the store often

Change: 12 (first 8) watchers by rendezvous; the others leave questions open for 12 s and ask at once when the proof grows old or a beat tells of a newer change. That the store was away follows from its silence towards all VMs. Small fleets keep their questions, and gain the hints: a removal whose answer was lost is known 0.5 s after a peer told of it.

--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -16,36 +16,30 @@
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.steering.upstreams import Registration
 
-# A question that nothing changes is answered after this; it bounds how old
-# the proof of the newest table gets, and how late a dead path is noticed.
-WAIT_S = 2.4
-WAIT_MEMBERS_S = 8.0
 # After a change, so that those that follow come in one answer.
 SETTLE_S = 0.4
-# VMs come one after the other at a start, and none is in a hurry to know.
-SETTLE_MEMBERS_S = 1.5
 RETRY_S = 0.2
 RETRY_MAX_S = 0.5
-# The store was away if it was silent for so long; entries of upstreams that
-# live may have lapsed, and are back this long after its return.
-AWAY_S = 2.0
-LAPSE_S = 2.0
 
 
 @attrs.define
 class Follower:
-    """Read a source, then its changes, for ever."""
+    """Read a source, then its changes, for ever.
+
+    wait_s returns how long a question is left open.
+    """
 
     _state: EdgeState
     _source: Source
     _name: str
-    _wait_s: float
+    _wait_s: Callable[[], float]
     _apply: Callable[[View, float], None]
     _settle_s: float = SETTLE_S
     _rng: random.Random = attrs.field(factory=random.Random)
     _failures: int = 0
-    _answered_at: float | None = None
     _version: int | None = None
+    _question: trio.CancelScope | None = None
+    _is_hurried: bool = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -62,21 +56,45 @@
             except CodedError as error:
                 await self._pause(error)
 
+    def hurry(self) -> None:
+        """Ask anew at once, whatever question is open."""
+        if self._question is None or self._is_hurried:
+            return
+        self._is_hurried = True
+        self._question.cancel()
+        self._count('hurried')
+
     async def _step(self) -> None:
         version = self._version
-        if version is None:
-            view = await self._source.read()
-        else:
-            view = await self._source.follow(version, self._wait_s)
+        view = await self._ask(version)
+        if view is None:
+            return
         now = boot_time()
         self._count('answered')
-        self._note_return(now)
+        self._note_return()
+        self._state.note_store(now, now)
         self._apply(view, now)
         self._version = max(view.version, version or 0)
         if version is not None and view.changes:
             await trio.sleep(self._settle_s)
 
-    def _note_return(self, now: float) -> None:
+    async def _ask(self, version: int | None) -> View | None:
+        """Return the answer, None if the question was given up."""
+        if version is None:
+            return await self._source.read()
+        wait_s = 0 if self._is_hurried else self._wait_s()
+        if not wait_s:
+            self._is_hurried = False
+            return await self._source.follow(version, wait_s)
+        with trio.CancelScope() as question:
+            self._question = question
+            try:
+                return await self._source.follow(version, wait_s)
+            finally:
+                self._question = None
+        return None
+
+    def _note_return(self) -> None:
         if self._failures:
             self._state.event_log.emit(
                 events.STORE_REGAINED,
@@ -84,11 +102,6 @@
                 failures=self._failures,
             )
         self._failures = 0
-        last = self._answered_at
-        self._answered_at = now
-        self._state.store_heard_at = now
-        if last is not None and now - last > self._wait_s + AWAY_S:
-            self._state.directory.expect_lapses(now + LAPSE_S)
 
     def _count(self, outcome: str) -> None:
         self._state.metrics.store_calls.labels(self._name, outcome).inc()
@@ -122,6 +135,7 @@
         now: float,
     ) -> None:
         """Take routes and evacuations."""
+        self._state.operators_news.learn(view.changed_at, view.version)
         if view.is_whole:
             self._evacuations.clear()
             self._unread.clear()
@@ -138,12 +152,13 @@
             else:
                 self._evacuations.pop(change.key, None)
         if not self._unread:
-            self._state.freshness.prove(self._given_at(view, now))
+            self._state.prove(self._given_at(view, now), now)
         self._evacuate(now)
 
     def apply_upstreams(self, view: View[Registration], now: float) -> None:
         """Take what upstreams say of themselves."""
         directory = self._state.directory
+        self._state.upstreams_news.learn(view.changed_at, view.version)
         if view.is_whole:
             named = [change.key for change in view.changes if change.state]
             directory.keep_only(named, now)
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -73,6 +73,8 @@
             proof_age_s=age_s if state.is_trusted(now) else None,
             demand=state.shares.tell_demand(now),
             in_flight=state.in_flight(),
+            operators_changed_at=state.operators_news.changed_at,
+            upstreams_changed_at=state.upstreams_news.changed_at,
         )
 
     async def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -12,13 +12,6 @@
 from chestnutshift.edge import events
 from chestnutshift.edge.attempts import UpstreamPool
 from chestnutshift.edge.backing import Backing
-from chestnutshift.edge.following import (
-    SETTLE_MEMBERS_S,
-    WAIT_MEMBERS_S,
-    WAIT_S,
-    Follower,
-    StateKeeper,
-)
 from chestnutshift.edge.forwarder import EdgeForwarder
 from chestnutshift.edge.limits import LimitCalls, LimitChecker
 from chestnutshift.edge.log_writing import write_log
@@ -29,6 +22,7 @@
 from chestnutshift.edge.probing import Prober
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.edge.store_watch import StoreWatch
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.beats import MemberPhase
 from chestnutshift.logs.bounded import BoundedLines
@@ -54,10 +48,12 @@
     _lines: BoundedLines
     _stopping: trio.Event = attrs.field(factory=trio.Event)
     _talk: PeerTalk = attrs.field(init=False)
+    _watch: StoreWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Be ready to talk to the peers."""
+        """Make what the tasks share."""
         self._talk = PeerTalk(self._state)
+        self._watch = StoreWatch(self._state, self._backing)
 
     async def run(self) -> None:
         """Serve until a stop signal, then end what is in flight."""
@@ -77,33 +73,7 @@
 
     def _start_tasks(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
         state, backing = self._state, self._backing
-        keeper = StateKeeper(state)
-        followers = (
-            Follower(
-                state,
-                backing.operators,
-                'operators',
-                WAIT_S,
-                keeper.apply_operators,
-            ),
-            Follower(
-                state,
-                backing.upstreams,
-                'upstreams',
-                WAIT_S,
-                keeper.apply_upstreams,
-            ),
-            Follower(
-                state,
-                backing.members,
-                'members',
-                WAIT_MEMBERS_S,
-                keeper.apply_members,
-                SETTLE_MEMBERS_S,
-            ),
-        )
-        for follower in followers:
-            nursery.start_soon(follower.run)
+        self._watch.start(nursery)
         prober = Prober(state, backing.dialect, pool)
         nursery.start_soon(prober.run)
         nursery.start_soon(self._talk.run)
@@ -168,6 +138,7 @@
         was_ready = False
         while True:
             now = boot_time()
+            self._watch.keep_up(now)
             for name in state.directory.expire(now):
                 self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
             await pool.forget_gone(set(state.directory))
--- a/chestnutshift/edge/sources.py
+++ b/chestnutshift/edge/sources.py
@@ -33,7 +33,8 @@
 
     Everything that was confirmed before asked_at (boot time, seconds) is in
     it. is_whole tells whether it lists every row. store_now is the store's
-    steady clock at the answer, None if it did not say.
+    steady clock at the answer, None if it did not say. changed_at is the
+    version of the newest change, 0 where there is none.
     """
 
     changes: tuple[Change[State], ...]
@@ -41,6 +42,7 @@
     asked_at: float
     is_whole: bool
     store_now: float | None = None
+    changed_at: int = 0
 
 
 class Source(abc.ABC, Generic[State]):
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -1,18 +1,18 @@
 """What one edge VM knows and holds."""
 
-import math
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
 from chestnutshift.events.log import EventLog
-from chestnutshift.fleet.beats import MemberPhase, hash_upstream
+from chestnutshift.fleet.beats import Beat, MemberPhase, hash_upstream
 from chestnutshift.fleet.deciders import Deciders
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.view import FleetView
+from chestnutshift.fleet.watching import News
 from chestnutshift.routes.matching import RouteIndex
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.routes.splitting import Splitter
@@ -27,6 +27,10 @@
 POLICY = 'soonest'
 # Time between the check of a key and the upstream's receipt of the request.
 FRESHNESS_MARGIN_S = 0.7
+# The store was away if it answered nobody for so long; entries of upstreams
+# that live may have lapsed, and are back this long after its return.
+STORE_AWAY_S = 4.4
+LAPSE_S = 2.0
 
 
 def _make_shares(state: 'EdgeState') -> AccountShares:
@@ -55,8 +59,12 @@
     index: RouteIndex | None = None
     store_clock: StoreClock = attrs.field(factory=StoreClock)
     splitter: Splitter = attrs.field(factory=Splitter)
-    # When the store last answered, and whether it answers now.
-    store_heard_at: float = -math.inf
+    # Peers that spoke lately.
+    heard: Sequence[str] = ()
+    operators_news: News = attrs.field(factory=News)
+    upstreams_news: News = attrs.field(factory=News)
+    # When the store last answered this VM or a peer.
+    _store_heard_at: float | None = None
     directory: UpstreamDirectory = attrs.field(init=False)
     policy: ChoicePolicy = attrs.field(init=False)
     fleet: FleetView = attrs.field(init=False)
@@ -126,6 +134,22 @@
         self.index = RouteIndex(table)
         return True
 
+    def prove(self, given_at: float, now: float) -> None:
+        """Take that the store vouched for the table at that time."""
+        self.freshness.prove(given_at)
+        self.note_store(given_at, now)
+
+    def note_store(self, answered_at: float, now: float) -> None:
+        """Take that the store answered then, this VM or another.
+
+        After a silence entries of upstreams that live may have lapsed.
+        """
+        last = self._store_heard_at
+        if last is None or answered_at > last:
+            self._store_heard_at = answered_at
+        if last is not None and answered_at - last > STORE_AWAY_S:
+            self.directory.expect_lapses(now + LAPSE_S)
+
     def cold_s(self) -> Mapping[str, float]:
         """Return how long each service's upstreams stay cold."""
         if self.table is None:
@@ -135,11 +159,9 @@
     def refresh(self, now: float) -> None:
         """Bring what depends on the peers up to date."""
         fleet = self.fleet
-        demands = {
-            peer.member.vm: peer.beat.demand
-            for peer in fleet.heard(now)
-            if peer.beat
-        }
+        beats = [peer.beat for peer in fleet.heard(now) if peer.beat]
+        demands = {beat.vm: beat.demand for beat in beats}
+        self.heard = tuple(demands)
         claimants = fleet.claimants(now)
         self.deciders.update(self._deciding(now), claimants)
         self.shares.update(demands, claimants, now)
@@ -147,8 +169,8 @@
         if self.table is not None:
             services = self.table.services.values()
             rates = {one.name: one.cold_rate for one in services}
-            proven_at = fleet.proof(self.table.version)
-            self.freshness.prove(proven_at)
+            self.prove(fleet.proof(self.table.version), now)
+        self._hear_news(beats, now)
         self.cold_gate.update(fleet.names, rates)
         self.cold_gate.forget(now)
         counts = fleet.in_flight(now)
@@ -165,6 +187,12 @@
             if upstream.in_flight
         }
 
+    def _hear_news(self, beats: Sequence[Beat], now: float) -> None:
+        operators = [beat.operators_changed_at for beat in beats]
+        upstreams = [beat.upstreams_changed_at for beat in beats]
+        self.operators_news.hear(max(operators, default=0), now)
+        self.upstreams_news.hear(max(upstreams, default=0), now)
+
     def _deciding(self, now: float) -> dict[str, list[str]]:
         """Return the VMs that may decide on accounts, by region.
 
--- /dev/null
+++ b/chestnutshift/edge/store_watch.py
@@ -0,0 +1,88 @@
+"""Follow every table of the store that this VM needs."""
+
+import attrs
+import trio
+
+from chestnutshift.edge.backing import Backing
+from chestnutshift.edge.following import Follower, StateKeeper
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.fleet.watching import (
+    WAIT_LONG_S,
+    WAIT_S,
+    is_proof_due,
+    is_small,
+    is_watcher,
+)
+
+WAIT_MEMBERS_S = 8.0
+# VMs come one after the other at a start, and none is in a hurry to know.
+SETTLE_MEMBERS_S = 1.5
+
+
+@attrs.define
+class StoreWatch:
+    """The followers of operators, upstreams and VMs."""
+
+    _state: EdgeState
+    _backing: Backing
+    _operators: Follower = attrs.field(init=False)
+    _upstreams: Follower = attrs.field(init=False)
+    _members: Follower = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the followers."""
+        keeper, backing = StateKeeper(self._state), self._backing
+        self._operators = Follower(
+            self._state,
+            backing.operators,
+            'operators',
+            self._wait_s,
+            keeper.apply_operators,
+        )
+        self._upstreams = Follower(
+            self._state,
+            backing.upstreams,
+            'upstreams',
+            self._wait_upstreams_s,
+            keeper.apply_upstreams,
+        )
+        self._members = Follower(
+            self._state,
+            backing.members,
+            'members',
+            self._wait_members_s,
+            keeper.apply_members,
+            SETTLE_MEMBERS_S,
+        )
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Follow until the nursery is cancelled."""
+        for follower in (self._operators, self._upstreams, self._members):
+            nursery.start_soon(follower.run)
+
+    def keep_up(self, now: float) -> None:
+        """Ask at once for what peers know or what must be proven."""
+        state = self._state
+        age_s = state.freshness.age_s(now)
+        bound_s = state.settings.bounds.withdrawal_s
+        is_due = not self._is_watcher() and is_proof_due(age_s, bound_s)
+        if state.operators_news.is_due(now, is_proof_due=is_due):
+            self._operators.hurry()
+        if state.upstreams_news.is_due(now):
+            self._upstreams.hurry()
+
+    def _is_watcher(self) -> bool:
+        state = self._state
+        return is_watcher(state.settings.vm, state.heard)
+
+    def _is_small(self) -> bool:
+        return is_small(self._state.heard)
+
+    def _wait_s(self) -> float:
+        return WAIT_S if self._is_watcher() else WAIT_LONG_S
+
+    def _wait_upstreams_s(self) -> float:
+        return WAIT_S if self._is_small() else WAIT_LONG_S
+
+    def _wait_members_s(self) -> float:
+        return WAIT_MEMBERS_S if self._is_small() else WAIT_LONG_S
--- a/chestnutshift/fleet/beats.py
+++ b/chestnutshift/fleet/beats.py
@@ -25,7 +25,8 @@
     echoed_at is the newest sent_at of the receiver that the sender heard,
     proof_age_s how long ago the store vouched for its route table; both are
     None where there is none. demand is requests per second by account,
-    in_flight the sender's requests by hash of the upstream's id.
+    in_flight the sender's requests by hash of the upstream's id. The store's
+    versions of the newest changes that the sender knows tell who missed some.
     """
 
     vm: str
@@ -38,6 +39,8 @@
     proof_age_s: float | None = None
     demand: Mapping[str, float] = attrs.field(factory=dict)
     in_flight: Mapping[int, int] = attrs.field(factory=dict)
+    operators_changed_at: int = 0
+    upstreams_changed_at: int = 0
 
 
 def hash_upstream(name: str) -> int:
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -81,6 +81,8 @@
             for account, rate in beat.demand.items()
         },
         in_flight=dict(beat.in_flight),
+        operators_changed_at=beat.operators_changed_at,
+        upstreams_changed_at=beat.upstreams_changed_at,
     )
 
 
@@ -97,6 +99,8 @@
         proof_age_s=_seconds(struct.proof_age_us),
         demand={name: rate / THOUSANDTHS for name, rate in demand.items()},
         in_flight=struct.in_flight or {},
+        operators_changed_at=struct.operators_changed_at or 0,
+        upstreams_changed_at=struct.upstreams_changed_at or 0,
     )
 
 
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -54,6 +54,7 @@
             found.asked_at,
             is_whole,
             found.store_now,
+            max((row.version for row in found.rows), default=0),
         )
 
     def _change(self, row: StoredRow) -> Change[State]:
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -17,6 +17,9 @@
   9: optional map<string, i32> demand_milli
   // Requests in flight at each upstream, by the hash of its id.
   10: optional map<i32, i32> in_flight
+  // The store's version of the newest change that the sender knows.
+  11: optional i64 operators_changed_at
+  12: optional i64 upstreams_changed_at
 }
 
 // Whether a request of the account is within its limit, asked of the VM that
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
@@ -97,7 +98,7 @@
     async with AsyncExitStack() as stack:
         store = StoreStandIn()
         store_port = await stack.enter_async_context(served(store))
-        state = EdgeState(_settings(store_port), 1, EventLog('vm-1'))
+        state = EdgeState(make_settings(store_port), 1, EventLog('vm-1'))
         upstreams = [
             UpstreamStandIn(f'i-{number}', behaviour)
             for number, behaviour in enumerate(behaviours)
@@ -121,7 +122,8 @@
     return state.table is not None and state.phase.value == 'serving'
 
 
-def _settings(store_port: int) -> EdgeSettings:
+def make_settings(store_port: int) -> EdgeSettings:
+    """Return settings of a VM on free ports."""
     ports = [_free_port() for _ in range(5)]
     return EdgeSettings(
         vm='vm-1',
@@ -141,8 +143,8 @@
 
 
 def _free_port() -> int:
-    with trio.socket.socket() as sock:
-        sock._sock.bind((ADDRESS, 0))  # noqa: SLF001
+    with socket.socket() as sock:
+        sock.bind((ADDRESS, 0))
         return sock.getsockname()[1]
 
 
