--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -45,6 +45,11 @@
     'A row can not be decoded and counts as absent.',
     logging.WARNING,
 )
+QUESTION_HURRIED = define(
+    8014,
+    'store.question_hurried',
+    'Peers know more, or the proof grew old: the store is asked at once.',
+)
 TABLE_IN_FORCE = define(
     8020,
     'table.in_force',
--- a/chestnutshift/edge/following.py
+++ b/chestnutshift/edge/following.py
@@ -56,13 +56,19 @@
             except CodedError as error:
                 await self._pause(error)
 
-    def hurry(self) -> None:
+    def hurry(self, now: float) -> None:
         """Ask anew at once, whatever question is open."""
         if self._question is None or self._is_hurried:
             return
         self._is_hurried = True
         self._question.cancel()
         self._count('hurried')
+        age_s = self._state.freshness.age_s(now)
+        self._state.event_log.emit(
+            events.QUESTION_HURRIED,
+            source=self._name,
+            proof_age_s=round(age_s, 3),
+        )
 
     async def _step(self) -> None:
         version = self._version
--- a/chestnutshift/edge/store_watch.py
+++ b/chestnutshift/edge/store_watch.py
@@ -67,9 +67,9 @@
         bound_s = state.settings.bounds.withdrawal_s
         is_due = not self._is_watcher() and is_proof_due(age_s, bound_s)
         if state.operators_news.is_due(now, is_proof_due=is_due):
-            self._operators.hurry()
+            self._operators.hurry(now)
         if state.upstreams_news.is_due(now):
-            self._upstreams.hurry()
+            self._upstreams.hurry(now)
 
     def _is_watcher(self) -> bool:
         state = self._state
--- a/tests/edge/test_following.py
+++ b/tests/edge/test_following.py
@@ -65,7 +65,7 @@
         assert state.directory.find('i-1')
         source.rows = (Change('i-1', None),)
         source.version = 2
-        follower.hurry()
+        follower.hurry(boot_time())
         await until(lambda: state.directory.find('i-1') is None)
         await until(lambda: source.waits[-1:] == [WAIT_S])
         assert source.waits == [WAIT_S, 0, WAIT_S]
