--- a/chestnutshift/fleet/deciders.py
+++ b/chestnutshift/fleet/deciders.py
@@ -15,7 +15,7 @@
 
 # Of an account's limit, requests per second for each VM: with more, every VM
 # decides on its own callers.
-DIVIDED_RATE = 3.0
+DIVIDED_RATE = 20.0
 
 
 class Deciders:
