Spill an object to the next upstream of its order

Cause: where the first upstream is busy, VMs that had not sent the object elsewhere saw all others as equal and took the emptiest, so as many upstreams learned the object as VMs spilled it. Change: the second of the order counts as warm by half; its answers tell by their latency whether it was. test_spilled_objects_meet_again failed first.

--- a/chestnutshift/edge/observing.py
+++ b/chestnutshift/edge/observing.py
@@ -134,14 +134,13 @@
     load = end.facts.load if end.facts else None
     if upstream.is_cold(now) or (load and load.waiting):
         return
-    ratio = work.learn(now - started_at, was_warm=choice.is_warm)
+    ratio = work.learn(now - started_at, choice.warmth)
     upstream.record_answer(ratio, now)
 
 
 def _learn_wait(choice: Choice, work: WorkEstimate, waited_s: float) -> None:
     """Learn from an attempt that was cancelled: it took at least so long."""
     upstream = choice.upstream
-    expected_s = work.warm_s if choice.is_warm else work.cold_s
-    ratio = waited_s / expected_s
+    ratio = waited_s / work.expected_s(choice.warmth)
     if ratio > upstream.slowness:
         upstream.record_answer(ratio, upstream.answered_at)
--- a/chestnutshift/edge/placing.py
+++ b/chestnutshift/edge/placing.py
@@ -132,7 +132,7 @@
             request=admitted.request.request_id,
             upstream=upstream.name,
             expected_s=round(choice.expected_s, 3),
-            is_warm=choice.is_warm,
+            warmth=choice.warmth,
             load=upstream.load(now),
         )
         before = job.ran
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -15,8 +15,9 @@
 from chestnutshift.steering.upstreams import Upstream
 from chestnutshift.steering.work import WorkEstimate
 
-# Upstreams of each region's order that keep an object warm.
-PREFERRED = 1
+# How likely the first upstreams of an object's order know it: it goes to the
+# first, and to the next ones when that is busy.
+WARMTH = (1.0, 0.5)
 # From this part of a service's slots on, warming more upstreams is dear.
 SPILL_FREE_LOAD = 0.6
 # Then an upstream that does not know the object costs so many times what it
@@ -60,12 +61,12 @@
     """An upstream and the seconds after which its answer is expected.
 
     cost_s is what the choice is made by; has_room tells whether a slot is
-    probably free.
+    probably free; warmth is how likely the upstream knows the object.
     """
 
     upstream: Upstream
     expected_s: float
-    is_warm: bool
+    warmth: float
     cost_s: float = 0
     has_room: bool = True
 
@@ -135,7 +136,7 @@
             Choice(
                 upstream,
                 work.cold_s * (1 + upstream.load(now) / upstream.slots),
-                is_warm=False,
+                warmth=0,
                 cost_s=upstream.load(now) / upstream.slots,
                 has_room=upstream.load(now) < upstream.slots,
             )
@@ -178,16 +179,12 @@
         usable = [one for one in order if self._may_serve(one, demand)]
         choices = []
         for rank, upstream in enumerate(usable):
-            is_warm = rank < PREFERRED
-            if is_warm:
-                extra_s = RANK_S * rank
-            elif upstream.has_handled(demand.object_key, now):
-                is_warm = True
-                extra_s = RANK_S * PREFERRED
-            else:
-                extra_s = spill_s
+            warmth = WARMTH[rank] if rank < len(WARMTH) else 0
+            if upstream.has_handled(demand.object_key, now):
+                warmth = 1
+            extra_s = RANK_S * min(rank, 1) if warmth == 1 else spill_s
             choices.append(
-                self._expect(upstream, demand, work, now, is_warm, extra_s),
+                self._expect(upstream, demand, work, now, warmth, extra_s),
             )
         return choices
 
@@ -203,10 +200,10 @@
         demand: Demand,
         work: WorkEstimate,
         now: float,
-        is_warm: bool,
+        warmth: float,
         extra_s: float,
     ) -> Choice:
-        own_s = work.warm_s if is_warm else work.cold_s
+        own_s = work.expected_s(warmth)
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
             slowness = max(slowness, COLD_SLOWNESS)
@@ -221,7 +218,7 @@
         return Choice(
             upstream,
             expected_s,
-            is_warm,
+            warmth,
             cost_s=(expected_s + lean_s * slowness) * retried + extra_s,
             has_room=queued <= 0,
         )
--- a/chestnutshift/steering/work.py
+++ b/chestnutshift/steering/work.py
@@ -20,9 +20,20 @@
         """Return what is assumed before any answer came."""
         return cls(objective_s * WARM_PRIOR, objective_s * COLD_PRIOR)
 
-    def learn(self, latency_s: float, *, was_warm: bool) -> float:
-        """Take one answer; return its ratio to what was expected."""
-        if was_warm:
+    def expected_s(self, warmth: float) -> float:
+        """Return the mean where the object is known with that likelihood."""
+        return self.cold_s + warmth * (self.warm_s - self.cold_s)
+
+    def learn(self, latency_s: float, warmth: float) -> float:
+        """Take one answer; return its ratio to what was expected.
+
+        Where it was not certain whether the upstream knew the object, the
+        answer itself tells.
+        """
+        is_warm = warmth >= 1
+        if 0 < warmth < 1:
+            is_warm = latency_s < self.expected_s(warmth)
+        if is_warm:
             ratio = latency_s / self.warm_s
             self.warm_s += LEARNING_WEIGHT * (latency_s - self.warm_s)
         else:
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -54,7 +54,7 @@
         first = choose(directory, object_key)
         again = choose(directory, object_key)
         assert first.upstream is again.upstream
-        assert first.is_warm
+        assert int(first.warmth) == 1
 
 
 def test_objects_spread_over_upstreams() -> None:
@@ -93,6 +93,24 @@
     assert choose(directory, b'1').upstream is not first
 
 
+def test_spilled_objects_meet_again() -> None:
+    """Pattern: many VMs spill one busy object, and none knows of the others.
+
+    They agree on the next upstream, so that one more learns the object and
+    not as many as there are VMs.
+    """
+    taken = set()
+    for number in range(8):
+        directory = make_fleet()
+        first = choose(directory, b'1').upstream
+        first.in_flight = first.slots * 5
+        for index, upstream in enumerate(directory):
+            if upstream is not first:
+                upstream.in_flight = (index + number) % 3
+        taken.add(choose(directory, b'1').upstream.name)
+    assert len(taken) == 1
+
+
 def test_spilling_is_dear_when_all_are_busy() -> None:
     """Pattern: overload. Cold work would take slots from everyone."""
     directory = make_fleet()
