--- a/chestnutshift/edge/limits.py
+++ b/chestnutshift/edge/limits.py
@@ -84,6 +84,18 @@
             waiter.answered.set()
 
 
+def _explain(account: Account, state: EdgeState) -> str:
+    """Return what a refusal over an account's limit was decided by."""
+    deciders = state.deciders
+    first = ''.join(deciders.near(account)[:1])
+    decider = state.settings.vm if deciders.is_divided(account) else first
+    return (
+        f'the account is over {account.rate:g} requests per second and '
+        f'{account.burst:g} at once; {decider} decides, and has '
+        f'{state.shares.share(account.name):.2f} of them if it is this VM'
+    )
+
+
 class LimitChecker:
     """Admit requests within their accounts' limits."""
 
@@ -113,7 +125,7 @@
                 Problem(
                     429,
                     'accounts.over_limit',
-                    'the account is over its rate',
+                    _explain(account, self._state),
                     retry_after_s=wait_s,
                 ),
             )
