--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -14,8 +14,10 @@
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
 
-LIMITS = CallerLimits(grace_s=0)
+LIMITS = CallerLimits(grace_s=0, is_end_gone=True)
+SLOW_S = 0.6
 Row = dict[str, Any]
+Header = tuple[bytes, bytes]
 
 
 @asynccontextmanager
@@ -137,11 +139,16 @@
 
 @attrs.define
 class UpstreamStandIn:
-    """An upstream that echoes, sheds, breaks off or is silent."""
+    """An upstream that echoes, sheds, breaks off or is silent.
+
+    checks counts its health checks, left the requests that were cut off.
+    """
 
     name: str
     behaviour: str = 'serve'
     seen: list[dict[str, str]] = attrs.field(factory=list)
+    checks: int = 0
+    left: int = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Do as the behaviour says."""
@@ -150,26 +157,45 @@
             name.decode(): text.decode() for name, text in scope['headers']
         }
         if scope['path'] == '/healthz':
+            self.checks += 1
             await answer(send, 200, b'', self._own())
             return
         self.seen.append(headers)
-        request_id = headers['x-chestnutshift-request-id'].encode()
-        own = (b'x-chestnutshift-request-id', request_id)
-        if self.behaviour == 'shed':
-            mark = (b'x-chestnutshift-not-executed', b'1')
-            await answer(send, 503, b'', own, mark)
-        elif self.behaviour == 'silent':
+        own = (
+            b'x-chestnutshift-request-id',
+            headers['x-chestnutshift-request-id'].encode(),
+        )
+        behave = getattr(self, f'_{self.behaviour}')
+        await behave(send, own, b'%b %b' % (scope['method'].encode(), body))
+
+    async def _serve(self, send: Any, own: Header, text: bytes) -> None:
+        seal = (b'x-chestnutshift-server-seal', self.name.encode())
+        await answer(send, 200, text, own, seal, self._own())
+
+    async def _slow(self, send: Any, own: Header, text: bytes) -> None:
+        await trio.sleep(SLOW_S)
+        await self._serve(send, own, text)
+
+    async def _shed(self, send: Any, own: Header, _text: bytes) -> None:
+        mark = (b'x-chestnutshift-not-executed', b'1')
+        await answer(send, 503, b'', own, mark)
+
+    async def _crossed(self, send: Any, _own: Header, _text: bytes) -> None:
+        crossed = (b'x-chestnutshift-request-id', b'another')
+        seal = (b'x-chestnutshift-server-seal', b's')
+        await answer(send, 200, b'not yours', crossed, seal)
+
+    async def _unsealed(self, send: Any, own: Header, _text: bytes) -> None:
+        await answer(send, 200, b'from nobody', own)
+
+    async def _broken(self, _send: Any, _own: Header, _text: bytes) -> None:
+        """Break the connection where no answer was begun."""
+
+    async def _silent(self, _send: Any, _own: Header, _text: bytes) -> None:
+        try:
             await trio.sleep(math.inf)
-        elif self.behaviour == 'crossed':
-            crossed = (b'x-chestnutshift-request-id', b'another')
-            seal = (b'x-chestnutshift-server-seal', b's')
-            await answer(send, 200, b'not yours', crossed, seal)
-        elif self.behaviour == 'unsealed':
-            await answer(send, 200, b'from nobody', own)
-        else:
-            seal = (b'x-chestnutshift-server-seal', self.name.encode())
-            text = b'%b %b' % (scope['method'].encode(), body)
-            await answer(send, 200, text, own, seal, self._own())
-
-    def _own(self) -> tuple[bytes, bytes]:
+        finally:
+            self.left += 1
+
+    def _own(self) -> Header:
         return (b'x-chestnutshift-instance-id', self.name.encode())
--- /dev/null
+++ b/tests/edge/test_stopping.py
@@ -0,0 +1,72 @@
+"""Stop, reload, callers that leave, and upstreams in doubt."""
+
+import os
+import signal
+
+import attrs
+import httpx
+import trio
+from trio.testing import trio_test
+
+from chestnutshift.edge.settings import Bounds
+from chestnutshift.fleet.beats import MemberPhase
+from chestnutshift.steering.upstreams import Condition
+from tests.edge.world import edge, until
+
+NARROW_S = 3.0
+
+
+@trio_test
+async def test_stop_ends_what_is_under_way() -> None:
+    """A request that an upstream runs is answered; the VM is not ready."""
+    async with edge('slow') as world:
+        answers: list[httpx.Response] = []
+
+        async def ask() -> None:
+            answers.append(await world.ask())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await until(lambda: bool(world.upstreams[0].seen))
+            os.kill(os.getpid(), signal.SIGTERM)
+            await until(lambda: world.state.phase is MemberPhase.STOPPING)
+            readiness = world.state.settings.readiness
+            ready = await world.call(readiness, '/-/readyz')
+            assert ready.status_code == 503
+        assert answers[0].status_code == 200
+
+
+@trio_test
+async def test_reload_takes_new_bounds() -> None:
+    """SIGHUP puts the bounds of the settings file in force."""
+    async with edge('serve') as world:
+        bounds = attrs.evolve(Bounds(), withdrawal_s=NARROW_S)
+        world.read = attrs.evolve(world.state.settings, bounds=bounds)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await until(lambda: world.state.settings.bounds == bounds)
+        assert int(world.state.freshness.bound_s) == int(NARROW_S)
+        assert (await world.ask()).status_code == 200
+
+
+@trio_test
+async def test_caller_that_leaves_frees_its_upstream() -> None:
+    """The upstream's connection ends soon after the caller's."""
+    async with edge('silent') as world:
+        with trio.move_on_after(0.3):
+            await world.ask()
+        await until(lambda: world.upstreams[0].left == 1)
+        assert not next(world.state.directory.__iter__()).in_flight
+
+
+@trio_test
+async def test_health_check_clears_a_doubted_upstream() -> None:
+    """An upstream that broke off gets nothing until a check passed."""
+    async with edge('broken') as world:
+        upstream = world.upstreams[0]
+        answer = await world.ask()
+        assert answer.status_code in {502, 503}
+        known = world.state.directory.find('i-0')
+        await until(lambda: known.condition is Condition.READY)
+        assert upstream.checks
+        upstream.behaviour = 'serve'
+        assert (await world.ask()).status_code == 200
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -42,11 +42,15 @@
 
 @attrs.define
 class World:
-    """The VM, what it talks to, and how callers reach it."""
+    """The VM, what it talks to, and how callers reach it.
+
+    read is what its settings file says.
+    """
 
     state: EdgeState
     store: StoreStandIn
     upstreams: list[UpstreamStandIn]
+    read: EdgeSettings
 
     async def ask(
         self,
@@ -103,13 +107,13 @@
             UpstreamStandIn(f'i-{number}', behaviour)
             for number, behaviour in enumerate(behaviours)
         ]
-        world = World(state, store, upstreams)
+        world = World(state, store, upstreams, state.settings)
         store.write('op', 'config', route_table(**tables))
         for upstream in upstreams:
             port = await stack.enter_async_context(served(upstream))
             world.register(upstream, port)
         nursery = await stack.enter_async_context(trio.open_nursery())
-        nursery.start_soon(_process(state).run)
+        nursery.start_soon(_process(world).run)
         await until(
             lambda: state.is_ready(trio.current_time()) or _is_up(state)
         )
@@ -148,7 +152,8 @@
         return sock.getsockname()[1]
 
 
-def _process(state: EdgeState) -> EdgeProcess:
+def _process(world: World) -> EdgeProcess:
+    state = world.state
     store = StoreClient(state.settings.store.endpoint)
     backing = Backing(
         dialect=PlatformDialect(),
@@ -156,7 +161,7 @@
         upstreams=upstream_source(store),
         members=member_source(store),
         registrar=Registrar(StoreRegister(store)),
-        read_settings=lambda: state.settings,
+        read_settings=lambda: world.read,
     )
     sink = os.open(os.devnull, os.O_WRONLY)
     lines = BoundedLines(sink, 0)
