--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -8,7 +8,7 @@
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
 from chestnutshift.events.log import EventLog
-from chestnutshift.fleet.beats import Beat, MemberPhase, hash_upstream
+from chestnutshift.fleet.beats import MemberPhase, hash_upstream
 from chestnutshift.fleet.deciders import Deciders
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.view import FleetView
@@ -170,7 +170,6 @@
             services = self.table.services.values()
             rates = {one.name: one.cold_rate for one in services}
             self.prove(fleet.proof(self.table.version), now)
-        self._hear_news(beats, now)
         self.cold_gate.update(fleet.names, rates)
         self.cold_gate.forget(now)
         counts = fleet.in_flight(now)
@@ -179,6 +178,14 @@
                 hash_upstream(upstream.name), 0
             )
 
+    def hear_news(self, now: float) -> None:
+        """Take what the peers know of the store's newest changes."""
+        beats = [peer.beat for peer in self.fleet.heard(now) if peer.beat]
+        operators = [beat.operators_changed_at for beat in beats]
+        upstreams = [beat.upstreams_changed_at for beat in beats]
+        self.operators_news.hear(max(operators, default=0), now)
+        self.upstreams_news.hear(max(upstreams, default=0), now)
+
     def in_flight(self) -> dict[int, int]:
         """Return this VM's requests by hash of the upstream's id."""
         return {
@@ -187,12 +194,6 @@
             if upstream.in_flight
         }
 
-    def _hear_news(self, beats: Sequence[Beat], now: float) -> None:
-        operators = [beat.operators_changed_at for beat in beats]
-        upstreams = [beat.upstreams_changed_at for beat in beats]
-        self.operators_news.hear(max(operators, default=0), now)
-        self.upstreams_news.hear(max(upstreams, default=0), now)
-
     def _deciding(self, now: float) -> dict[str, list[str]]:
         """Return the VMs that may decide on accounts, by region.
 
--- a/chestnutshift/edge/store_watch.py
+++ b/chestnutshift/edge/store_watch.py
@@ -63,6 +63,7 @@
     def keep_up(self, now: float) -> None:
         """Ask at once for what peers know or what must be proven."""
         state = self._state
+        state.hear_news(now)
         age_s = state.freshness.age_s(now)
         bound_s = state.settings.bounds.withdrawal_s
         is_due = not self._is_watcher() and is_proof_due(age_s, bound_s)
