--- a/chestnutshift/edge/limits.py
+++ b/chestnutshift/edge/limits.py
@@ -65,6 +65,8 @@
                 await waiter.answered.wait()
         finally:
             self._waiters.pop(number)
+        outcome = _outcome(waiter.answer)
+        self._state.metrics.limit_questions.labels(outcome).inc()
         return waiter.answer
 
     def answer(self, question: LimitQuestion, now: float) -> LimitAnswer | None:
@@ -86,6 +88,12 @@
             waiter.answered.set()
 
 
+def _outcome(answer: LimitAnswer | None) -> str:
+    if answer is None:
+        return 'unanswered'
+    return 'within' if answer.wait_s is None else 'over'
+
+
 def _explain(account: Account, state: EdgeState) -> str:
     """Return what a refusal over an account's limit was decided by."""
     deciders = state.deciders
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -53,6 +53,11 @@
             'source',
             'outcome',
         )
+        self.limit_questions = self._counter(
+            'limit_questions_total',
+            'Questions to the VM that decides on an account by outcome.',
+            'outcome',
+        )
         self.log_left_out = self._gauge(
             'log_lines_left_out',
             'Log lines left out since the start.',
