Leave questions of large fleets open for 25 s

Change: 25 s (the store allows 30), and changes of VMs settle for 4 s in large fleets; a VM that falls behind asks at once, as before.

--- a/chestnutshift/edge/store_watch.py
+++ b/chestnutshift/edge/store_watch.py
@@ -20,6 +20,7 @@
 WAIT_MEMBERS_S = 8.0
 # VMs come one after the other at a start, and none is in a hurry to know.
 SETTLE_MEMBERS_S = 1.5
+SETTLE_MEMBERS_LONG_S = 4.0
 
 
 @attrs.define
@@ -93,4 +94,4 @@
     def _members_pace(self) -> Pace:
         if self._is_small():
             return Pace(WAIT_MEMBERS_S, SETTLE_MEMBERS_S)
-        return Pace(WAIT_LONG_S, SETTLE_MEMBERS_S)
+        return Pace(WAIT_LONG_S, SETTLE_MEMBERS_LONG_S)
--- a/chestnutshift/fleet/watching.py
+++ b/chestnutshift/fleet/watching.py
@@ -16,7 +16,7 @@
 # An answer at least this often bounds the age of proofs, and how late a dead
 # path to the store is noticed.
 WAIT_S = 2.4
-WAIT_LONG_S = 12.0
+WAIT_LONG_S = 25.0
 # After a change, so that those that follow come in one answer.
 SETTLE_S = 0.4
 SETTLE_LONG_S = 1.0
