Say what refusals for want of an upstream or a proof were decided by

Change: edge.reasons; the line names the best upstream, its load and the time that would do, counts why upstreams take nothing, and tells the proof's age.

--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutshift.edge import reasons
 from chestnutshift.edge.dialect import InboundRequest
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.forwarding.problems import Problem, RefusalError
@@ -88,7 +89,8 @@
     """Return the account of the request's key; raises RefusalError."""
     if not state.is_trusted(now):
         # Neither that a key is valid nor that it is unknown is certain.
-        raise RefusalError(KEYS_STALE)
+        detail = reasons.stale_keys(state, now)
+        raise RefusalError(attrs.evolve(KEYS_STALE, detail=detail))
     if request.key is None:
         raise RefusalError(KEY_MISSING)
     account = state.table.account_by_key.get(request.key)
--- a/chestnutshift/edge/limits.py
+++ b/chestnutshift/edge/limits.py
@@ -7,7 +7,7 @@
 import trio
 
 from chestnutshift.clocks import boot_time
-from chestnutshift.edge import events
+from chestnutshift.edge import events, reasons
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.peers import PeerTalk
 from chestnutshift.edge.state import EdgeState
@@ -94,18 +94,6 @@
     return 'within' if answer.wait_s is None else 'over'
 
 
-def _explain(account: Account, state: EdgeState) -> str:
-    """Return what a refusal over an account's limit was decided by."""
-    deciders = state.deciders
-    first = ''.join(deciders.near(account)[:1])
-    decider = state.settings.vm if deciders.is_divided(account) else first
-    return (
-        f'the account is over {account.rate:g} requests per second and '
-        f'{account.burst:g} at once; {decider} decides, and has '
-        f'{state.shares.share(account.name):.2f} of them if it is this VM'
-    )
-
-
 class LimitChecker:
     """Admit requests within their accounts' limits."""
 
@@ -135,7 +123,7 @@
                 Problem(
                     429,
                     'accounts.over_limit',
-                    _explain(account, self._state),
+                    reasons.over_limit(account, self._state),
                     retry_after_s=wait_s,
                 ),
             )
--- a/chestnutshift/edge/placing.py
+++ b/chestnutshift/edge/placing.py
@@ -5,7 +5,7 @@
 import attrs
 
 from chestnutshift.clocks import boot_time
-from chestnutshift.edge import events
+from chestnutshift.edge import events, reasons
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempts import (
     SERVER_ERROR,
@@ -84,7 +84,9 @@
         if choice is None:
             raise RefusalError(
                 self._unserved(
-                    job, 'upstreams.none', 'no upstream takes the request'
+                    job,
+                    'upstreams.none',
+                    reasons.none_usable(state.directory, job.demand, now),
                 ),
             )
         left_s = job.deadline - now
@@ -96,7 +98,7 @@
                 self._unserved(
                     job,
                     'upstreams.busy',
-                    'no upstream would answer in time',
+                    reasons.busy(choice, worth_s, now),
                     choice.expected_s - worth_s,
                 ),
             )
