Tell changed settings once

Cause: settings that need a new start (an address) stayed different from those in force, so every reading of the file, each 3 s, logged edge.reloaded. The test failed first.

--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -63,6 +63,8 @@
     heard: Sequence[str] = ()
     operators_news: News = attrs.field(factory=News)
     upstreams_news: News = attrs.field(factory=News)
+    # The settings as last read; some need a new start to be in force.
+    _read: EdgeSettings | None = None
     # When the store last answered this VM or a peer.
     _store_heard_at: float | None = None
     directory: UpstreamDirectory = attrs.field(init=False)
@@ -102,12 +104,13 @@
         )
 
     def reload(self, settings: EdgeSettings) -> list[str]:
-        """Take the bounds of newer settings; return what differs by name.
+        """Take the bounds of newer settings; return what changed by name.
 
         Addresses stay until the process starts again.
         """
-        before = attrs.asdict(self.settings, recurse=False)
+        before = attrs.asdict(self._read or self.settings, recurse=False)
         after = attrs.asdict(settings, recurse=False)
+        self._read = settings
         changed = [name for name in before if before[name] != after[name]]
         if 'bounds' in changed:
             self.settings = attrs.evolve(self.settings, bounds=settings.bounds)
--- a/tests/edge/test_stopping.py
+++ b/tests/edge/test_stopping.py
@@ -9,9 +9,11 @@
 from trio.testing import trio_test
 
 from chestnutshift.edge.settings import Bounds
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.beats import MemberPhase
 from chestnutshift.steering.upstreams import Condition
-from tests.edge.world import edge, until
+from tests.edge.world import edge, make_settings, until
 
 NARROW_S = 3.0
 
@@ -48,6 +50,16 @@
         assert (await world.ask()).status_code == 200
 
 
+def test_settings_that_need_a_start_are_told_once() -> None:
+    """A changed address stays until the next start, and is no news again."""
+    settings = make_settings(store_port=1)
+    state = EdgeState(settings, 1, EventLog('vm-1'))
+    moved = attrs.evolve(settings, address='127.0.0.2')
+    assert state.reload(moved) == ['address']
+    assert not state.reload(moved)
+    assert state.settings.address == settings.address
+
+
 @trio_test
 async def test_caller_that_leaves_frees_its_upstream() -> None:
     """The upstream's connection ends soon after the caller's."""
