--- a/chestnutshift/accounts/admission.py
+++ b/chestnutshift/accounts/admission.py
@@ -4,11 +4,16 @@
 import math
 import random
 
-import attrs
-
 from chestnutshift.accounts import events
 from chestnutshift.accounts.borrower import Borrower
-from chestnutshift.accounts.demand import DemandEstimate
+from chestnutshift.accounts.decisions import (
+    RETRY_MAX_S,
+    UNKNOWN_ACCOUNT,
+    WAIT,
+    Decision,
+    refuse,
+)
+from chestnutshift.accounts.held import AccountSummary, HeldAccount
 from chestnutshift.accounts.lender import Lender
 from chestnutshift.accounts.loans import (
     LOAN_MARGIN_S,
@@ -17,8 +22,7 @@
     Peer,
 )
 from chestnutshift.accounts.seats import NO_RIGHT, SeatRight
-from chestnutshift.accounts.share import AccountShare
-from chestnutshift.accounts.targets import LoanPolicy, Targets, find_targets
+from chestnutshift.accounts.targets import LoanPolicy
 from chestnutshift.conf import defaults
 from chestnutshift.configuration.model import AccountLimit
 from chestnutshift.events.log import EventLog
@@ -26,80 +30,6 @@
 # A VM that did not run its plan for so long counts as paused, in seconds.
 PAUSE_S = 2.0
 
-# How long a request may be held for a loan, in seconds, and how many requests
-# of one account at once.
-LOAN_WAIT_S = 0.1
-WAITERS_MAX = 8
-
-# What a refused caller is told when no token is in sight, in seconds.
-RETRY_DEFAULT_S = 1.0
-RETRY_MAX_S = 30.0
-
-ADMITTED = 'admitted'
-UNKNOWN_ACCOUNT = 'unknown_account'
-OVER_RATE = 'over_rate'
-NO_SHARE = 'no_share'
-WAIT = 'wait_for_loan'
-
-
-@attrs.frozen
-class Decision:
-    """Whether a request is admitted; if not, why and when to come back.
-
-    wait_s over zero says that peers probably have tokens, which are asked
-    for: the VM may hold the request and ask again until wait_s is over.
-    """
-
-    admitted: bool
-    retry_after_s: float = 0
-    reason: str = ADMITTED
-    wait_s: float = 0
-
-
-@attrs.frozen
-class AccountSummary:
-    """One account at one VM, for status: tokens, and tokens per second."""
-
-    account: str
-    demand: float
-    rate: float
-    capacity: float
-    level: float
-    lent_rate: float
-    borrowed_rate: float
-
-
-@attrs.define
-class _Account:
-    """Everything that one VM keeps of one account."""
-
-    borrower: Borrower
-    policy: LoanPolicy
-    limit: AccountLimit = AccountLimit(0, 0)
-    share: AccountShare = attrs.field(factory=AccountShare)
-    demand: DemandEstimate = attrs.field(factory=DemandEstimate)
-    waiters: int = 0
-    waiters_since: float = -math.inf
-
-    def targets(self) -> Targets:
-        """Return what this VM wants to hold now."""
-        return find_targets(
-            self.policy,
-            self.limit,
-            self.share,
-            self.demand,
-        )
-
-    def wait_s(self, now: float) -> float:
-        """Return how long one more request may be held for a loan."""
-        if now - self.waiters_since > LOAN_WAIT_S:
-            self.waiters = 0
-            self.waiters_since = now
-        if self.waiters >= WAITERS_MAX or not self.borrower.is_hopeful(now):
-            return 0
-        self.waiters += 1
-        return LOAN_WAIT_S
-
 
 class Admission:
     """The accounts' shares at one VM incarnation.
@@ -125,7 +55,7 @@
         self._log = log
         self._lender = Lender(vm)
         self._asks = itertools.count(1)
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, HeldAccount] = {}
         self._peers: tuple[Peer, ...] = ()
         self._loan_s = defaults.LOAN_S
         self._right = NO_RIGHT
@@ -170,7 +100,7 @@
             wait_s = held.wait_s(now)
             if wait_s > 0:
                 return Decision(admitted=False, reason=WAIT, wait_s=wait_s)
-        refusal = _refuse(held.share)
+        refusal = refuse(held.share)
         if self._log is not None and not repeated:
             self._log.emit(
                 events.REQUEST_REFUSED,
@@ -196,7 +126,7 @@
             held = self._accounts.get(name)
             if held is None:
                 borrower = Borrower(self._vm, name, self._rng)
-                held = _Account(borrower, self._policy)
+                held = HeldAccount(borrower, self._policy)
                 self._accounts[name] = held
             held.limit = limits.get(name, AccountLimit(0, 0))
             share = held.share
@@ -295,7 +225,7 @@
         """Return every account's state, by name."""
         self._check_pause(now)
         return tuple(
-            _summarise(name, held, now)
+            held.summary(name, now)
             for name, held in sorted(self._accounts.items())
         )
 
@@ -319,28 +249,3 @@
             held.share.refresh(now)
             held.share.right = right
             held.share.resize(now)
-
-
-def _refuse(share: AccountShare) -> Decision:
-    wait_s = share.bucket.wait_s(1)
-    if math.isinf(wait_s) or share.bucket.capacity < 1:
-        wait_s = RETRY_DEFAULT_S
-    return Decision(
-        admitted=False,
-        retry_after_s=min(wait_s, RETRY_MAX_S),
-        reason=OVER_RATE if share.bucket.capacity > 0 else NO_SHARE,
-    )
-
-
-def _summarise(name: str, held: _Account, now: float) -> AccountSummary:
-    share = held.share
-    share.refresh(now)
-    return AccountSummary(
-        account=name,
-        demand=held.demand.fast,
-        rate=share.bucket.rate,
-        capacity=share.bucket.capacity,
-        level=share.bucket.level,
-        lent_rate=share.lent_rate,
-        borrowed_rate=sum(loan.rate for loan in share.borrowed.values()),
-    )
--- /dev/null
+++ b/chestnutshift/accounts/held.py
@@ -0,0 +1,75 @@
+"""What one VM keeps of one account, and tells of it."""
+
+import math
+
+import attrs
+
+from chestnutshift.accounts.borrower import Borrower
+from chestnutshift.accounts.demand import DemandEstimate
+from chestnutshift.accounts.share import AccountShare
+from chestnutshift.accounts.targets import LoanPolicy, Targets, find_targets
+from chestnutshift.configuration.model import AccountLimit
+
+# How long a request may be held for a loan, in seconds, and how many requests
+# of one account at once.
+LOAN_WAIT_S = 0.1
+WAITERS_MAX = 8
+
+
+@attrs.frozen
+class AccountSummary:
+    """One account at one VM, for status: tokens, and tokens per second."""
+
+    account: str
+    demand: float
+    rate: float
+    capacity: float
+    level: float
+    lent_rate: float
+    borrowed_rate: float
+
+
+@attrs.define
+class HeldAccount:
+    """Everything that one VM keeps of one account."""
+
+    borrower: Borrower
+    policy: LoanPolicy
+    limit: AccountLimit = AccountLimit(0, 0)
+    share: AccountShare = attrs.field(factory=AccountShare)
+    demand: DemandEstimate = attrs.field(factory=DemandEstimate)
+    waiters: int = 0
+    waiters_since: float = -math.inf
+
+    def targets(self) -> Targets:
+        """Return what this VM wants to hold now."""
+        return find_targets(
+            self.policy,
+            self.limit,
+            self.share,
+            self.demand,
+        )
+
+    def wait_s(self, now: float) -> float:
+        """Return how long one more request may be held for a loan."""
+        if now - self.waiters_since > LOAN_WAIT_S:
+            self.waiters = 0
+            self.waiters_since = now
+        if self.waiters >= WAITERS_MAX or not self.borrower.is_hopeful(now):
+            return 0
+        self.waiters += 1
+        return LOAN_WAIT_S
+
+    def summary(self, name: str, now: float) -> AccountSummary:
+        """Return the state of the account of that name."""
+        share = self.share
+        share.refresh(now)
+        return AccountSummary(
+            account=name,
+            demand=self.demand.fast,
+            rate=share.bucket.rate,
+            capacity=share.bucket.capacity,
+            level=share.bucket.level,
+            lent_rate=share.lent_rate,
+            borrowed_rate=sum(loan.rate for loan in share.borrowed.values()),
+        )
--- a/tests/accounts/test_admission.py
+++ b/tests/accounts/test_admission.py
@@ -3,12 +3,11 @@
 import math
 import random
 
-from chestnutshift.accounts.admission import (
+from chestnutshift.accounts.admission import PAUSE_S, Admission
+from chestnutshift.accounts.decisions import (
     NO_SHARE,
     OVER_RATE,
-    PAUSE_S,
     UNKNOWN_ACCOUNT,
-    Admission,
 )
 from chestnutshift.accounts.seats import SeatRight
 from chestnutshift.configuration.model import AccountLimit
