Soak edge VMs as real processes with faults from outside

Two soaks at once met on the same addresses and broke every promise of each other; addresses now follow the soak's process id.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,11 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= anadolu
 SEED ?= 1
+SEEDS ?= 10
 MINUTES ?= 1
 CODE := chestnutshift tests bench standins demo tools
 
-.PHONY: setup test lint format binary demo bench soak capacity clean
+.PHONY: setup test lint format binary demo bench soak soak-edge capacity clean
 
 setup: $(VENV)/.ready
 
@@ -44,3 +45,6 @@
 
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --minutes $(MINUTES)
+
+soak-edge: setup
+	$(BIN)/python -m tests.soak_edge --seed $(SEED) --seeds $(SEEDS)
--- /dev/null
+++ b/tests/soak_edge/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of edge VMs as real processes, with faults from outside."""
--- /dev/null
+++ b/tests/soak_edge/vms.py
@@ -0,0 +1,118 @@
+"""Edge VMs of the soak as processes of their own."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import attrs
+import trio
+
+SETTINGS = """
+[self]
+node = "{name}"
+ip = "{address}"
+zone = "{zone}"
+region = "{region}"
+[self.limits]
+max_fds = 1000
+[network]
+internal_ports = [7740, 7755]
+[network.listen]
+front = "{address}:8686"
+ready = "{address}:8680"
+directory = "{address}:8684"
+[network.zones]
+a1 = "a"
+b1 = "b"
+[platform]
+beat = "1500ms"
+[platform.platform]
+addr = "127.0.0.1:{store_port}"
+[terms.bounds]
+config = "3000ms"
+revoke = "5000ms"
+strict_revoke = true
+grace = "4s"
+contact = "4000ms"
+drain = "3000ms"
+"""
+ZONES = (('a1', 'a'), ('b1', 'b'))
+# Loopback addresses by the soak's process, so that two soaks do not meet.
+NUMBERS = 250
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+@attrs.define
+class SoakVm:
+    """One VM; its store is reached by a link of its own."""
+
+    name: str
+    address: str
+    settings: pathlib.Path
+    log: pathlib.Path
+    is_frozen: bool = False
+    _process: subprocess.Popen | None = None
+
+    @property
+    def callers(self) -> str:
+        """Where callers connect."""
+        return f'http://{self.address}:8686'
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process is there, frozen or not."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.is_running:
+            return
+        environment = os.environ | {
+            'CHESTNUTSHIFT_SETTINGS': str(self.settings),
+        }
+        with self.log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'chestnutshift.platform'],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.is_frozen = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send its process a signal; it may be gone."""
+        if not self.is_running:
+            return
+        self._process.send_signal(number)
+        if number in {signal.SIGSTOP, signal.SIGCONT}:
+            self.is_frozen = number is signal.SIGSTOP
+
+    async def end(self) -> None:
+        """Kill the process and wait until it is gone."""
+        if self._process is None:
+            return
+        self._process.kill()
+        with trio.CancelScope(shield=True):
+            await trio.to_thread.run_sync(self._process.wait)
+
+
+def make_vm(number: int, store_port: int, folder: pathlib.Path) -> SoakVm:
+    """Return a VM with its settings written; it is not started."""
+    zone, region = ZONES[number % len(ZONES)]
+    upper, lower = divmod(os.getpid(), NUMBERS)
+    name = f'vm-{number}'
+    address = f'127.{1 + upper % NUMBERS}.{lower}.{number + 1}'
+    settings = folder / f'{name}.toml'
+    settings.write_text(
+        SETTINGS.format(
+            name=name,
+            address=address,
+            zone=zone,
+            region=region,
+            store_port=store_port,
+        ),
+    )
+    return SoakVm(name, address, settings, folder / f'{name}.log')
--- /dev/null
+++ b/tests/soak_edge/world.py
@@ -0,0 +1,146 @@
+"""The soak's store, upstreams, links and VMs."""
+
+import copy
+import json
+import pathlib
+import random
+import signal
+import time
+
+import attrs
+import trio
+
+from tests.edge.stand_ins import StoreStandIn, served
+from tests.platform.samples import ROUTE_TABLE
+from tests.soak_edge.links import Harm, Link
+from tests.soak_edge.promises import Account, Sent
+from tests.soak_edge.upstreams import Run, SoakUpstream
+from tests.soak_edge.vms import SoakVm, make_vm
+
+UPSTREAMS = 4
+ZONES = ('a1', 'b1')
+FIRST_VERSION = 16
+SERVICE = 's1'
+ROUTES = (
+    ('search', '/a/', 'safe', '1500ms', '600ms', 2, 2),
+    ('book', '/b/', 'unsafe', '2.5s', '800ms', 1, 1),
+)
+COLUMNS = (
+    'name', 'prefix', 'kind', 'timeout', 'goal', 'priority', 'attempts',
+    'host', 'service',
+)  # fmt: skip
+
+
+@attrs.define
+class SoakWorld:
+    """Everything that the soak starts, and what it saw."""
+
+    rng: random.Random
+    folder: pathlib.Path
+    store: StoreStandIn = attrs.field(factory=StoreStandIn)
+    vms: list[SoakVm] = attrs.field(factory=list)
+    store_links: list[Link] = attrs.field(factory=list)
+    upstream_links: dict[str, Link] = attrs.field(factory=dict)
+    runs: list[Run] = attrs.field(factory=list)
+    sent: list[Sent] = attrs.field(factory=list)
+    accounts: dict[str, Account] = attrs.field(factory=dict)
+    _version: int = FIRST_VERSION
+
+    async def build(self, count: int, nursery: trio.Nursery) -> None:
+        """Start everything, VMs last."""
+        store_port = await nursery.start(_serve, self.store)
+        for number in range(UPSTREAMS):
+            name = f'i-{number}'
+            upstream = SoakUpstream(name, self.rng, self.runs)
+            port = await nursery.start(_serve, upstream)
+            link = Link(port)
+            await nursery.start(link.run)
+            self.upstream_links[name] = link
+            self.enlist(name)
+        self.accounts['k0'] = Account('konya')
+        self.write_table()
+        for number in range(count):
+            link = Link(store_port)
+            await nursery.start(link.run)
+            self.store_links.append(link)
+            self.vms.append(make_vm(number, link.port, self.folder))
+        for vm in self.vms:
+            vm.start()
+
+    @property
+    def keys(self) -> list[str]:
+        """Keys that were not withdrawn."""
+        return [
+            key
+            for key, account in self.accounts.items()
+            if account.withdrawn_at is None
+        ]
+
+    def write_table(self) -> None:
+        """Write a newer route table with the keys of now."""
+        self._version += 1
+        table = copy.deepcopy(ROUTE_TABLE)
+        table['version'] = f'{self._version:08x}'
+        table['routes'] = {
+            'cols': list(COLUMNS),
+            'rows': [[*route, 'one.example', SERVICE] for route in ROUTES],
+        }
+        table['tenants'] = {
+            'cols': ['name', 'api_keys', 'rate_per_s', 'burst'],
+            'rows': [['konya', self.keys, 400, 400]],
+        }
+        self.store.write('op', 'config', json.dumps(table).encode())
+
+    def replace_key(self) -> None:
+        """Withdraw one key and give another, by one table."""
+        key = self.rng.choice(self.keys)
+        self.accounts[f'k{len(self.accounts)}'] = Account('konya')
+        withdrawn = Account('konya', withdrawn_at=time.monotonic())
+        self.accounts[key] = withdrawn
+        self.write_table()
+        # The store confirms when the row is written.
+        self.accounts[key] = attrs.evolve(
+            withdrawn, withdrawn_at=time.monotonic()
+        )
+
+    def enlist(self, name: str) -> None:
+        """List an upstream as one that has just started."""
+        number = int(name.split('-')[1])
+        document = {
+            'addr': f'127.0.0.1:{self.upstream_links[name].port}',
+            'born': time.time_ns() // 1_000_000,
+            'info': {
+                'service': SERVICE,
+                'version': 'v1',
+                'zone': ZONES[number % len(ZONES)],
+                'slots': 9,
+            },
+            'status': {'state': 'ready', 'seq': 1, 'cold_left': '0ms'},
+        }
+        self.store.write('servers', name, json.dumps(document).encode())
+
+    def delist(self, name: str) -> None:
+        """Remove an upstream's row; it goes on serving."""
+        self.store.remove('servers', name)
+
+    def heal(self) -> None:
+        """End every fault, and start what does not run."""
+        self.store.is_down = False
+        for link in (*self.store_links, *self.upstream_links.values()):
+            link.set_harm(Harm.NONE)
+        for name in self.upstream_links:
+            self.enlist(name)
+        for vm in self.vms:
+            vm.send(signal.SIGCONT)
+            vm.start()
+
+    async def end(self) -> None:
+        """End every process that the soak started."""
+        for vm in self.vms:
+            await vm.end()
+
+
+async def _serve(application: object, task_status: trio.TaskStatus) -> None:
+    async with served(application) as port:
+        task_status.started(port)
+        await trio.sleep_forever()
