Beat before the first table where withdrawals are not bounded

Cause: such a VM trusts keys without a proof, so its beats carried an infinite age, and a VM that heard of peers before it had read the routes ended with an OverflowError. Found by the soak with the freshness check taken out. Change: an age without proof is not told. test_peers failed first.

--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -1,5 +1,6 @@
 """Tell the peers what they need, and hear what they tell and ask."""
 
+import math
 from collections.abc import Callable
 from contextlib import closing
 
@@ -67,6 +68,7 @@
     def _make_beat(self, now: float) -> Beat:
         state = self._state
         age_s = state.freshness.age_s(now)
+        is_proven = math.isfinite(age_s) and state.is_trusted(now)
         return Beat(
             vm=state.settings.vm,
             incarnation=state.incarnation,
@@ -74,7 +76,7 @@
             sent_at=now,
             phase=state.phase,
             table_version=state.table.version if state.table else 0,
-            proof_age_s=age_s if state.is_trusted(now) else None,
+            proof_age_s=age_s if is_proven else None,
             demand=state.shares.tell_demand(now),
             in_flight=state.in_flight(),
             operators_changed_at=state.operators_news.changed_at,
--- /dev/null
+++ b/tests/edge/test_peers.py
@@ -0,0 +1,28 @@
+"""What a VM tells its peers of itself."""
+
+import attrs
+import trio
+from trio.testing import trio_test
+
+from chestnutshift.clocks import boot_time
+from chestnutshift.edge.peers import PeerTalk
+from chestnutshift.edge.settings import Bounds
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.events.log import EventLog
+from tests.edge.world import make_settings
+from tests.fleet.world import make_member
+
+ENOUGH_S = 0.1
+
+
+@trio_test
+async def test_beat_before_the_first_table() -> None:
+    """Pattern: a start, on a deployment that bounds no withdrawals."""
+    bounds = attrs.evolve(Bounds(), bounds_withdrawals=False)
+    settings = attrs.evolve(make_settings(store_port=1), bounds=bounds)
+    state = EdgeState(settings, 1, EventLog('vm-1'))
+    state.fleet.enlist(make_member('vm-2'), boot_time())
+    talk = PeerTalk(state)
+    with trio.move_on_after(ENOUGH_S) as scope:
+        await talk.run()
+    assert scope.cancelled_caught
