Soak: start VMs again whose stop the end of the faults cut off

Seen as 'vm-0 served nothing after the faults' with a fault put into the code on purpose; the VM had got SIGTERM, ended, and nobody started it.

--- a/tests/soak_edge/play.py
+++ b/tests/soak_edge/play.py
@@ -64,7 +64,7 @@
                 world, callers, START_S, outcome, 'at the start'
             )
             await _break(world, callers, seconds, outcome)
-            world.heal()
+            await world.heal()
             await _until_served(
                 world, callers, RECOVERY_S, outcome, 'after the faults'
             )
--- a/tests/soak_edge/vms.py
+++ b/tests/soak_edge/vms.py
@@ -52,7 +52,7 @@
     address: str
     settings: pathlib.Path
     log: pathlib.Path
-    is_frozen: bool = False
+    is_stopping: bool = False
     _process: subprocess.Popen | None = None
 
     @property
@@ -80,15 +80,15 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        self.is_frozen = False
+        self.is_stopping = False
 
     def send(self, number: signal.Signals) -> None:
         """Send its process a signal; it may be gone."""
         if not self.is_running:
             return
         self._process.send_signal(number)
-        if number in {signal.SIGSTOP, signal.SIGCONT}:
-            self.is_frozen = number is signal.SIGSTOP
+        if number == signal.SIGTERM:
+            self.is_stopping = True
 
     async def end(self) -> None:
         """Kill the process and wait until it is gone."""
--- a/tests/soak_edge/world.py
+++ b/tests/soak_edge/world.py
@@ -123,7 +123,7 @@
         """Remove an upstream's row; it goes on serving."""
         self.store.remove('servers', name)
 
-    def heal(self) -> None:
+    async def heal(self) -> None:
         """End every fault, and start what does not run."""
         self.store.is_down = False
         for link in (*self.store_links, *self.upstream_links.values()):
@@ -132,6 +132,9 @@
             self.enlist(name)
         for vm in self.vms:
             vm.send(signal.SIGCONT)
+            if vm.is_stopping:
+                # The fault that would have started it again is over.
+                await vm.end()
             vm.start()
 
     async def end(self) -> None:
