--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -162,8 +162,7 @@
     def refresh(self, now: float) -> None:
         """Bring what depends on the peers up to date."""
         fleet = self.fleet
-        beats = [peer.beat for peer in fleet.heard(now) if peer.beat]
-        demands = {beat.vm: beat.demand for beat in beats}
+        demands = {beat.vm: beat.demand for beat in fleet.beats(now)}
         self.heard = tuple(demands)
         claimants = fleet.claimants(now)
         self.deciders.update(self._deciding(now), claimants)
@@ -183,7 +182,7 @@
 
     def hear_news(self, now: float) -> None:
         """Take what the peers know of the store's newest changes."""
-        beats = [peer.beat for peer in self.fleet.heard(now) if peer.beat]
+        beats = self.fleet.beats(now)
         operators = [beat.operators_changed_at for beat in beats]
         upstreams = [beat.upstreams_changed_at for beat in beats]
         self.operators_news.hear(max(operators, default=0), now)
@@ -203,12 +202,14 @@
         This one is among them even while it is not ready: it decides on what
         it is asked until the others have heard that it stops.
         """
-        regions = self.fleet.deciding(now)
+        regions: dict[str, list[str]] = {}
+        for peer in self.fleet.serving(now):
+            member = peer.member
+            regions.setdefault(member.region, []).append(member.vm)
         own = regions.setdefault(self.settings.region, [])
         if self.phase is MemberPhase.SERVING or not own:
             own.append(self.settings.vm)
-            own.sort()
-        return regions
+        return {region: sorted(names) for region, names in regions.items()}
 
 
 def make_incarnation() -> int:
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -101,6 +101,10 @@
         """Return the peers that spoke lately."""
         return [peer for peer in self if self.is_heard(peer, now)]
 
+    def beats(self, now: float) -> list[Beat]:
+        """Return the last beats of the peers that spoke lately."""
+        return [peer.beat for peer in self.heard(now) if peer.beat is not None]
+
     def serving(self, now: float) -> list[Peer]:
         """Return the peers that take callers."""
         return [
@@ -109,14 +113,6 @@
             if peer.beat and peer.beat.phase is MemberPhase.SERVING
         ]
 
-    def deciding(self, now: float) -> dict[str, list[str]]:
-        """Return the peers that take callers, sorted, by region."""
-        regions: dict[str, list[str]] = {}
-        for peer in self.serving(now):
-            member = peer.member
-            regions.setdefault(member.region, []).append(member.vm)
-        return {region: sorted(names) for region, names in regions.items()}
-
     def claimants(self, now: float) -> int:
         """Return how many VMs may hold a share, this one included."""
         return 1 + sum(
@@ -127,9 +123,8 @@
     def in_flight(self, now: float) -> Mapping[int, int]:
         """Return the peers' requests by hash of the upstream's id."""
         counts: Counter[int] = Counter()
-        for peer in self.heard(now):
-            if peer.beat is not None:
-                counts.update(peer.beat.in_flight)
+        for beat in self.beats(now):
+            counts.update(beat.in_flight)
         return counts
 
     def proof(self, version: int) -> float:
