Send questions about limits again until they are answered

Cause: questions and answers are datagrams; a lost one became a refusal or 200 ms of waiting. Change: a question is sent again after 20 ms, 40 ms and so on, under the same number; the VM that decides repeats its answer and charges once. Numbers start at random, so that those of two VMs differ. Test: three lost answers change neither the number of questions nor what is admitted, beyond the token that refills meanwhile.

--- a/chestnutshift/edge/limits.py
+++ b/chestnutshift/edge/limits.py
@@ -1,6 +1,8 @@
 """Rate limits of client accounts, decided here or by a peer."""
 
 import itertools
+import random
+from collections import OrderedDict
 from collections.abc import Iterator
 
 import attrs
@@ -20,6 +22,14 @@
 TOKEN_WAIT_MAX_S = 0.06
 # The deciding VM is in the same region, a few milliseconds away.
 ANSWER_TIMEOUT_S = 0.2
+# A question without an answer is sent again after this time, then after twice
+# as long, and so on: datagrams are lost while a link is full.
+RESEND_S = 0.02
+# Answers that are kept, so that a question that arrives twice is charged once.
+ANSWERS_KEPT = 4096
+# Questions are numbered from a random number of this many bits, so that those
+# of different VMs differ.
+FIRST_NUMBER_BITS = 60
 # Peers asked about one request before this VM decides itself.
 PEERS_ASKED_MAX = 2
 # Maximum Retry-After when this VM decides because no deciding VM answers.
@@ -42,8 +52,10 @@
         """Register the handlers of questions and answers."""
         self._state = state
         self._messenger = messenger
-        self._numbers = itertools.count(1)
+        first = random.SystemRandom().getrandbits(FIRST_NUMBER_BITS)
+        self._numbers = itertools.count(first)
         self._pending: dict[int, _PendingQuestion] = {}
+        self._answers: OrderedDict[int, LimitAnswer] = OrderedDict()
         messenger.handlers[LimitQuestion] = self.answer
         messenger.handlers[LimitAnswer] = self.receive
 
@@ -61,8 +73,7 @@
         question = LimitQuestion(number, account, is_repeat=is_repeat)
         try:
             with trio.move_on_after(ANSWER_TIMEOUT_S):
-                self._messenger.send(question, peer)
-                await pending.answered.wait()
+                await self._send_until_answered(question, peer, pending)
         finally:
             self._pending.pop(number)
         outcome = _outcome(pending.answer)
@@ -70,7 +81,14 @@
         return pending.answer
 
     def answer(self, question: LimitQuestion, now: float) -> LimitAnswer | None:
-        """Decide for a peer; return None if the account is unknown here."""
+        """Decide for a peer; return None if the account is unknown here.
+
+        A question that arrives again gets the same answer and is not charged
+        again.
+        """
+        earlier = self._answers.get(question.number)
+        if earlier is not None:
+            return earlier
         state = self._state
         table = state.table
         account = table.accounts.get(question.account) if table else None
@@ -78,7 +96,11 @@
             return None
         shares = state.shares
         decide = shares.retry if question.is_repeat else shares.admit
-        return LimitAnswer(question.number, decide(account, now))
+        answer = LimitAnswer(question.number, decide(account, now))
+        self._answers[question.number] = answer
+        if len(self._answers) > ANSWERS_KEPT:
+            self._answers.popitem(last=False)
+        return answer
 
     def receive(self, answer: LimitAnswer, now: float) -> None:
         """Deliver an answer to the waiting question; ignore a late one."""
@@ -87,6 +109,19 @@
             pending.answer = answer
             pending.answered.set()
 
+    async def _send_until_answered(
+        self,
+        question: LimitQuestion,
+        peer: Peer,
+        pending: _PendingQuestion,
+    ) -> None:
+        resend_s = RESEND_S
+        while not pending.answered.is_set():
+            self._messenger.send(question, peer)
+            with trio.move_on_after(resend_s):
+                await pending.answered.wait()
+            resend_s *= 2
+
 
 def _outcome(answer: LimitAnswer | None) -> str:
     if answer is None:
--- a/tests/edge/test_limits.py
+++ b/tests/edge/test_limits.py
@@ -31,21 +31,36 @@
 
 @attrs.define
 class MessengerStandIn:
-    """Delivers questions to the deciding VM, unless that is silent."""
+    """Delivers questions to the deciding VM, unless that is silent.
+
+    The first lost_count answers are lost. numbers has the number of each
+    question that was sent.
+    """
 
     decider: EdgeState
     handlers: dict[type, Handler] = attrs.field(factory=dict)
     is_silent: bool = False
-    question_count: int = 0
+    lost_count: int = 0
+    numbers: list[int] = attrs.field(factory=list)
+    _calls: LimitCalls | None = None
+
+    @property
+    def question_count(self) -> int:
+        """How many different questions were sent."""
+        return len(set(self.numbers))
 
     def send(self, message: Message, _peer: Peer) -> None:
         """Deliver the deciding VM's answer at once."""
         assert isinstance(message, LimitQuestion)
-        self.question_count += 1
+        self.numbers.append(message.number)
         if self.is_silent:
             return
-        calls = LimitCalls(self.decider, MessengerStandIn(self.decider))
-        answer = calls.answer(message, boot_time())
+        if self._calls is None:
+            stand_in = MessengerStandIn(self.decider)
+            self._calls = LimitCalls(self.decider, stand_in)
+        answer = self._calls.answer(message, boot_time())
+        if len(self.numbers) <= self.lost_count:
+            return
         self.handlers[type(answer)](answer, boot_time())
 
 
@@ -122,3 +137,16 @@
     _, wait_s = await charge_until_refused(checker)
     assert 0 < wait_s <= UNDECIDED_RETRY_AFTER_MAX_S
     assert messenger.question_count == 1
+
+
+@trio_test
+async def test_lost_answer_is_asked_for_again() -> None:
+    """A question that is sent again is answered, and charged once."""
+    _, _, checker = make_pair()
+    passed, _ = await charge_until_refused(checker)
+    _, lossy, checker = make_pair()
+    lossy.lost_count = 3
+    passed_with_losses, _ = await charge_until_refused(checker)
+    assert len(lossy.numbers) == lossy.question_count + 3
+    # The pauses before the question is sent again refill a part of a token.
+    assert passed <= passed_with_losses <= passed + 1
