Serve pipelined requests at the same time

Cause: half of the requests come on pipelined connections, and each waited for the work on all before it. Change: each request has its own parser and task, up to 8 for a connection on edge VMs; answers keep their order. A request that must not run twice, and any with a body, waits until the answers before it are complete, as callers send what lies behind a closing answer again. Answers that are complete before their turn are held outside the deadline. The product's port still serves one request of a connection at a time.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -1,13 +1,13 @@
-"""A caller's connection: HTTP/1.1 with h11, requests served in order.
+"""A caller's connection: HTTP/1.1 with h11, requests answered in order.
 
-One task reads ahead and detects a disconnect; the other serves requests. An
-answer that can't be completed resets the connection, so that no caller takes
-a truncated answer for a complete one.
+One task reads ahead and detects a disconnect, one reads the requests, and
+each pipelined request has a task of its own, so that it need not wait for the
+work on those before it. An answer that can't be completed resets the
+connection, so that no caller takes a truncated answer for a complete one.
 """
 
 import contextlib
 import logging
-import secrets
 from collections.abc import Awaitable, Callable, Iterator
 
 import h11
@@ -18,13 +18,10 @@
 from chestnutshift.callers.exchange import CallerExchange, Message
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.read_ahead import ReadAheadBuffer
+from chestnutshift.callers.request_reader import RequestHead, RequestReader
 from chestnutshift.callers.transport import CallerTransport
-from chestnutshift.forwarding.problems import Problem
-from chestnutshift.forwarding.requests import (
-    REQUEST_ID_B,
-    CallerDisconnectedError,
-    Headers,
-)
+from chestnutshift.forwarding.problems import Problem, RefusalError
+from chestnutshift.forwarding.requests import CallerDisconnectedError
 
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
@@ -43,7 +40,7 @@
 
 
 class CallerConnection:
-    """Serves the requests of one connection, one after the other."""
+    """Serves the requests of one connection and answers them in order."""
 
     def __init__(
         self,
@@ -56,29 +53,35 @@
         self.transport = transport
         self.limits = limits
         self.read_ahead = ReadAheadBuffer(transport.stream)
-        self.h11 = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=limits.header_limit_b,
-        )
         self._application = application
         self._stop = stop
-        self._headers: Headers = []
-        self._head_scope = trio.CancelScope()
+        self._reader = RequestReader(self.read_ahead, limits, stop)
+        # Requests whose answers are not complete, the oldest first.
+        self._unanswered: list[CallerExchange] = []
+        self._answered = trio.lowlevel.ParkingLot()
+        # Set once the newest answer announces the end of the connection.
+        self._is_closing = False
+        self._is_broken = False
         self._disconnect_monitor = DisconnectMonitor(
             transport,
             self.read_ahead,
-            self.h11,
+            self._unanswered,
             half_close_is_disconnect=limits.half_close_is_disconnect,
         )
 
-    @property
-    def is_stopping(self) -> bool:
-        """Whether this VM is stopping."""
-        return self._stop.is_stopping
-
     def close_idle(self, at: float) -> None:
         """Close the connection at that time if it is idle then."""
-        self._head_scope.deadline = min(self._head_scope.deadline, at)
+        self._reader.close_idle(at)
+
+    def close_after(self, exchange: CallerExchange) -> bool:
+        """Return whether the answer of the exchange is the last one.
+
+        It is the last one while this VM stops, unless a later request is
+        already being served.
+        """
+        if self._stop.is_stopping and self._unanswered[-1] is exchange:
+            self._stop_reading()
+        return self._is_closing
 
     async def run(self) -> None:
         """Serve until either side closes; reset if cancelled."""
@@ -93,22 +96,6 @@
         await self._disconnect_monitor.wait_for_probe()
         await self.transport.send(content)
 
-    async def refuse(self, problem: Problem) -> None:
-        """Send the problem without calling the application."""
-        request_id = secrets.token_hex(REQUEST_ID_B)
-        body = problem.body(request_id)
-        headers = problem.headers(request_id)
-        headers += [
-            (b'content-length', b'%d' % len(body)),
-            (b'connection', b'close'),
-        ]
-        response = h11.Response(status_code=problem.status, headers=headers)
-        await self.write(
-            self.h11.send(response)
-            + self.h11.send(h11.Data(data=body))
-            + self.h11.send(h11.EndOfMessage()),
-        )
-
     async def _run(
         self,
         serve: Callable[..., Awaitable[None]],
@@ -133,76 +120,82 @@
                 self.transport.reset()
 
     async def _refuse_first(self, problem: Problem) -> None:
-        await self.refuse(problem)
+        await self._refuse(problem, self._reader.parser)
         await self._close()
 
     async def _serve(self) -> None:
-        request = await self._next_request()
-        while request is not None:
-            if not await self._answer(request):
-                self.transport.reset()
-                return
-            request = None
-            if self._can_reuse():
-                self.h11.start_next_cycle()
-                request = await self._next_request()
+        refused = None
+        async with trio.open_nursery() as nursery:
+            try:
+                await self._read_requests(nursery)
+            except RefusalError as error:
+                refused = error.problem
+        if self._is_broken:
+            self.transport.reset()
+            return
+        if refused is not None:
+            await self._refuse(refused, self._reader.parser)
         await self._close()
 
+    async def _refuse(self, problem: Problem, parser: h11.Connection) -> None:
+        await self.write(refusals.format_refusal(problem, parser))
+
     async def _close(self) -> None:
         """Close the sending side; keep reading so that the answer arrives."""
         await self.transport.send_end()
         with trio.move_on_after(self.limits.linger_s):
             await self.read_ahead.drain()
 
-    def _can_reuse(self) -> bool:
-        return (
-            not self.is_stopping
-            and self.h11.our_state is h11.DONE
-            and self.h11.their_state is h11.DONE
-        )
+    async def _read_requests(self, nursery: trio.Nursery) -> None:
+        """Start the requests as they arrive, until the last one.
 
-    async def _next_request(self) -> h11.Request | None:
-        """Return the next request, None if the connection must close."""
+        Raises RefusalError if the last one can't be served.
+        """
+        # While this VM stops, the requests behind those in progress are left
+        # to the next VM that the caller tries.
+        while not (self._stop.is_stopping and self._unanswered):
+            head = await self._reader.next_head()
+            if head is None or self._is_closing:
+                return
+            exchange = self._add_exchange(head)
+            if exchange.is_read:
+                nursery.start_soon(self._answer, exchange, nursery)
+            else:
+                # Its body is on the connection before the next head.
+                await exchange.wait_for_turn()
+                await self._answer(exchange, nursery)
+            while len(self._unanswered) >= self.limits.pipelined_max:
+                await self._answered.park()
+            if not self._reader.advance():
+                return
+
+    def _add_exchange(self, head: RequestHead) -> CallerExchange:
+        previous = self._unanswered[-1].done if self._unanswered else None
+        exchange = CallerExchange(self, self._reader.parser, head, previous)
+        self._unanswered.append(exchange)
+        self._reader.set_busy(True, trio.current_time())
+        return exchange
+
+    async def _answer(
+        self, exchange: CallerExchange, nursery: trio.Nursery
+    ) -> None:
+        """Serve one request; break the connection if it can't be answered."""
         try:
-            event = await self._next_head()
-        except h11.RemoteProtocolError as error:
-            await self.refuse(refusals.refuse_malformed(error))
-            return None
-        if not isinstance(event, h11.Request):
-            if self.h11.trailing_data[0]:
-                await self.refuse(refusals.SLOW_HEAD)
-            return None
-        # Iterating over h11's headers is slow, so they are copied once.
-        self._headers = list(event.headers)
-        limit_b = self.limits.header_limit_b
-        problem = refusals.refuse_head(event, self._headers, limit_b)
-        if problem is None:
-            return event
-        await self.refuse(problem)
-        return None
-
-    async def _next_head(self) -> h11.Event:
-        """Return the next event; NEED_DATA after a timeout."""
-        event = self.h11.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        limits = self.limits
-        idle_s = limits.stop_idle_s if self.is_stopping else limits.idle_s
-        scope = trio.CancelScope(deadline=trio.current_time() + idle_s)
-        self._head_scope = scope
-        with scope:
-            self.h11.receive_data(await self.read_ahead.take())
-            scope.deadline = trio.current_time() + self.limits.header_timeout_s
-            event = self.h11.next_event()
-            while event is h11.NEED_DATA:
-                self.h11.receive_data(await self.read_ahead.take())
-                event = self.h11.next_event()
-        return event
-
-    async def _answer(self, request: h11.Request) -> bool:
+            if not await self._call_application(exchange):
+                self._is_broken = True
+        finally:
+            self._unanswered.remove(exchange)
+            exchange.done.set()
+            self._answered.unpark_all()
+        if self._is_broken:
+            nursery.cancel_scope.cancel()
+        elif not self._unanswered:
+            self._reader.set_busy(False, trio.current_time())
+            if self._stop.is_stopping:
+                self._stop_reading()
+
+    async def _call_application(self, exchange: CallerExchange) -> bool:
         """Call the application; return whether its answer is complete."""
-        exchange = CallerExchange(self, request, self._headers)
-        self._disconnect_monitor.exchange = exchange
         try:
             with exchange.scope:
                 await self._application(
@@ -210,14 +203,20 @@
                     exchange.receive,
                     exchange.send,
                 )
+                await exchange.write_held()
         except CallerDisconnectedError:
             return False
         except Exception:
             logger.exception('unhandled exception while serving a request')
+            await exchange.wait_for_turn()
             if exchange.is_started:
                 return False
-            await self.refuse(refusals.INTERNAL_ERROR)
+            await self._refuse(refusals.INTERNAL_ERROR, exchange.parser)
+            self._stop_reading()
             return True
-        finally:
-            self._disconnect_monitor.exchange = None
         return exchange.is_complete
+
+    def _stop_reading(self) -> None:
+        """Read no further request; the caller sends it elsewhere."""
+        self._is_closing = True
+        self._reader.close_idle(trio.current_time())
--- a/chestnutshift/callers/disconnect_monitor.py
+++ b/chestnutshift/callers/disconnect_monitor.py
@@ -1,9 +1,11 @@
 """Detects that a caller has disconnected and cancels its request."""
 
-import h11
+from collections.abc import Sequence
+
 import trio
 
-from chestnutshift.callers.exchange import CONTINUE, CallerExchange
+from chestnutshift.callers.body_reader import CONTINUE
+from chestnutshift.callers.exchange import CallerExchange
 from chestnutshift.callers.read_ahead import ReadAheadBuffer
 from chestnutshift.callers.transport import CallerTransport
 from chestnutshift.forwarding.requests import CallerDisconnectedError
@@ -14,33 +16,33 @@
 class DisconnectMonitor:
     """Reads ahead on a connection; distinguishes half-close and disconnect.
 
-    `exchange` is the request being served, None between requests.
+    unanswered are the requests being served, the oldest first.
     """
 
     def __init__(
         self,
         transport: CallerTransport,
         read_ahead: ReadAheadBuffer,
-        connection: h11.Connection,
+        unanswered: Sequence[CallerExchange],
         *,
         half_close_is_disconnect: bool = False,
     ) -> None:
         """Monitor the connection that the arguments belong to."""
         self._half_close_is_disconnect = half_close_is_disconnect
-        self.exchange: CallerExchange | None = None
         self._transport = transport
         self._read_ahead = read_ahead
-        self._h11 = connection
+        self._unanswered = unanswered
         self._probe_sent: trio.Event | None = None
 
     async def run(self) -> None:
         """Read to the end, then cancel requests on a disconnect."""
         await self._read_ahead.run()
         while True:
-            if self.exchange is not None and not self._half_close_is_disconnect:
-                await self._probe(self.exchange)
-            if self.exchange is not None and self._is_disconnected():
-                self.exchange.abandon()
+            if self._unanswered and not self._half_close_is_disconnect:
+                await self._probe(self._unanswered[0])
+            if self._is_disconnected():
+                for exchange in self._unanswered:
+                    exchange.abandon()
             await trio.sleep(HALF_CLOSED_POLL_S)
 
     async def wait_for_probe(self) -> None:
@@ -58,7 +60,7 @@
             return
         self._probe_sent = trio.Event()
         try:
-            await self._transport.send(self._h11.send(CONTINUE))
+            await self._transport.send(exchange.parser.send(CONTINUE))
         except CallerDisconnectedError:
             exchange.abandon()
         finally:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -9,19 +9,21 @@
 import h11
 import trio
 
-from chestnutshift.callers.exceptions import (
-    MalformedBodyError,
-    SlowBodyError,
-)
+from chestnutshift.callers.body_reader import BodyReader
 from chestnutshift.forwarding.requests import CallerDisconnectedError, Headers
 
 if TYPE_CHECKING:
     from chestnutshift.callers.connection import CallerConnection
+    from chestnutshift.callers.request_reader import RequestHead
 
 Message = dict[str, Any]
 
+# The name of the ASGI extension that waits until all earlier requests of the
+# connection are answered. If an earlier answer closes the connection, callers
+# send the requests behind it again, so one that must not run twice waits.
+TURN_EXTENSION = 'chestnutshift.turn'
+
 BODILESS_STATUSES = frozenset((204, 304))
-CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 _CLOSE = (b'connection', b'close')
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in HTTPStatus
@@ -48,34 +50,43 @@
 
 
 class CallerExchange:
-    """Reads the body of one request and writes its answer."""
+    """Reads the body of one request and writes its answer in its turn.
+
+    done is set once the answer is complete, or has failed.
+    """
 
     def __init__(
         self,
         connection: 'CallerConnection',
-        request: h11.Request,
-        headers: Headers,
+        parser: h11.Connection,
+        head: 'RequestHead',
+        previous: trio.Event | None,
     ) -> None:
-        """Serve a request whose head has been read."""
+        """Serve a request whose head has been read.
+
+        previous is set once the request before it is done, None if it is.
+        """
         self.scope = trio.CancelScope()
+        self.done = trio.Event()
+        self._previous = previous
         self._is_abandoned = False
         self._connection = connection
-        self._h11 = connection.h11
-        self._request = request
-        self._headers = headers
+        # The parser of the request also formats its answer.
+        self.parser = parser
+        self._request = head.request
+        self._headers = head.headers
+        # Parts of the answer that wait for its turn.
+        self._held: list[Message] = []
         self._pending = b''
         self._answer_has_body = True
-        # The end of a request without a body is read now. A body is read on
-        # demand, so that a caller that is refused need not send it.
-        self._is_read = not _request_has_body(headers) and self._read_end()
-        self._is_delivered = False
+        self._body = BodyReader(connection, parser, head.headers)
         self._is_started = False
         self._is_complete = False
 
     @property
     def is_read(self) -> bool:
         """Whether the request has been read to its end."""
-        return self._is_read
+        return self._body.is_read
 
     @property
     def is_started(self) -> bool:
@@ -90,7 +101,7 @@
     @property
     def can_probe(self) -> bool:
         """Whether an interim answer may be sent now."""
-        if not self._is_read or self._is_started:
+        if not self.is_read or self._is_started:
             return False
         return self._request.http_version == b'1.1'
 
@@ -119,29 +130,36 @@
             'headers': self._headers,
             'client': self._connection.transport.peer,
             'server': None,
-            'extensions': {},
+            'extensions': {TURN_EXTENSION: self.wait_for_turn},
             'state': {},
         }
 
     async def receive(self) -> Message:
-        """Return the next ASGI message, with all of the body that arrived.
-
-        Raises CallerDisconnectedError, SlowBodyError and MalformedBodyError.
-        After the body it blocks instead of returning `http.disconnect`, as a
-        disconnect cancels the scope.
-        """
-        if self._is_delivered:
-            await trio.sleep_forever()
-        body = b'' if self._is_read else self._read_arrived()
-        while not body and not self._is_read:
-            await self._read_more()
-            body = self._read_arrived()
-        self._is_delivered = self._is_read
-        more = not self._is_read
-        return {'type': 'http.request', 'body': body, 'more_body': more}
+        """Return the next ASGI message, see BodyReader.receive."""
+        return await self._body.receive()
 
     async def send(self, message: Message) -> None:
-        """Write a part of the answer; cancel the scope on a disconnect."""
+        """Write a part of the answer; cancel the scope on a disconnect.
+
+        A complete answer whose turn has not come is held for write_held.
+        """
+        self._held.append(message)
+        if self._previous is None or message.get('more_body', False):
+            await self.write_held()
+
+    async def write_held(self) -> None:
+        """Wait for the turn, and write the parts of the answer held."""
+        await self.wait_for_turn()
+        while self._held:
+            await self._write(self._held.pop(0))
+
+    async def wait_for_turn(self) -> None:
+        """Wait until all earlier requests of the connection are answered."""
+        if self._previous is not None:
+            await self._previous.wait()
+            self._previous = None
+
+    async def _write(self, message: Message) -> None:
         if message['type'] == 'http.response.start':
             self._start(message['status'], list(message.get('headers', ())))
             return
@@ -149,10 +167,10 @@
         if not self._answer_has_body:
             body = b''
         if body:
-            self._pending += self._h11.send(h11.Data(data=body))
+            self._pending += self.parser.send(h11.Data(data=body))
         is_last = not message.get('more_body', False)
         if is_last:
-            self._pending += self._h11.send(h11.EndOfMessage())
+            self._pending += self.parser.send(h11.EndOfMessage())
         await self._flush()
         self._is_complete = is_last and not self._is_abandoned
 
@@ -163,9 +181,9 @@
         )
         if not any(name.lower() == b'date' for name, _ in headers):
             headers.append(_DATE.at(time.time()))
-        if self._connection.is_stopping or not self._is_read:
+        if self._connection.close_after(self) or not self.is_read:
             headers.append(_CLOSE)
-        self._pending = self._h11.send(
+        self._pending = self.parser.send(
             h11.Response(
                 status_code=status,
                 headers=headers,
@@ -182,47 +200,3 @@
             await self._connection.write(pending)
         except CallerDisconnectedError:
             self.abandon()
-
-    def _read_arrived(self) -> bytes:
-        chunks = []
-        while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                break
-            if not isinstance(event, h11.Data):
-                # Trailers are dropped: they may contain the caller's key.
-                self._is_read = True
-                break
-            chunks.append(event.data)
-        return b''.join(chunks)
-
-    def _read_end(self) -> bool:
-        return isinstance(self._next_event(), h11.EndOfMessage)
-
-    def _next_event(self) -> h11.Event:
-        try:
-            return self._h11.next_event()
-        except h11.RemoteProtocolError as error:
-            if self._connection.read_ahead.has_ended:
-                raise CallerDisconnectedError(
-                    'the caller disconnected before its request was complete',
-                ) from error
-            raise MalformedBodyError(str(error)) from error
-
-    async def _read_more(self) -> None:
-        if self._h11.they_are_waiting_for_100_continue:
-            await self._connection.write(self._h11.send(CONTINUE))
-        timeout_s = self._connection.limits.body_timeout_s
-        with trio.move_on_after(timeout_s) as timeout:
-            chunk = await self._connection.read_ahead.take()
-        if timeout.cancelled_caught:
-            raise SlowBodyError(
-                f'no byte of the body arrived for {timeout_s} s'
-            )
-        self._h11.receive_data(chunk)
-
-
-def _request_has_body(headers: Headers) -> bool:
-    return any(
-        name in {b'content-length', b'transfer-encoding'} for name, _ in headers
-    )
--- a/chestnutshift/callers/limits.py
+++ b/chestnutshift/callers/limits.py
@@ -27,6 +27,10 @@
     stop_idle_s: float = STOP_IDLE_S
     # Whether a caller that closes its sending side counts as disconnected.
     half_close_is_disconnect: bool = False
+    # Requests of one connection that are served at the same time. More than
+    # one requires an application that waits for the turn of a request that
+    # must not be repeated, see callers.exchange.
+    pipelined_max: int = 1
 
 
 @attrs.define
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -1,9 +1,11 @@
 """Refusals that the connection sends without the application."""
 
+import secrets
+
 import h11
 
 from chestnutshift.forwarding.problems import Problem, Ran
-from chestnutshift.forwarding.requests import Headers
+from chestnutshift.forwarding.requests import REQUEST_ID_B, Headers
 
 HEAD_TOO_LARGE_STATUS = 431
 _BODY_LENGTHS = frozenset((b'content-length', b'transfer-encoding'))
@@ -52,6 +54,23 @@
 )
 
 
+def format_refusal(problem: Problem, parser: h11.Connection) -> bytes:
+    """Return the bytes of an answer that also closes the connection."""
+    request_id = secrets.token_hex(REQUEST_ID_B)
+    body = problem.body(request_id)
+    headers = problem.headers(request_id)
+    headers += [
+        (b'content-length', b'%d' % len(body)),
+        (b'connection', b'close'),
+    ]
+    response = h11.Response(status_code=problem.status, headers=headers)
+    return (
+        parser.send(response)
+        + parser.send(h11.Data(data=body))
+        + parser.send(h11.EndOfMessage())
+    )
+
+
 def refuse_malformed(error: h11.RemoteProtocolError) -> Problem:
     """Return the refusal of a head that h11 rejects."""
     if error.error_status_hint == HEAD_TOO_LARGE_STATUS:
--- /dev/null
+++ b/chestnutshift/callers/request_reader.py
@@ -0,0 +1,128 @@
+"""Reads the heads of the requests on a caller's connection."""
+
+import math
+
+import attrs
+import h11
+import trio
+
+from chestnutshift.callers import refusals
+from chestnutshift.callers.limits import CallerLimits, StopState
+from chestnutshift.callers.read_ahead import ReadAheadBuffer
+from chestnutshift.forwarding.problems import RefusalError
+from chestnutshift.forwarding.requests import Headers
+
+
+@attrs.frozen
+class RequestHead:
+    """The head of a request."""
+
+    request: h11.Request
+    headers: Headers
+
+
+class RequestReader:
+    """Reads one request after the other, each with a parser of its own.
+
+    h11 parses a request only once the answer to the one before it is written.
+    With a parser for each, requests can be read ahead of earlier answers.
+    """
+
+    def __init__(
+        self,
+        read_ahead: ReadAheadBuffer,
+        limits: CallerLimits,
+        stop: StopState,
+    ) -> None:
+        """Start with an empty parser."""
+        self._read_ahead = read_ahead
+        self._limits = limits
+        self._stop = stop
+        self._parser = self._make_parser()
+        self._scope = trio.CancelScope()
+        self._is_between_requests = False
+        self._is_busy = False
+        self._close_at = math.inf
+
+    @property
+    def parser(self) -> h11.Connection:
+        """The parser of the request that is read or was read last."""
+        return self._parser
+
+    def close_idle(self, at: float) -> None:
+        """End the wait for a head at that time."""
+        self._close_at = min(self._close_at, at)
+        self._scope.deadline = min(self._scope.deadline, at)
+
+    def set_busy(self, is_busy: bool, now: float) -> None:
+        """Set whether requests are unanswered; it stops the idle timeout."""
+        self._is_busy = is_busy
+        if self._is_between_requests:
+            self._scope.deadline = self._idle_deadline(now)
+
+    def advance(self) -> bool:
+        """Prepare to read the next request; return whether one may follow."""
+        if self._parser.their_state is not h11.DONE:
+            return False
+        content, has_ended = self._parser.trailing_data
+        self._parser = self._make_parser()
+        if content:
+            self._parser.receive_data(content)
+        if has_ended:
+            self._parser.receive_data(b'')
+        return True
+
+    async def next_head(self) -> RequestHead | None:
+        """Return the next head, None after a timeout or the last request.
+
+        Raises RefusalError if the head can't be served.
+        """
+        try:
+            event = await self._next_event()
+        except h11.RemoteProtocolError as error:
+            raise RefusalError(refusals.refuse_malformed(error)) from error
+        if not isinstance(event, h11.Request):
+            if self._parser.trailing_data[0]:
+                raise RefusalError(refusals.SLOW_HEAD)
+            return None
+        # Iterating over h11's headers is slow, so they are copied once.
+        headers = list(event.headers)
+        limit_b = self._limits.header_limit_b
+        problem = refusals.refuse_head(event, headers, limit_b)
+        if problem is not None:
+            raise RefusalError(problem)
+        return RequestHead(event, headers)
+
+    async def _next_event(self) -> h11.Event:
+        """Return the next event; NEED_DATA after a timeout."""
+        event = self._parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        now = trio.current_time()
+        self._scope = trio.CancelScope(deadline=self._idle_deadline(now))
+        self._is_between_requests = True
+        with self._scope:
+            self._parser.receive_data(await self._read_ahead.take())
+            self._is_between_requests = False
+            now = trio.current_time()
+            self._scope.deadline = now + self._limits.header_timeout_s
+            event = self._parser.next_event()
+            while event is h11.NEED_DATA:
+                self._parser.receive_data(await self._read_ahead.take())
+                event = self._parser.next_event()
+        self._is_between_requests = False
+        return event
+
+    def _idle_deadline(self, now: float) -> float:
+        if self._is_busy:
+            return self._close_at
+        limits = self._limits
+        is_stopping = self._stop.is_stopping
+        idle_s = limits.stop_idle_s if is_stopping else limits.idle_s
+        return min(self._close_at, now + idle_s)
+
+    def _make_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.header_limit_b,
+        )
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -3,6 +3,7 @@
 import attrs
 import trio
 
+from chestnutshift.callers.exchange import TURN_EXTENSION
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.admission import admit
@@ -107,6 +108,8 @@
         pending = PendingRequest(admitted, body, writer, now, deadline)
         left_s = deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as deadline_scope:
+            if not admitted.route.is_idempotent:
+                await scope['extensions'][TURN_EXTENSION]()
             await body.buffer(BODY_BUFFER_MAX_B)
             await self._limits.charge(admitted)
             await self._request_runner.run(pending)
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -38,6 +38,9 @@
 # File descriptors that callers' connections must leave free.
 DESCRIPTORS_RESERVED = 300
 
+# Requests of one caller's connection that are served at the same time.
+PIPELINED_MAX = 8
+
 
 @attrs.define
 class EdgeProcess:
@@ -101,7 +104,9 @@
             stop_idle_s=STOP_IDLE_S,
             half_close_is_disconnect=True,
         )
-        callers = CallersListener(forwarder, limits)
+        callers = CallersListener(
+            forwarder, attrs.evolve(limits, pipelined_max=PIPELINED_MAX)
+        )
         stop_serving = trio.Event()
         endpoints = dict.fromkeys((settings.readiness, settings.lookups))
         for endpoint in endpoints:
