Estimate service times by what is known of an upstream's cache

Cause: the first upstream of an object's order was taken to have the object, one that had served it within 12 s as well, and each answer then counted as warm. Change: a mean time for each state of knowledge: sent there 1, 3, 10, 30 s ago, first or second of the order, other. Queues are priced by the mean of all answers, spills by their extra work.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -38,11 +38,13 @@
         admitted: Admitted,
         choice: Choice,
         estimate: ServiceTimeEstimate,
+        object_key: bytes,
         started_at: float,
     ) -> Iterator[Observation]:
         """Count the request as in flight, and record its result."""
         upstream = choice.upstream
         upstream.in_flight += 1
+        upstream.record_object(object_key, started_at)
         observation = Observation()
         try:
             yield observation
@@ -54,7 +56,7 @@
             else:
                 record_facts(upstream, observation.end, now)
                 _record_duration(
-                    admitted, choice, estimate, observation.end, started_at, now
+                    choice, estimate, observation.end, started_at, now
                 )
                 self._record_outcome(
                     admitted, upstream, observation.end, started_at, now
@@ -121,7 +123,6 @@
 
 
 def _record_duration(
-    admitted: Admitted,
     choice: Choice,
     estimate: ServiceTimeEstimate,
     end: AttemptEnd,
@@ -132,12 +133,11 @@
     if end.kind is not EndKind.ANSWERED:
         return
     upstream = choice.upstream
-    upstream.record_object(admitted.request.object_key, now)
     upstream.answered_at = now
     load = end.facts.load if end.facts else None
     if upstream.is_cold(now) or (load and load.waiting):
         return
-    ratio = estimate.learn(now - started_at, choice.warmth)
+    ratio = estimate.learn(now - started_at, choice.state)
     upstream.record_answer(ratio, now)
 
 
@@ -146,6 +146,6 @@
 ) -> None:
     """Record a cancelled attempt: its duration is a lower bound."""
     upstream = choice.upstream
-    ratio = waited_s / estimate.expected_s(choice.warmth)
+    ratio = waited_s / estimate.expected_s(choice.state)
     if ratio > upstream.slowness:
         upstream.record_answer(ratio, upstream.answered_at)
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -41,12 +41,27 @@
             return len(self.body.buffered)
         return self.admitted.request.length_b or BODY_BUFFER_MAX_B
 
+    @property
+    def object_key(self) -> bytes:
+        """The object on its route, empty for none.
+
+        The work on an object differs by route, and so do the upstreams'
+        caches of it.
+        """
+        request = self.admitted.request
+        if not request.object_key:
+            return b''
+        return b'%b %b' % (
+            self.admitted.route.name.encode(),
+            request.object_key,
+        )
+
     @property
     def profile(self) -> RequestProfile:
         """The properties by which an upstream is chosen."""
         return RequestProfile(
             self.admitted.service,
-            self.admitted.request.object_key,
+            self.object_key,
             self.size_b,
             self.admitted.homes,
         )
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -146,13 +146,13 @@
             request=admitted.request.request_id,
             upstream=upstream.name,
             expected_s=round(choice.expected_s, 3),
-            warmth=choice.warmth,
+            cache=choice.state.value,
             load=upstream.load(now),
         )
         ran_before = pending.ran
         pending.ran = Ran.UNKNOWN
         with self._observer.observe(
-            admitted, choice, estimate, now
+            admitted, choice, estimate, pending.object_key, now
         ) as observation:
             observation.end = await attempt(
                 self._pool.connections(
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -12,21 +12,20 @@
 from chestnutshift.registry import Registry
 from chestnutshift.steering.affinity import PreferenceCache
 from chestnutshift.steering.directory import UpstreamDirectory
-from chestnutshift.steering.service_time import ServiceTimeEstimate
+from chestnutshift.steering.service_time import (
+    CacheState,
+    ServiceTimeEstimate,
+    cache_state,
+)
 from chestnutshift.steering.upstreams import Upstream
 
-# Assumed probability that the first upstreams of an object's preference order
-# have it cached: its requests go to the first, and to the next while that is
-# busy.
-WARMTH_BY_RANK = (1.0, 0.5)
-# Utilization of a service's slots above which spilling a request to an
-# upstream that does not have the object cached is penalized, since the longer
-# service time takes slots from other requests.
+# Utilization of a service's slots above which sending a request to an
+# upstream that probably does not have the object cached is penalized, since
+# the longer service time takes slots from other requests.
 SPILL_UTILIZATION_MIN = 0.6
-# Penalty at full utilization, as a multiple of the difference between the cold
-# and the warm service time.
+# Penalty at full utilization, as a multiple of the extra service time.
 SPILL_PENALTY_MAX = 3.0
-# Small cost of a warm upstream that is not the first of the order, so that
+# Small cost of an upstream that is not the first of the order, so that
 # objects stay on few upstreams.
 LOWER_RANK_PENALTY_S = 0.02
 # Network latency to another failure domain or region.
@@ -68,13 +67,12 @@
     """A candidate upstream and its expected response time in seconds.
 
     Candidates are compared by cost_s; has_room tells whether a slot is
-    probably free; warmth is the probability that the upstream has the object
-    cached.
+    probably free; state is what is known about the object in its cache.
     """
 
     upstream: Upstream
     expected_s: float
-    warmth: float
+    state: CacheState
     cost_s: float = 0
     has_room: bool = True
 
@@ -147,8 +145,8 @@
         return [
             Choice(
                 upstream,
-                estimate.cold_s * (1 + upstream.load(now) / upstream.slots),
-                warmth=0,
+                estimate.mean_s * (1 + upstream.load(now) / upstream.slots),
+                CacheState.OTHER,
                 cost_s=upstream.load(now) / upstream.slots,
                 has_room=upstream.load(now) < upstream.slots,
             )
@@ -185,31 +183,26 @@
             directory.of_service(profile.service),
             directory.generation,
         )
-        spill_penalty_s = self._spill_penalty(profile.service, now) * (
-            estimate.cold_s - estimate.warm_s
-        )
+        spill_price = self._spill_price(profile.service, now)
         usable = [
             upstream for upstream in order if self._may_serve(upstream, profile)
         ]
         choices = []
         for rank, upstream in enumerate(usable):
-            warmth = WARMTH_BY_RANK[rank] if rank < len(WARMTH_BY_RANK) else 0
-            if upstream.has_handled(profile.object_key, now):
-                warmth = 1
-            penalty_s = (
-                LOWER_RANK_PENALTY_S * min(rank, 1)
-                if warmth == 1
-                else spill_penalty_s
-            )
+            age_s = upstream.object_age_s(profile.object_key, now)
+            state = cache_state(rank, age_s)
+            penalty_s = spill_price * _extra_work_s(estimate, state)
+            if rank:
+                penalty_s += LOWER_RANK_PENALTY_S
             choices.append(
                 self._estimate(
-                    upstream, profile, estimate, now, warmth, penalty_s
+                    upstream, profile, estimate, now, state, penalty_s
                 ),
             )
         return choices
 
-    def _spill_penalty(self, service: str, now: float) -> float:
-        """Return the spill penalty as a multiple of the extra service time."""
+    def _spill_price(self, service: str, now: float) -> float:
+        """Return the penalty for each second of extra service time."""
         utilization = self._directory.utilization(service, now)
         excess = (utilization - SPILL_UTILIZATION_MIN) / (
             1 - SPILL_UTILIZATION_MIN
@@ -222,25 +215,25 @@
         profile: RequestProfile,
         estimate: ServiceTimeEstimate,
         now: float,
-        warmth: float,
+        state: CacheState,
         penalty_s: float,
     ) -> Choice:
-        service_s = estimate.expected_s(warmth)
+        service_s = estimate.expected_s(state)
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
             slowness = max(slowness, COLD_SLOWNESS_MIN)
         load = upstream.load(now)
         queued = max(0, load + 1 - upstream.slots)
-        wait_s = queued / upstream.slots * estimate.warm_s
+        wait_s = queued / upstream.slots * estimate.mean_s
         # Prefers the less utilized of otherwise equal upstreams.
-        balance_s = estimate.warm_s * (load / upstream.slots) ** 2 / 4
+        balance_s = estimate.mean_s * (load / upstream.slots) ** 2 / 4
         network_s = self._network_s(upstream, profile.size_b)
         expected_s = (service_s + wait_s) * slowness + network_s
         retry_factor = 1 + FAILURE_COST_RATIO * upstream.failure_rate
         return Choice(
             upstream,
             expected_s,
-            warmth,
+            state,
             cost_s=(expected_s + balance_s * slowness) * retry_factor
             + penalty_s,
             has_room=queued <= 0,
@@ -256,3 +249,14 @@
 
 def _cost_s(choice: Choice) -> float:
     return choice.cost_s
+
+
+def _extra_work_s(estimate: ServiceTimeEstimate, state: CacheState) -> float:
+    """Return the service time beyond the shortest, in seconds.
+
+    The object is assumed not to be cached at the second upstream of its order:
+    sending it there means that two upstreams cache it.
+    """
+    if state is CacheState.SECOND:
+        state = CacheState.OTHER
+    return estimate.expected_s(state) - estimate.shortest_s
--- a/chestnutshift/steering/service_time.py
+++ b/chestnutshift/steering/service_time.py
@@ -1,4 +1,14 @@
-"""Estimate of a service's response times from its observed answers."""
+"""Estimate of a service's response times from its observed answers.
+
+An upstream that has an object cached answers several times as fast. Whether it
+has is not known, so the estimate is kept for each `CacheState`: by how long
+ago this VM sent the upstream a request for the object or, if it did not, by
+the upstream's rank in the object's preference order.
+"""
+
+import bisect
+import enum
+import math
 
 import attrs
 
@@ -9,41 +19,84 @@
 COLD_PRIOR = 1.45
 
 
+class CacheState(enum.StrEnum):
+    """What a VM knows about an object in the cache of an upstream."""
+
+    # This VM sent a request for the object less than 1, 3, 10 or 30 s ago.
+    FRESH = 'fresh'
+    RECENT = 'recent'
+    AGING = 'aging'
+    OLD = 'old'
+    # It did not; peers send requests for the object to the first upstream of
+    # its order, and to the second one while the first is busy.
+    FIRST = 'first'
+    SECOND = 'second'
+    OTHER = 'other'
+
+
+_SENT_STATES = (
+    CacheState.FRESH,
+    CacheState.RECENT,
+    CacheState.AGING,
+    CacheState.OLD,
+)
+# Upper bound of the age of each sent state, in seconds.
+_AGES_S = (1, 3, 10, 30)
+_RANK_STATES = (CacheState.FIRST, CacheState.SECOND)
+_WARM_PRIOR_STATES = frozenset((*_SENT_STATES, CacheState.FIRST))
+
+
+def cache_state(rank: int, age_s: float) -> CacheState:
+    """Return the state of the upstream of that rank, from 0.
+
+    age_s is the age of this VM's last request for the object there, infinite
+    if there was none.
+    """
+    index = bisect.bisect_right(_AGES_S, age_s)
+    if index < len(_SENT_STATES):
+        return _SENT_STATES[index]
+    return _RANK_STATES[rank] if rank < len(_RANK_STATES) else CacheState.OTHER
+
+
 @attrs.define
 class ServiceTimeEstimate:
-    """Mean response times in seconds, with and without the object cached.
+    """Mean response times in seconds, without queueing.
 
-    warm_s applies where the upstream has the object cached, cold_s where it
-    does not.
+    mean_s is the mean of all answers.
     """
 
-    warm_s: float
-    cold_s: float
+    mean_s: float
+    _means_s: dict[CacheState, float]
 
     @classmethod
     def from_objective(cls, objective_s: float) -> 'ServiceTimeEstimate':
         """Return the initial estimate for a latency objective."""
-        return cls(objective_s * WARM_PRIOR, objective_s * COLD_PRIOR)
-
-    def expected_s(self, warmth: float) -> float:
-        """Return the mean if the object is cached with that probability."""
-        return self.cold_s + warmth * (self.warm_s - self.cold_s)
-
-    def learn(self, latency_s: float, warmth: float) -> float:
-        """Record one answer; return the ratio of its latency to the estimate.
-
-        If it was uncertain whether the upstream had the object cached, a
-        latency below the expected mean counts as cached.
-        """
-        is_warm = warmth >= 1
-        if 0 < warmth < 1:
-            is_warm = latency_s < self.expected_s(warmth)
-        if is_warm:
-            ratio = latency_s / self.warm_s
-            self.warm_s += LATENCY_WEIGHT * (latency_s - self.warm_s)
-        else:
-            ratio = latency_s / self.cold_s
-            self.cold_s += LATENCY_WEIGHT * (latency_s - self.cold_s)
-        # A cached object never makes an answer slower.
-        self.cold_s = max(self.cold_s, self.warm_s)
-        return ratio
+        return cls.from_bounds(
+            objective_s * WARM_PRIOR, objective_s * COLD_PRIOR
+        )
+
+    @classmethod
+    def from_bounds(cls, warm_s: float, cold_s: float) -> 'ServiceTimeEstimate':
+        """Return an estimate from the time with and without the object."""
+        means_s = {
+            state: warm_s if state in _WARM_PRIOR_STATES else cold_s
+            for state in CacheState
+        }
+        means_s[CacheState.SECOND] = (warm_s + cold_s) / 2
+        return cls(warm_s, means_s)
+
+    @property
+    def shortest_s(self) -> float:
+        """The mean response time in the best state."""
+        return min(self._means_s.values())
+
+    def expected_s(self, state: CacheState) -> float:
+        """Return the mean response time in that state."""
+        return self._means_s[state]
+
+    def learn(self, latency_s: float, state: CacheState) -> float:
+        """Record one answer; return the ratio of its latency to the mean."""
+        mean_s = self._means_s[state]
+        self._means_s[state] += LATENCY_WEIGHT * (latency_s - mean_s)
+        self.mean_s += LATENCY_WEIGHT * (latency_s - self.mean_s)
+        return latency_s / mean_s if mean_s > 0 else math.inf
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -12,8 +12,7 @@
 # Older load reports of the upstream are ignored.
 REPORT_AGE_MAX_S = 0.5
 # Number of recently requested objects that are recorded for each upstream.
-RECENT_OBJECTS_MAX = 64
-OBJECT_AGE_MAX_S = 12.0
+RECENT_OBJECTS_MAX = 256
 
 
 @attrs.frozen
@@ -129,7 +128,6 @@
         if len(self._recent_objects) > RECENT_OBJECTS_MAX:
             self._recent_objects.popitem(last=False)
 
-    def has_handled(self, object_key: bytes, now: float) -> bool:
-        """Return whether this VM recently sent it a request for the object."""
-        handled_at = self._recent_objects.get(object_key, -math.inf)
-        return now - handled_at <= OBJECT_AGE_MAX_S
+    def object_age_s(self, object_key: bytes, now: float) -> float:
+        """Return how long ago this VM sent it a request for the object."""
+        return now - self._recent_objects.get(object_key, -math.inf)
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -7,7 +7,10 @@
 
 from chestnutshift.steering.choice import POLICIES, Choice, RequestProfile
 from chestnutshift.steering.directory import UpstreamDirectory
-from chestnutshift.steering.service_time import ServiceTimeEstimate
+from chestnutshift.steering.service_time import (
+    CacheState,
+    ServiceTimeEstimate,
+)
 from chestnutshift.steering.upstreams import Upstream
 from tests.steering.factories import NOW, SERVICE, make_directory, register
 
@@ -17,7 +20,7 @@
 
 def make_estimate() -> ServiceTimeEstimate:
     """Return an estimate that is three times lower for a cached object."""
-    return ServiceTimeEstimate(warm_s=0.3, cold_s=0.9)
+    return ServiceTimeEstimate.from_bounds(warm_s=0.3, cold_s=0.9)
 
 
 def make_fleet(count: int = 12) -> UpstreamDirectory:
@@ -54,7 +57,7 @@
         first = choose(directory, object_key)
         again = choose(directory, object_key)
         assert first.upstream is again.upstream
-        assert int(first.warmth) == 1
+        assert first.state is CacheState.FIRST
 
 
 def test_objects_spread_over_upstreams() -> None:
