Tell from the logs which requests callers lost, and why

The events of a request tell the slots of the upstream, the wait before an attempt and the route's objective.

--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -79,6 +79,10 @@
         now = boot_time()
         admitted = pending.admitted
         state = self._state
+        allowed_s = min(
+            (pending.deadline - now) * DEADLINE_TOLERANCE_RATIO,
+            admitted.route.objective_s * QUEUE_OBJECTIVE_RATIO,
+        )
         choice = None
         if not admitted.has_no_home:
             choice = state.policy.choose(
@@ -87,6 +91,7 @@
                 pending.avoided,
                 state.cold_rate_limiter.may_send,
                 now,
+                allowed_s,
             )
         if choice is None:
             raise RefusalError(
@@ -96,12 +101,6 @@
                     reasons.none_usable(state.directory, pending.profile, now),
                 ),
             )
-        left_s = pending.deadline - now
-        objective_s = admitted.route.objective_s
-        allowed_s = min(
-            left_s * DEADLINE_TOLERANCE_RATIO,
-            objective_s * QUEUE_OBJECTIVE_RATIO,
-        )
         is_late = choice.expected_s > allowed_s
         if is_late and not choice.has_room and not pending.sent_count:
             raise RefusalError(
@@ -148,6 +147,8 @@
             expected_s=round(choice.expected_s, 3),
             cache=choice.state.value,
             load=upstream.load(now),
+            slots=upstream.slots,
+            waited_s=round(now - pending.started_at, 3),
         )
         ran_before = pending.ran
         pending.ran = Ran.UNKNOWN
@@ -211,6 +212,7 @@
                 account=pending.admitted.account_name,
                 status=end.reply.status,
                 after_s=round(boot_time() - pending.started_at, 3),
+                objective_s=pending.admitted.route.objective_s,
             )
             return
         if pending.ran is Ran.NOT_RUN:
