--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -96,7 +96,7 @@
         )
         if end.kind is EndKind.NOT_RUN:
             upstream.answered_at = now
-            if _refused_with_free_slots(end):
+            if refused_with_free_slots(end):
                 upstream.record_failure(now)
             return
         upstream.record_failure(now)
@@ -105,8 +105,13 @@
             self.mark_unproven(upstream, end.detail)
 
 
-def _refused_with_free_slots(end: AttemptEnd) -> bool:
-    """Return whether an upstream with free slots refused a request."""
+def refused_with_free_slots(end: AttemptEnd) -> bool:
+    """Return whether an upstream with free slots refused a request.
+
+    It refuses a part of its requests; the next one may pass.
+    """
+    if end.kind is not EndKind.NOT_RUN:
+        return False
     load = end.facts.load if end.facts else None
     return load is not None and load.running < load.slots
 
@@ -132,6 +137,7 @@
     """Record the duration of an answer, unless the request had to queue."""
     if end.kind is not EndKind.ANSWERED:
         return
+    estimate.learn_length(end.reply.length_b)
     upstream = choice.upstream
     upstream.answered_at = now
     load = end.facts.load if end.facts else None
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -60,12 +60,16 @@
 
 @attrs.frozen
 class Reply:
-    """An upstream's answer for the caller; body is empty if streamed."""
+    """An upstream's answer for the caller; body is empty if streamed.
+
+    length_b is the length of the body, also of a streamed one.
+    """
 
     status: int
     headers: Headers
     body: bytes
     is_streamed: bool = False
+    length_b: int = 0
 
 
 @attrs.frozen
@@ -97,7 +101,7 @@
     _write_part: WritePart
     end: AttemptEnd | None = None
     _chunks: list[bytes] = attrs.field(factory=list)
-    _buffered_b: int = 0
+    _length_b: int = 0
     is_streaming: bool = False
 
     async def collect(self, answer: UpstreamAnswer) -> None:
@@ -115,12 +119,12 @@
     async def _buffer_or_stream(
         self, answer: UpstreamAnswer, part: AnswerPart
     ) -> None:
+        self._length_b += len(part.content)
         if self.is_streaming:
             await self._write_part(part.content, part.is_last)
             return
         self._chunks.append(part.content)
-        self._buffered_b += len(part.content)
-        if self._buffered_b <= ANSWER_BUFFER_B or part.is_last:
+        if self._length_b <= ANSWER_BUFFER_B or part.is_last:
             return
         self.is_streaming = True
         headers = self._dialect.caller_headers(answer.headers)
@@ -137,6 +141,7 @@
             self._dialect.caller_headers(answer.headers),
             b'' if self.is_streaming else b''.join(self._chunks),
             self.is_streaming,
+            self._length_b,
         )
         return AttemptEnd(EndKind.ANSWERED, reply=reply, facts=facts)
 
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -100,6 +100,7 @@
         request = self._dialect.read_request(scope)
         writer.request_id = request.request_id
         admitted = admit(self._state, request, now)
+        self._state.admitted_at = now
         writer.route = admitted.route.name
         writer.account = admitted.account_name
         limit_b = self._state.table.bounds.body_limit_b
--- a/chestnutshift/edge/lookups.py
+++ b/chestnutshift/edge/lookups.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.fleet.bandwidth import without_slow_links
 from chestnutshift.fleet.heartbeats import MemberPhase
 
 ADDRESSES_MAX = 64
@@ -10,10 +11,6 @@
 # With fewer VMs in the caller's failure domain, the VMs of its whole region
 # are returned.
 DOMAIN_VMS_MIN = 2
-# A VM whose link has less than this fraction of the bandwidth of the fastest
-# one is not returned: a large answer would delay all others on its link, and
-# few VMs know upstreams and accounts better than many.
-SLOW_LINK_RATIO = 0.25
 # If the timers of the VMs with fast links are later than this on average, all
 # VMs are returned.
 OVERLOAD_DELAY_S = 0.05
@@ -50,7 +47,7 @@
     nearby = [
         candidate for candidate in candidates if candidate.region == region
     ]
-    nearby = _without_slow_links(nearby or candidates)
+    nearby = _prefer_fast_links(nearby or candidates)
     in_domain = [
         candidate
         for candidate in nearby
@@ -61,12 +58,9 @@
     return LookupAnswer(addresses, lifetime_s)
 
 
-def _without_slow_links(candidates: list[_Candidate]) -> list[_Candidate]:
+def _prefer_fast_links(candidates: list[_Candidate]) -> list[_Candidate]:
     """Return the VMs with fast links; all VMs if too few or overloaded."""
-    fastest = max((vm.link_mbps for vm in candidates), default=0)
-    fast = [
-        vm for vm in candidates if vm.link_mbps >= fastest * SLOW_LINK_RATIO
-    ]
+    fast = without_slow_links(candidates)
     delay_s = sum(vm.delay_s for vm in fast)
     if len(fast) < DOMAIN_VMS_MIN or delay_s > OVERLOAD_DELAY_S * len(fast):
         return candidates
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -1,7 +1,7 @@
 """Heartbeats and other messages between the VMs of the fleet."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import closing
 
 import attrs
@@ -14,10 +14,17 @@
 from chestnutshift.fleet.datagrams import Message, decode, encode
 from chestnutshift.fleet.exceptions import BrokenDatagramError
 from chestnutshift.fleet.heartbeats import Heartbeat
-from chestnutshift.fleet.view import Peer
+from chestnutshift.fleet.view import (
+    HEARTBEAT_INTERVAL_MIN_S,
+    HEARTBEAT_RATE_MAX,
+    FleetView,
+    Peer,
+)
 
 # Heartbeats sent before other tasks run.
 SENDS_PER_CHECKPOINT = 16
+# A heartbeat is not put off for this little, in seconds.
+TIMER_SLACK_S = 0.01
 # Weight of a new sample in the moving average of a timer's delay.
 DELAY_WEIGHT = 0.3
 
@@ -38,6 +45,9 @@
     handlers: dict[type, Handler] = attrs.field(factory=dict)
     _number: int = 0
     _live: set[str] = attrs.field(factory=set)
+    _is_busy: bool = False
+    # When all peers are due for a heartbeat.
+    _all_due_at: float = -math.inf
     _port: DatagramPort | None = None
 
     async def run(self) -> None:
@@ -49,16 +59,16 @@
                 nursery.start_soon(self._listen)
                 while True:
                     await self.send_heartbeats()
-                    await self._pause(self._state.fleet.heartbeat_interval_s)
+                    await self._pause(self._interval_s(boot_time()))
 
     async def send_heartbeats(self) -> None:
-        """Send a heartbeat to each listed peer."""
+        """Send a heartbeat to each peer that is due for one."""
         now = boot_time()
         self._state.refresh(now)
         self._log_peer_changes(now)
         self._number += 1
         heartbeat = self._make_heartbeat(now)
-        for index, peer in enumerate(self._state.fleet):
+        for index, peer in enumerate(self._due_peers(heartbeat, now)):
             peer_sent_at = peer.heartbeat.sent_at if peer.heartbeat else None
             self.send(attrs.evolve(heartbeat, echoed_at=peer_sent_at), peer)
             if index % SENDS_PER_CHECKPOINT == 0:
@@ -69,6 +79,26 @@
         endpoint = peer.member.endpoint
         self._send(message, (endpoint.address, endpoint.port))
 
+    def _interval_s(self, now: float) -> float:
+        fleet = self._state.fleet
+        if not self._is_busy:
+            return fleet.heartbeat_interval_s
+        busy_s = len(_busy_peers(fleet, now)) / HEARTBEAT_RATE_MAX
+        busy_s = max(HEARTBEAT_INTERVAL_MIN_S, busy_s)
+        return min(fleet.heartbeat_interval_s, busy_s)
+
+    def _due_peers(self, heartbeat: Heartbeat, now: float) -> Iterable[Peer]:
+        """Return all peers once an interval, otherwise those that are busy.
+
+        Busy VMs tell each other their load more often than the whole fleet.
+        """
+        fleet = self._state.fleet
+        self._is_busy = heartbeat.is_busy
+        if now < self._all_due_at:
+            return _busy_peers(fleet, now)
+        self._all_due_at = now + fleet.heartbeat_interval_s - TIMER_SLACK_S
+        return fleet
+
     async def _pause(self, pause_s: float) -> None:
         """Sleep, and record how late the timer fires."""
         due_at = trio.current_time() + pause_s
@@ -156,3 +186,12 @@
 
 def _silent_s(peer: Peer | None, now: float) -> float:
     return 0 if peer is None else round(now - peer.last_heartbeat_at, 3)
+
+
+def _busy_peers(fleet: FleetView, now: float) -> list[Peer]:
+    """Return the live peers that serve callers or decide on accounts."""
+    return [
+        peer
+        for peer in fleet.live_peers(now)
+        if peer.heartbeat and peer.heartbeat.is_busy
+    ]
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -56,13 +56,15 @@
             request.object_key,
         )
 
-    @property
-    def profile(self) -> RequestProfile:
-        """The properties by which an upstream is chosen."""
+    def profile(self, answer_b: float = 0) -> RequestProfile:
+        """Return the properties by which an upstream is chosen.
+
+        answer_b is the expected length of the answer's body in bytes.
+        """
         return RequestProfile(
             self.admitted.service,
             self.object_key,
-            self.size_b,
+            round(self.size_b + answer_b),
             self.admitted.homes,
         )
 
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -7,7 +7,10 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events, reasons
 from chestnutshift.edge.admission import Admitted
-from chestnutshift.edge.attempt_observer import AttemptObserver
+from chestnutshift.edge.attempt_observer import (
+    AttemptObserver,
+    refused_with_free_slots,
+)
 from chestnutshift.edge.attempts import (
     SERVER_ERROR,
     AnswerCollector,
@@ -60,16 +63,15 @@
             end = await self._attempt(pending, choice, estimate)
             if not self._may_retry(pending, end):
                 break
-            pending.avoided.add(choice.upstream)
+            if not refused_with_free_slots(end):
+                pending.avoided.add(choice.upstream)
         await self._finish(pending, end)
 
     def _service_time_estimate(self, admitted: Admitted) -> ServiceTimeEstimate:
         key = (admitted.route.name, admitted.service)
         estimate = self._state.service_time_estimates.get(key)
         if estimate is None:
-            estimate = ServiceTimeEstimate.from_objective(
-                admitted.route.objective_s
-            )
+            estimate = ServiceTimeEstimate.from_route(admitted.route)
             self._state.service_time_estimates[key] = estimate
         return estimate
 
@@ -86,19 +88,20 @@
         choice = None
         if not admitted.has_no_home:
             choice = state.policy.choose(
-                pending.profile,
+                pending.profile(estimate.answer_b),
                 estimate,
                 pending.avoided,
                 state.cold_rate_limiter.may_send,
                 now,
-                allowed_s,
             )
         if choice is None:
             raise RefusalError(
                 self._unserved_problem(
                     pending,
                     'upstreams.none',
-                    reasons.none_usable(state.directory, pending.profile, now),
+                    reasons.none_usable(
+                        state.directory, pending.profile(), now
+                    ),
                 ),
             )
         is_late = choice.expected_s > allowed_s
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -1,5 +1,6 @@
 """The state that the tasks of an edge VM share."""
 
+import math
 import time
 from collections.abc import Mapping, Sequence
 
@@ -8,8 +9,10 @@
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
 from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.bandwidth import without_slow_links
 from chestnutshift.fleet.deciders import Deciders
 from chestnutshift.fleet.heartbeats import MemberPhase, hash_upstream
+from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.store_polling import ChangeTracker
 from chestnutshift.fleet.view import FleetView
@@ -32,6 +35,8 @@
 # may have lapsed; they are renewed within LAPSE_GRACE_S of its return.
 STORE_OUTAGE_MIN_S = 4.4
 LAPSE_GRACE_S = 2.0
+# A VM without a request for this long counts as one that serves no callers.
+SERVING_AGE_MAX_S = 5.0
 
 
 def _make_shares(state: 'EdgeState') -> AccountShares:
@@ -62,6 +67,8 @@
     splitter: Splitter = attrs.field(factory=Splitter)
     # How late this VM's timers fire, as a moving average in seconds.
     delay_s: float = 0
+    # When the last request was admitted.
+    admitted_at: float = -math.inf
     # Names of the live peers, as of the last refresh.
     live_peer_names: Sequence[str] = ()
     operators_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
@@ -130,6 +137,10 @@
             return True
         return self.freshness.is_fresh(now)
 
+    def is_serving_callers(self, now: float) -> bool:
+        """Return whether a request was admitted lately."""
+        return now - self.admitted_at < SERVING_AGE_MAX_S
+
     def is_ready(self, now: float) -> bool:
         """Return whether this VM is ready for callers."""
         if self.phase is not MemberPhase.SERVING or self.table is None:
@@ -215,14 +226,17 @@
         This VM is included while it serves, even if it is not ready: it
         decides on questions until its peers know that it is stopping.
         """
-        regions: dict[str, list[str]] = {}
+        settings = self.settings
+        regions: dict[str, list[Member | EdgeSettings]] = {}
         for peer in self.fleet.serving(now):
-            member = peer.member
-            regions.setdefault(member.region, []).append(member.vm)
-        own_region = regions.setdefault(self.settings.region, [])
+            regions.setdefault(peer.member.region, []).append(peer.member)
+        own_region = regions.setdefault(settings.region, [])
         if self.phase is MemberPhase.SERVING or not own_region:
-            own_region.append(self.settings.vm)
-        return {region: sorted(names) for region, names in regions.items()}
+            own_region.append(settings)
+        return {
+            region: sorted(vm.vm for vm in without_slow_links(vms))
+            for region, vms in regions.items()
+        }
 
 
 def make_incarnation() -> int:
--- a/chestnutshift/edge/store_polling.py
+++ b/chestnutshift/edge/store_polling.py
@@ -3,10 +3,12 @@
 import attrs
 import trio
 
+from chestnutshift.clocks import boot_time
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.table_polling import StateUpdater, TablePoller
 from chestnutshift.fleet.store_polling import (
+    IDLE_SETTLE_RATIO,
     POLL_TIMEOUT_LONG_S,
     POLL_TIMEOUT_S,
     SETTLE_LONG_S,
@@ -90,7 +92,11 @@
     def _upstreams_pace(self) -> PollPace:
         if self._is_small():
             return PollPace(POLL_TIMEOUT_S, SETTLE_S)
-        return PollPace(POLL_TIMEOUT_LONG_S, SETTLE_LONG_S)
+        settle_s = SETTLE_LONG_S
+        if not self._state.is_serving_callers(boot_time()):
+            drain_s = self._state.settings.bounds.drain_s
+            settle_s = max(settle_s, drain_s * IDLE_SETTLE_RATIO)
+        return PollPace(POLL_TIMEOUT_LONG_S, settle_s)
 
     def _members_pace(self) -> PollPace:
         if self._is_small():
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -46,6 +46,11 @@
     upstreams_changed_at: int = 0
     delay_s: float = 0
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether the sender serves callers or decides on accounts."""
+        return bool(self.in_flight or self.demand)
+
 
 def hash_upstream(name: str) -> int:
     """Return the hash of an upstream's id as a signed 32-bit number."""
--- a/chestnutshift/fleet/store_polling.py
+++ b/chestnutshift/fleet/store_polling.py
@@ -20,6 +20,9 @@
 # Pause after a change, so that the following ones arrive in one answer.
 SETTLE_S = 0.4
 SETTLE_LONG_S = 1.0
+# The same for a VM that serves no callers, as a fraction of the time within
+# which a leaving upstream must get no more requests.
+IDLE_SETTLE_RATIO = 0.6
 # Number of watchers; with fewer than twice as many peers, every VM is one.
 WATCHER_COUNT = 12
 WATCHERS_KEY = b'store'
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -26,8 +26,9 @@
 )
 
 HEXADECIMAL_BASE = 16
+_LARGE_ANSWER_KIND = 'download'
 # Requests of every other kind, uploads included, may run at most once.
-_IDEMPOTENT_KIND = 'safe'
+_IDEMPOTENT_KINDS = frozenset(('safe', _LARGE_ANSWER_KIND))
 
 
 def decode_route_table(content: bytes) -> RouteTable:
@@ -100,12 +101,14 @@
 
 
 def _route(row: Mapping[str, Any]) -> Route:
+    kind = text_of(row, 'kind')
     return Route(
         name=required_text(row, 'name'),
         host=required_text(row, 'host').lower(),
         prefix=required_text(row, 'prefix'),
         parts=_parts(row),
-        is_idempotent=text_of(row, 'kind') == _IDEMPOTENT_KIND,
+        is_idempotent=kind in _IDEMPOTENT_KINDS,
+        has_large_answers=kind == _LARGE_ANSWER_KIND,
         timeout_s=_duration_of(row, 'timeout'),
         # A latency objective, not a timeout.
         objective_s=_duration_of(row, 'goal') or 1,
--- a/chestnutshift/routes/model.py
+++ b/chestnutshift/routes/model.py
@@ -28,6 +28,7 @@
     prefix: str
     parts: tuple[RoutePart, ...]
     is_idempotent: bool = False
+    has_large_answers: bool = False
     timeout_s: float | None = None
     objective_s: float = 1.0
     priority: int = 0
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -19,15 +19,19 @@
 )
 from chestnutshift.steering.upstreams import Upstream
 
-# Utilization of a service's slots above which sending a request to an
-# upstream that probably does not have the object cached is penalized, since
-# the longer service time takes slots from other requests.
-SPILL_UTILIZATION_MIN = 0.6
-# Penalty at full utilization, as a multiple of the extra service time.
-SPILL_PENALTY_MAX = 3.0
+# Price of the extra work at an upstream that probably does not have the object
+# cached, or that is slow, as a multiple of its time: it takes slots from other
+# requests, and the upstream forgets another object. The price grows above a
+# utilization of the service's slots, up to full utilization.
+EXTRA_WORK_PRICE_MIN = 4.0
+EXTRA_WORK_PRICE_MAX = 6.0
+PRICE_UTILIZATION_MIN = 0.6
 # Small cost of an upstream that is not the first of the order, so that
 # objects stay on few upstreams.
 LOWER_RANK_PENALTY_S = 0.02
+# Increase of that price for each further rank, so that the spills of an object
+# meet.
+RANK_PRICE = 0.1
 # Network latency to another failure domain or region.
 CROSS_DOMAIN_S = 0.004
 CROSS_REGION_S = 0.04
@@ -39,8 +43,8 @@
 SLOWNESS_MIN = 0.7
 # Lowest slowness that is assumed for a cold upstream.
 COLD_SLOWNESS_MIN = 2.0
-# Relative increase of the cost at a failure rate of 1, since a failed attempt
-# costs a retry on another upstream.
+# Cost at a failure rate of 1, as a multiple of the time without the object
+# cached and beside its price: a failed attempt costs a retry elsewhere.
 FAILURE_COST_RATIO = 3.0
 
 # Tells whether a cold upstream may receive one more request now.
@@ -52,8 +56,8 @@
     """The properties of a request that determine its upstream.
 
     object_key identifies the requested object, empty for none; size_b is the
-    length of the body; regions are those that may serve the request, empty
-    for all.
+    length of the bodies of request and answer in bytes; regions are those that
+    may serve the request, empty for all.
     """
 
     service: str
@@ -183,7 +187,7 @@
             directory.of_service(profile.service),
             directory.generation,
         )
-        spill_price = self._spill_price(profile.service, now)
+        price = self._extra_work_price(profile.service, now)
         usable = [
             upstream for upstream in order if self._may_serve(upstream, profile)
         ]
@@ -191,23 +195,28 @@
         for rank, upstream in enumerate(usable):
             age_s = upstream.object_age_s(profile.object_key, now)
             state = cache_state(rank, age_s)
-            penalty_s = spill_price * _extra_work_s(estimate, state)
-            if rank:
-                penalty_s += LOWER_RANK_PENALTY_S
-            choices.append(
-                self._estimate(
-                    upstream, profile, estimate, now, state, penalty_s
-                ),
+            rank_price = price
+            if state is CacheState.OTHER:
+                rank_price += RANK_PRICE * rank
+            choice = self._estimate(
+                upstream, profile, estimate, now, state, rank_price
             )
+            if rank:
+                cost_s = choice.cost_s + LOWER_RANK_PENALTY_S
+                choice = attrs.evolve(choice, cost_s=cost_s)
+            choices.append(choice)
         return choices
 
-    def _spill_price(self, service: str, now: float) -> float:
-        """Return the penalty for each second of extra service time."""
+    def _extra_work_price(self, service: str, now: float) -> float:
+        """Return the price of extra work, in seconds of waiting a second."""
         utilization = self._directory.utilization(service, now)
-        excess = (utilization - SPILL_UTILIZATION_MIN) / (
-            1 - SPILL_UTILIZATION_MIN
+        excess = (utilization - PRICE_UTILIZATION_MIN) / (
+            1 - PRICE_UTILIZATION_MIN
+        )
+        excess = min(1, max(0, excess))
+        return EXTRA_WORK_PRICE_MIN + excess * (
+            EXTRA_WORK_PRICE_MAX - EXTRA_WORK_PRICE_MIN
         )
-        return SPILL_PENALTY_MAX * min(1, max(0, excess))
 
     def _estimate(
         self,
@@ -216,9 +225,8 @@
         estimate: ServiceTimeEstimate,
         now: float,
         state: CacheState,
-        penalty_s: float,
+        price: float,
     ) -> Choice:
-        service_s = estimate.expected_s(state)
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
             slowness = max(slowness, COLD_SLOWNESS_MIN)
@@ -228,14 +236,18 @@
         # Prefers the less utilized of otherwise equal upstreams.
         balance_s = estimate.mean_s * (load / upstream.slots) ** 2 / 4
         network_s = self._network_s(upstream, profile.size_b)
+        service_s = estimate.expected_s(state)
         expected_s = (service_s + wait_s) * slowness + network_s
-        retry_factor = 1 + FAILURE_COST_RATIO * upstream.failure_rate
+        extra_s = _assumed_s(estimate, state) * slowness - estimate.shortest_s
+        retry_s = estimate.expected_s(CacheState.OTHER)
         return Choice(
             upstream,
             expected_s,
             state,
-            cost_s=(expected_s + balance_s * slowness) * retry_factor
-            + penalty_s,
+            cost_s=expected_s
+            + balance_s * slowness
+            + price * max(0, extra_s)
+            + (FAILURE_COST_RATIO + price) * retry_s * upstream.failure_rate,
             has_room=queued <= 0,
         )
 
@@ -251,12 +263,12 @@
     return choice.cost_s
 
 
-def _extra_work_s(estimate: ServiceTimeEstimate, state: CacheState) -> float:
-    """Return the service time beyond the shortest, in seconds.
+def _assumed_s(estimate: ServiceTimeEstimate, state: CacheState) -> float:
+    """Return the service time by which extra work is priced, in seconds.
 
     The object is assumed not to be cached at the second upstream of its order:
     sending it there means that two upstreams cache it.
     """
     if state is CacheState.SECOND:
         state = CacheState.OTHER
-    return estimate.expected_s(state) - estimate.shortest_s
+    return estimate.expected_s(state)
--- a/chestnutshift/steering/retry_budget.py
+++ b/chestnutshift/steering/retry_budget.py
@@ -9,9 +9,12 @@
 
 import attrs
 
-# Fraction of the budget that is used; the rest allows for VMs that join or
+# Fraction of the budget that each request earns which is used; the rest allows
+# for retries that reach the upstream in another window than they were sent in.
+EARNED_FRACTION = 0.92
+# Fraction of the slack that is used; the rest allows for VMs that join or
 # leave the fleet.
-BUDGET_FRACTION = 0.7
+SLACK_FRACTION = 0.7
 
 
 @attrs.frozen
@@ -56,9 +59,9 @@
         The slack is divided by vms, the number of VMs in the fleet.
         """
         window = self._window(service, now)
-        earned = self._bounds.ratio * len(window.requests)
-        room = (earned + self._bounds.slack / vms) * BUDGET_FRACTION
-        if len(window.retries) + 1 > room:
+        earned = self._bounds.ratio * len(window.requests) * EARNED_FRACTION
+        slack = self._bounds.slack / vms * SLACK_FRACTION
+        if len(window.retries) + 1 > earned + slack:
             return False
         window.retries.append(now)
         return True
--- a/chestnutshift/steering/service_time.py
+++ b/chestnutshift/steering/service_time.py
@@ -12,11 +12,15 @@
 
 import attrs
 
+from chestnutshift.routes.model import Route
+
 # Weight of a new sample in the exponential moving averages.
-LATENCY_WEIGHT = 0.05
+SAMPLE_WEIGHT = 0.05
 # Initial estimates, as multiples of the route's latency objective.
 WARM_PRIOR = 0.45
 COLD_PRIOR = 1.45
+# Initial estimate of the length of a large answer, in bytes.
+LARGE_ANSWER_B = 65_536
 
 
 class CacheState(enum.StrEnum):
@@ -62,18 +66,23 @@
 class ServiceTimeEstimate:
     """Mean response times in seconds, without queueing.
 
-    mean_s is the mean of all answers.
+    mean_s is the mean of all answers, answer_b the mean length of an answer's
+    body in bytes.
     """
 
     mean_s: float
     _means_s: dict[CacheState, float]
+    answer_b: float = 0
 
     @classmethod
-    def from_objective(cls, objective_s: float) -> 'ServiceTimeEstimate':
-        """Return the initial estimate for a latency objective."""
-        return cls.from_bounds(
-            objective_s * WARM_PRIOR, objective_s * COLD_PRIOR
+    def from_route(cls, route: Route) -> 'ServiceTimeEstimate':
+        """Return the initial estimate for a route."""
+        estimate = cls.from_bounds(
+            route.objective_s * WARM_PRIOR, route.objective_s * COLD_PRIOR
         )
+        if route.has_large_answers:
+            estimate.answer_b = LARGE_ANSWER_B
+        return estimate
 
     @classmethod
     def from_bounds(cls, warm_s: float, cold_s: float) -> 'ServiceTimeEstimate':
@@ -97,6 +106,10 @@
     def learn(self, latency_s: float, state: CacheState) -> float:
         """Record one answer; return the ratio of its latency to the mean."""
         mean_s = self._means_s[state]
-        self._means_s[state] += LATENCY_WEIGHT * (latency_s - mean_s)
-        self.mean_s += LATENCY_WEIGHT * (latency_s - self.mean_s)
+        self._means_s[state] += SAMPLE_WEIGHT * (latency_s - mean_s)
+        self.mean_s += SAMPLE_WEIGHT * (latency_s - self.mean_s)
         return latency_s / mean_s if mean_s > 0 else math.inf
+
+    def learn_length(self, answer_b: int) -> None:
+        """Record the length of an answer's body in bytes."""
+        self.answer_b += SAMPLE_WEIGHT * (answer_b - self.answer_b)
--- a/tests/edge/test_reasons.py
+++ b/tests/edge/test_reasons.py
@@ -5,6 +5,7 @@
 from chestnutshift.events.log import EventLog
 from chestnutshift.routes.model import Account
 from chestnutshift.steering.choice import Choice, RequestProfile
+from chestnutshift.steering.service_time import CacheState
 from chestnutshift.steering.upstreams import Condition
 from tests.edge.world import make_settings
 from tests.steering.factories import NOW, SERVICE, make_directory, register
@@ -34,7 +35,9 @@
     """The detail has the best upstream, its load and the permitted time."""
     upstream = register(make_directory(), 'u1')
     upstream.in_flight = 20
-    refusal = reasons.busy(Choice(upstream, 2.5, warmth=1), 1.1, NOW)
+    refusal = reasons.busy(
+        Choice(upstream, 2.5, state=CacheState.FIRST), 1.1, NOW
+    )
     for part in ('u1', '2.50 s', '20 requests', '1.10 s'):
         assert part in refusal
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,5 +1,8 @@
 """Tests of decoding the platform's documents and refusing malformed ones."""
 
+import copy
+import json
+
 from hypothesis import given
 from hypothesis import strategies as st
 from nose2.tools import params
@@ -11,7 +14,7 @@
 from chestnutshift.platform.upstream_rows import decode_registration
 from chestnutshift.routes.matching import RouteIndex
 from tests.fleet.factories import make_member
-from tests.platform.samples import registration, route_table
+from tests.platform.samples import ROUTE_TABLE, registration, route_table
 
 
 def _is_malformed(decode, *args: object) -> bool:
@@ -36,6 +39,22 @@
     assert table.services['s1'].connections_max == 390
 
 
+@params(
+    ('safe', True, False),
+    ('download', True, True),
+    ('unsafe', False, False),
+    ('upload', False, False),
+)
+def test_route_kinds(kind: str, is_idempotent: bool, is_large: bool) -> None:
+    """Only some kinds may run twice; downloads have large answers."""
+    document = copy.deepcopy(ROUTE_TABLE)
+    columns = document['routes']['cols']
+    document['routes']['rows'][0][columns.index('kind')] = kind
+    route = decode_route_table(json.dumps(document).encode()).routes[0]
+    assert route.is_idempotent is is_idempotent
+    assert route.has_large_answers is is_large
+
+
 def test_route_lookup() -> None:
     """The longest prefix wins; the port and case of the host are ignored."""
     index = RouteIndex(decode_route_table(route_table()))
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -106,11 +106,13 @@
     for number in range(8):
         directory = make_fleet()
         first = choose(directory, b'1').upstream
-        first.in_flight = first.slots * 5
+        first.in_flight = first.slots * 8
         for index, upstream in enumerate(directory):
             if upstream is not first:
                 upstream.in_flight = (index + number) % 3
-        chosen.add(choose(directory, b'1').upstream.name)
+        choice = choose(directory, b'1')
+        assert choice.upstream is not first
+        chosen.add(choice.upstream.name)
     assert len(chosen) == 1
 
 
