Roll the reported demand over once for all peers

Heartbeats between busy VMs in between repeat the demand of the last one to all peers: a share counts only on demand that every peer was told. Test: of 78 peers the 9 busy ones get three heartbeats while the others get one.

--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -62,13 +62,26 @@
                     await self._pause(self._interval_s(boot_time()))
 
     async def send_heartbeats(self) -> None:
-        """Send a heartbeat to each peer that is due for one."""
+        """Send a heartbeat to all peers once an interval, else to busy ones.
+
+        VMs that serve callers tell each other their load more often than the
+        whole fleet.
+        """
         now = boot_time()
-        self._state.refresh(now)
+        state, fleet = self._state, self._state.fleet
+        state.refresh(now)
         self._log_peer_changes(now)
+        peers: Iterable[Peer] = fleet
+        if now < self._all_due_at:
+            peers = _busy_peers(fleet, now)
+        else:
+            # All shares of accounts go by the demand that every peer was told.
+            state.shares.report_demand(now)
+            self._all_due_at = now + fleet.heartbeat_interval_s - TIMER_SLACK_S
         self._number += 1
         heartbeat = self._make_heartbeat(now)
-        for index, peer in enumerate(self._due_peers(heartbeat, now)):
+        self._is_busy = heartbeat.is_busy
+        for index, peer in enumerate(peers):
             peer_sent_at = peer.heartbeat.sent_at if peer.heartbeat else None
             self.send(attrs.evolve(heartbeat, echoed_at=peer_sent_at), peer)
             if index % SENDS_PER_CHECKPOINT == 0:
@@ -87,18 +100,6 @@
         busy_s = max(HEARTBEAT_INTERVAL_MIN_S, busy_s)
         return min(fleet.heartbeat_interval_s, busy_s)
 
-    def _due_peers(self, heartbeat: Heartbeat, now: float) -> Iterable[Peer]:
-        """Return all peers once an interval, otherwise those that are busy.
-
-        Busy VMs tell each other their load more often than the whole fleet.
-        """
-        fleet = self._state.fleet
-        self._is_busy = heartbeat.is_busy
-        if now < self._all_due_at:
-            return _busy_peers(fleet, now)
-        self._all_due_at = now + fleet.heartbeat_interval_s - TIMER_SLACK_S
-        return fleet
-
     async def _pause(self, pause_s: float) -> None:
         """Sleep, and record how late the timer fires."""
         due_at = trio.current_time() + pause_s
@@ -118,7 +119,7 @@
             phase=state.phase,
             table_version=state.table.version if state.table else 0,
             proof_age_s=age_s if is_proven else None,
-            demand=state.shares.report_demand(now),
+            demand=state.shares.reported_demand,
             in_flight=state.in_flight(),
             operators_changed_at=state.operators_changes.changed_at,
             upstreams_changed_at=state.upstreams_changes.changed_at,
--- a/chestnutshift/fleet/shares.py
+++ b/chestnutshift/fleet/shares.py
@@ -91,8 +91,13 @@
         self._reported: dict[str, float] = {}
         self._previously_reported: dict[str, float] = {}
 
-    def report_demand(self, now: float) -> dict[str, float]:
-        """Return this VM's demand by account, to be reported to its peers.
+    @property
+    def reported_demand(self) -> Mapping[str, float]:
+        """The demand by account that is reported to the peers."""
+        return self._reported
+
+    def report_demand(self, now: float) -> Mapping[str, float]:
+        """Update the demand by account that is reported to all peers.
 
         This VM's own share is computed from its reported demand as well. If
         each VM used its newest demand at once, a surge at all VMs would let
