Price slowness and failures so that chance moves no objects

Change: slowness is priced from 2 on, failures by what exceeds the mean of the service. The costs are a module of their own.

--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -93,6 +93,7 @@
                 pending.avoided,
                 state.cold_rate_limiter.may_send,
                 now,
+                allowed_s,
             )
         if choice is None:
             raise RefusalError(
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -5,12 +5,14 @@
 """
 
 import abc
+import math
 from collections.abc import Callable, Collection
 
 import attrs
 
 from chestnutshift.registry import Registry
 from chestnutshift.steering.affinity import PreferenceCache
+from chestnutshift.steering.costs import ServiceCosts, extra_work_price
 from chestnutshift.steering.directory import UpstreamDirectory
 from chestnutshift.steering.service_time import (
     CacheState,
@@ -19,19 +21,13 @@
 )
 from chestnutshift.steering.upstreams import Upstream
 
-# Price of the extra work at an upstream that probably does not have the object
-# cached, or that is slow, as a multiple of its time: it takes slots from other
-# requests, and the upstream forgets another object. The price grows above a
-# utilization of the service's slots, up to full utilization.
-EXTRA_WORK_PRICE_MIN = 4.0
-EXTRA_WORK_PRICE_MAX = 6.0
-PRICE_UTILIZATION_MIN = 0.6
+# Utilization of a service's slots up to which another upstream relieves one
+# that is too busy, and the load per slot that this other one may have.
+RELIEF_UTILIZATION_MAX = 0.75
+RELIEF_LOAD_RATIO = 0.5
 # Small cost of an upstream that is not the first of the order, so that
 # objects stay on few upstreams.
 LOWER_RANK_PENALTY_S = 0.02
-# Increase of that price for each further rank, so that the spills of an object
-# meet.
-RANK_PRICE = 0.1
 # Network latency to another failure domain or region.
 CROSS_DOMAIN_S = 0.004
 CROSS_REGION_S = 0.04
@@ -43,10 +39,6 @@
 SLOWNESS_MIN = 0.7
 # Lowest slowness that is assumed for a cold upstream.
 COLD_SLOWNESS_MIN = 2.0
-# Cost at a failure rate of 1, as a multiple of the time without the object
-# cached and beside its price: a failed attempt costs a retry elsewhere.
-FAILURE_COST_RATIO = 3.0
-
 # Tells whether a cold upstream may receive one more request now.
 ColdCheck = Callable[[Upstream, float], bool]
 
@@ -105,20 +97,46 @@
         avoided: Collection[Upstream],
         may_send_cold: ColdCheck,
         now: float,
+        late_after_s: float = math.inf,
     ) -> Choice | None:
         """Return the choice of lowest cost, None if there is no candidate.
 
         Upstreams in avoided are skipped, and so are cold ones that
-        may_send_cold rejects.
+        may_send_cold rejects. If the request would queue and be answered
+        after more than late_after_s, a less busy upstream may relieve it.
+        """
+        ranked = sorted(self._rank(profile, estimate, now), key=_cost_s)
+        usable = [
+            choice
+            for choice in ranked
+            if choice.upstream not in avoided
+            and (
+                not choice.upstream.is_cold(now)
+                or may_send_cold(choice.upstream, now)
+            )
+        ]
+        if not usable:
+            return None
+        best = usable[0]
+        if best.has_room or best.expected_s <= late_after_s:
+            return best
+        return self._relief(profile.service, usable, now) or best
+
+    def _relief(
+        self, service: str, choices: Collection[Choice], now: float
+    ) -> Choice | None:
+        """Return the second upstream of the order if it is half idle.
+
+        While the whole service is busy there is no relief: the work without
+        the object would fill the slots that others need.
         """
-        ranked = self._rank(profile, estimate, now)
-        for choice in sorted(ranked, key=_cost_s):
+        if self._directory.utilization(service, now) > RELIEF_UTILIZATION_MAX:
+            return None
+        for choice in choices:
             upstream = choice.upstream
-            if upstream in avoided:
-                continue
-            if upstream.is_cold(now) and not may_send_cold(upstream, now):
-                continue
-            return choice
+            is_idle = upstream.load(now) <= upstream.slots * RELIEF_LOAD_RATIO
+            if is_idle and choice.state is not CacheState.OTHER:
+                return choice
         return None
 
     @abc.abstractmethod
@@ -187,67 +205,49 @@
             directory.of_service(profile.service),
             directory.generation,
         )
-        price = self._extra_work_price(profile.service, now)
         usable = [
             upstream for upstream in order if self._may_serve(upstream, profile)
         ]
-        choices = []
-        for rank, upstream in enumerate(usable):
-            age_s = upstream.object_age_s(profile.object_key, now)
-            state = cache_state(rank, age_s)
-            rank_price = price
-            if state is CacheState.OTHER:
-                rank_price += RANK_PRICE * rank
-            choice = self._estimate(
-                upstream, profile, estimate, now, state, rank_price
-            )
-            if rank:
-                cost_s = choice.cost_s + LOWER_RANK_PENALTY_S
-                choice = attrs.evolve(choice, cost_s=cost_s)
-            choices.append(choice)
-        return choices
-
-    def _extra_work_price(self, service: str, now: float) -> float:
-        """Return the price of extra work, in seconds of waiting a second."""
-        utilization = self._directory.utilization(service, now)
-        excess = (utilization - PRICE_UTILIZATION_MIN) / (
-            1 - PRICE_UTILIZATION_MIN
-        )
-        excess = min(1, max(0, excess))
-        return EXTRA_WORK_PRICE_MIN + excess * (
-            EXTRA_WORK_PRICE_MAX - EXTRA_WORK_PRICE_MIN
+        costs = ServiceCosts(
+            estimate,
+            extra_work_price(directory.utilization(profile.service, now)),
+            _mean_failure_rate(usable),
         )
+        return [
+            self._estimate(upstream, rank, profile, costs, now)
+            for rank, upstream in enumerate(usable)
+        ]
 
     def _estimate(
         self,
         upstream: Upstream,
+        rank: int,
         profile: RequestProfile,
-        estimate: ServiceTimeEstimate,
+        costs: ServiceCosts,
         now: float,
-        state: CacheState,
-        price: float,
     ) -> Choice:
+        age_s = upstream.object_age_s(profile.object_key, now)
+        state = cache_state(rank, age_s)
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
             slowness = max(slowness, COLD_SLOWNESS_MIN)
         load = upstream.load(now)
         queued = max(0, load + 1 - upstream.slots)
-        wait_s = queued / upstream.slots * estimate.mean_s
+        wait_s = queued / upstream.slots * costs.estimate.mean_s
         # Prefers the less utilized of otherwise equal upstreams.
-        balance_s = estimate.mean_s * (load / upstream.slots) ** 2 / 4
-        network_s = self._network_s(upstream, profile.size_b)
-        service_s = estimate.expected_s(state)
-        expected_s = (service_s + wait_s) * slowness + network_s
-        extra_s = _assumed_s(estimate, state) * slowness - estimate.shortest_s
-        retry_s = estimate.expected_s(CacheState.OTHER)
+        balance_s = costs.estimate.mean_s * (load / upstream.slots) ** 2 / 4
+        work_s = costs.estimate.expected_s(state)
+        expected_s = (work_s + wait_s) * slowness
+        expected_s += self._network_s(upstream, profile.size_b)
         return Choice(
             upstream,
             expected_s,
             state,
             cost_s=expected_s
             + balance_s * slowness
-            + price * max(0, extra_s)
-            + (FAILURE_COST_RATIO + price) * retry_s * upstream.failure_rate,
+            + costs.extra_work_s(state, slowness, rank)
+            + costs.failure_s(upstream.failure_rate)
+            + LOWER_RANK_PENALTY_S * min(rank, 1),
             has_room=queued <= 0,
         )
 
@@ -263,12 +263,6 @@
     return choice.cost_s
 
 
-def _assumed_s(estimate: ServiceTimeEstimate, state: CacheState) -> float:
-    """Return the service time by which extra work is priced, in seconds.
-
-    The object is assumed not to be cached at the second upstream of its order:
-    sending it there means that two upstreams cache it.
-    """
-    if state is CacheState.SECOND:
-        state = CacheState.OTHER
-    return estimate.expected_s(state)
+def _mean_failure_rate(upstreams: Collection[Upstream]) -> float:
+    rates = [upstream.failure_rate for upstream in upstreams]
+    return sum(rates) / len(rates) if rates else 0
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -153,6 +153,41 @@
     assert choose(directory, b'1').upstream is not first
 
 
+def test_small_differences_in_speed_move_nothing() -> None:
+    """Objects stay where they are cached while speeds differ by chance."""
+    directory = make_fleet()
+    first = choose(directory, b'1').upstream
+    for _ in range(20):
+        first.record_answer(1.8, NOW)
+    assert choose(directory, b'1').upstream is first
+
+
+def test_equal_failures_move_nothing() -> None:
+    """All upstreams shed a part of their requests: objects stay in place."""
+    directory = make_fleet()
+    first = choose(directory, b'1').upstream
+    for upstream in directory:
+        upstream.failure_rate = 0.5
+    first.failure_rate = 0.65
+    assert choose(directory, b'1').upstream is first
+
+
+def test_known_copy_goes_before_a_new_first() -> None:
+    """A release adds upstreams: objects stay where they were sent before."""
+    directory = make_fleet()
+    before = choose(directory, b'1').upstream
+    before.record_object(b'1', NOW - 0.5)
+    for number in range(40):
+        register(directory, f'new{number}')
+    estimate = make_estimate()
+    for _ in range(20):
+        estimate.learn(0.9, CacheState.FIRST)
+    policy = POLICIES.get('soonest')(directory, 'a1', 'a')
+    profile = RequestProfile(SERVICE, b'1')
+    choice = policy.choose(profile, estimate, (), _reject, NOW)
+    assert choice.upstream is before
+
+
 def test_large_bodies_stay_in_the_domain() -> None:
     """Uploads avoid costly transfers between failure domains."""
     directory = make_fleet(24)
