--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -25,6 +25,9 @@
 # that is too busy, and the load per slot that this other one may have.
 RELIEF_UTILIZATION_MAX = 0.75
 RELIEF_LOAD_RATIO = 0.5
+# Upstreams that are not warming up and are considered without knowledge of the
+# object in their caches: the first of its order.
+CANDIDATES_MAX = 8
 # Small cost of an upstream that is not the first of the order, so that
 # objects stay on few upstreams.
 LOWER_RANK_PENALTY_S = 0.02
@@ -213,21 +216,28 @@
             extra_work_price(directory.utilization(profile.service, now)),
             _mean_failure_rate(usable),
         )
-        return [
-            self._estimate(upstream, rank, profile, costs, now)
-            for rank, upstream in enumerate(usable)
-        ]
+        choices = []
+        warm_count = 0
+        for rank, upstream in enumerate(usable):
+            age_s = upstream.object_age_s(profile.object_key, now)
+            state = cache_state(rank, age_s)
+            if state is CacheState.OTHER and warm_count >= CANDIDATES_MAX:
+                continue
+            warm_count += not upstream.is_cold(now)
+            choices.append(
+                self._estimate(upstream, rank, state, profile, costs, now)
+            )
+        return choices
 
     def _estimate(
         self,
         upstream: Upstream,
         rank: int,
+        state: CacheState,
         profile: RequestProfile,
         costs: ServiceCosts,
         now: float,
     ) -> Choice:
-        age_s = upstream.object_age_s(profile.object_key, now)
-        state = cache_state(rank, age_s)
         slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, upstream.slowness))
         if upstream.is_cold(now):
             slowness = max(slowness, COLD_SLOWNESS_MIN)
--- a/chestnutshift/steering/costs.py
+++ b/chestnutshift/steering/costs.py
@@ -15,10 +15,13 @@
 # meet.
 RANK_PRICE = 0.1
 # Slowness from which on the extra work at an upstream is priced.
-PRICED_SLOWNESS_MIN = 2.0
-# Cost at a failure rate of 1, as a multiple of the time without the object
-# cached and beside its price: a failed attempt costs a retry elsewhere.
+PRICED_SLOWNESS_MIN = 3.0
+# Cost of a failure rate of 1, as a multiple of the time without the object
+# cached: a failed attempt costs a retry elsewhere.
 FAILURE_COST_RATIO = 3.0
+# Failure rate beyond the mean of the service from which on it is priced like
+# extra work.
+PRICED_FAILURE_MIN = 0.3
 
 
 def extra_work_price(utilization: float) -> float:
@@ -70,5 +73,6 @@
         If all upstreams fail alike, moving an object gains nothing.
         """
         excess = max(0, failure_rate - self.failure_rate)
+        priced = max(0, excess - PRICED_FAILURE_MIN)
         retry_s = self.estimate.expected_s(CacheState.OTHER)
-        return (FAILURE_COST_RATIO + self.price) * retry_s * excess
+        return retry_s * (FAILURE_COST_RATIO * excess + self.price * priced)
