End a connection whole after an internal error; keep unknown links

Found on reading the diff: requests behind one that failed with an internal error went on to answer behind its closing answer; they are cancelled now. VMs of an earlier release register no bandwidth and would have been taken for slow ones; an unknown link is not slow. Tests for both.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -213,6 +213,9 @@
                 return False
             await self._refuse(refusals.INTERNAL_ERROR, exchange.parser)
             self._stop_reading()
+            # That answer closes the connection: no other may follow it.
+            for later in self._unanswered[1:]:
+                later.abandon()
             return True
         return exchange.is_complete
 
--- a/chestnutshift/fleet/bandwidth.py
+++ b/chestnutshift/fleet/bandwidth.py
@@ -22,6 +22,13 @@
 
 
 def without_slow_links(vms: Sequence[VM]) -> list[VM]:
-    """Return the VMs whose links are not slow, in the same order."""
+    """Return the VMs whose links are not slow, in the same order.
+
+    An unknown link, that of a VM of an earlier release, is not slow.
+    """
     fastest = max((vm.link_mbps for vm in vms), default=0)
-    return [vm for vm in vms if vm.link_mbps >= fastest * SLOW_LINK_RATIO]
+    return [
+        vm
+        for vm in vms
+        if not vm.link_mbps or vm.link_mbps >= fastest * SLOW_LINK_RATIO
+    ]
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -128,10 +128,11 @@
     def _relief(
         self, service: str, choices: Collection[Choice], now: float
     ) -> Choice | None:
-        """Return the second upstream of the order if it is half idle.
+        """Return a half idle upstream, None if there is none for relief.
 
-        While the whole service is busy there is no relief: the work without
-        the object would fill the slots that others need.
+        It is one that this VM sent the object to, or among the first two of
+        the order. While the whole service is busy there is no relief: the
+        work without the object would fill the slots that others need.
         """
         if self._directory.utilization(service, now) > RELIEF_UTILIZATION_MAX:
             return None
--- a/tests/callers/test_pipelining.py
+++ b/tests/callers/test_pipelining.py
@@ -1,5 +1,7 @@
 """Pipelined requests are served at the same time and answered in order."""
 
+import unittest
+
 import attrs
 import trio
 from trio.testing import trio_test
@@ -11,6 +13,8 @@
 PIPELINED = attrs.evolve(LIMITS, pipelined_max=3)
 TIMEOUT_S = 10
 
+logs = unittest.TestCase().assertLogs
+
 
 @attrs.define
 class Gates:
@@ -171,3 +175,29 @@
             assert b'/3' not in await one.read_end()
         except trio.BrokenResourceError:
             return
+
+
+@trio_test
+async def test_internal_error_ends_the_connection() -> None:
+    """Nothing is sent behind the answer to a request that failed."""
+    served = []
+
+    async def fail_first(scope, receive, send) -> None:
+        if scope['path'] == '/1':
+            await trio.sleep(0.1)
+            raise ValueError('fault')
+        served.append(scope['path'])
+        await echo(scope, receive, send)
+
+    with logs('chestnutshift.http'):
+        async with (
+            serving(fail_first, PIPELINED) as port,
+            calling(port.number) as caller,
+        ):
+            await caller.send(get('/1') + get('/2'))
+            try:
+                content = await caller.read_end()
+            except trio.BrokenResourceError:
+                content = b''
+    assert served == ['/2']
+    assert b'GET /2' not in content
--- a/tests/edge/test_lookups.py
+++ b/tests/edge/test_lookups.py
@@ -53,11 +53,15 @@
     return state
 
 
-def add_fast(state: EdgeState, *names: str, delay_s: float = 0) -> None:
-    """Add live peers with fast links in the failure domain a1."""
+def add_peers(
+    state: EdgeState, *names: str, link_mbps: float = 200, delay_s: float = 0
+) -> None:
+    """Add live peers with such links in the failure domain a1."""
     now = boot_time()
     for name in names:
-        member = attrs.evolve(make_member(name), callers=name, link_mbps=200)
+        member = attrs.evolve(
+            make_member(name), callers=name, link_mbps=link_mbps
+        )
         state.fleet.add_member(member, now)
         heartbeat = Heartbeat(
             name, 1, 1, now, MemberPhase.SERVING, 1, delay_s=delay_s
@@ -107,7 +111,8 @@
 
 def slow_links() -> EdgeState:
     """Return the state of a VM with a slow link and a peer like it."""
-    state = make_state(('slow', 'a1'))
+    state = make_state()
+    add_peers(state, 'slow', link_mbps=10)
     state.settings = attrs.evolve(state.settings, link_mbps=10)
     return state
 
@@ -115,7 +120,7 @@
 def test_fast_links_preferred() -> None:
     """VMs with slow links are not returned beside two with fast ones."""
     state = slow_links()
-    add_fast(state, 'f1', 'f2')
+    add_peers(state, 'f1', 'f2')
     assert look_up(state, 'a1') == {'f1', 'f2'}
     assert look_up(state, 'a2') == {'f1', 'f2'}
 
@@ -123,12 +128,19 @@
 def test_one_fast_link() -> None:
     """A single VM with a fast link would be a single point of failure."""
     state = slow_links()
-    add_fast(state, 'f1')
+    add_peers(state, 'f1')
     assert look_up(state, 'a1') == {'slow', 'f1'}
 
 
 def test_overloaded_fast_links() -> None:
     """VMs with slow links help while those with fast ones are overloaded."""
     state = slow_links()
-    add_fast(state, 'f1', 'f2', delay_s=OVERLOAD_DELAY_S * 2)
+    add_peers(state, 'f1', 'f2', delay_s=OVERLOAD_DELAY_S * 2)
     assert look_up(state, 'a1') == {'slow', 'f1', 'f2'}
+
+
+def test_unknown_links() -> None:
+    """VMs of an earlier release, with unknown links, are returned as well."""
+    state = make_state(('old', 'a1'))
+    add_peers(state, 'f1', 'f2')
+    assert look_up(state, 'a1') == {'old', 'f1', 'f2'}
