--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -32,8 +32,6 @@
 # Requests that are not idempotent only reuse connections idle for less: the
 # upstream may be closing an older one.
 REUSE_IDLE_MAX_S = 2.0
-# Idle connections are closed this long before the upstream's own idle limit.
-KEEP_ALIVE_MARGIN_S = 1.0
 SERVER_ERROR = 500
 MISDIRECTED = 421
 OPTIONS = ConnectionOptions(
