--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -96,7 +96,7 @@
         )
         if end.kind is EndKind.NOT_RUN:
             upstream.answered_at = now
-            if refused_with_free_slots(end):
+            if end.is_partial_refusal:
                 upstream.record_failure(now)
             return
         upstream.record_failure(now)
@@ -105,17 +105,6 @@
             self.mark_unproven(upstream, end.detail)
 
 
-def refused_with_free_slots(end: AttemptEnd) -> bool:
-    """Return whether an upstream with free slots refused a request.
-
-    It refuses a part of its requests; the next one may pass.
-    """
-    if end.kind is not EndKind.NOT_RUN:
-        return False
-    load = end.facts.load if end.facts else None
-    return load is not None and load.running < load.slots
-
-
 def record_facts(upstream: Upstream, end: AttemptEnd, now: float) -> None:
     """Record the load and cold state that an answer's head reports."""
     facts = end.facts
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -79,6 +79,17 @@
     reply: Reply | None = None
     facts: AnswerFacts | None = None
 
+    @property
+    def is_partial_refusal(self) -> bool:
+        """Whether an upstream with free slots refused the request.
+
+        It refuses a part of its requests; the next one may pass.
+        """
+        load = self.facts.load if self.facts else None
+        if self.kind is not EndKind.NOT_RUN or load is None:
+            return False
+        return load.running < load.slots
+
 
 # Callbacks that send the head of the caller's answer, and a part of its body.
 StartAnswer = Callable[[int, Headers], Awaitable[None]]
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -7,10 +7,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events, reasons
 from chestnutshift.edge.admission import Admitted
-from chestnutshift.edge.attempt_observer import (
-    AttemptObserver,
-    refused_with_free_slots,
-)
+from chestnutshift.edge.attempt_observer import AttemptObserver
 from chestnutshift.edge.attempts import (
     SERVER_ERROR,
     AnswerCollector,
@@ -63,7 +60,7 @@
             end = await self._attempt(pending, choice, estimate)
             if not self._may_retry(pending, end):
                 break
-            if not refused_with_free_slots(end):
+            if not end.is_partial_refusal:
                 pending.avoided.add(choice.upstream)
         await self._finish(pending, end)
 
--- a/chestnutshift/logs/lost_requests.py
+++ b/chestnutshift/logs/lost_requests.py
@@ -13,12 +13,14 @@
 import attrs
 
 from chestnutshift.logs.request_trace import read_lines
+from chestnutshift.steering.service_time import CacheState
 
 Line = Mapping[str, Any]
 
-# Cache states in which the upstream probably has the object, see
-# chestnutshift.steering.service_time.
-_LIKELY_CACHED = frozenset(('fresh', 'recent', 'first'))
+# States in which the upstream probably has the object.
+_LIKELY_CACHED = frozenset(
+    (CacheState.FRESH, CacheState.RECENT, CacheState.FIRST)
+)
 SERVER_ERROR = 500
 
 
