Share the load of requests without an object

Cause, found on reading the diff: a request without an object key was treated as one for the object of the empty key, and with the price of extra work all such requests went to the first two upstreams of that key's order until their queues were long. Change: they have a state of their own, no order, and go by load.

--- a/chestnutshift/logs/lost_requests.py
+++ b/chestnutshift/logs/lost_requests.py
@@ -17,9 +17,14 @@
 
 Line = Mapping[str, Any]
 
-# States in which the upstream probably has the object.
+# States in which no missing object explains a late answer.
 _LIKELY_CACHED = frozenset(
-    (CacheState.FRESH, CacheState.RECENT, CacheState.FIRST)
+    (
+        CacheState.FRESH,
+        CacheState.RECENT,
+        CacheState.FIRST,
+        CacheState.NO_OBJECT,
+    )
 )
 SERVER_ERROR = 500
 
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -217,6 +217,13 @@
             extra_work_price(directory.utilization(profile.service, now)),
             _mean_failure_rate(usable),
         )
+        if not profile.object_key:
+            return [
+                self._estimate(
+                    upstream, 0, CacheState.NO_OBJECT, profile, costs, now
+                )
+                for upstream in usable
+            ]
         choices = []
         warm_count = 0
         for rank, upstream in enumerate(usable):
--- a/chestnutshift/steering/service_time.py
+++ b/chestnutshift/steering/service_time.py
@@ -36,6 +36,8 @@
     FIRST = 'first'
     SECOND = 'second'
     OTHER = 'other'
+    # The request is for no object.
+    NO_OBJECT = 'no_object'
 
 
 _SENT_STATES = (
@@ -91,7 +93,8 @@
             state: warm_s if state in _WARM_PRIOR_STATES else cold_s
             for state in CacheState
         }
-        means_s[CacheState.SECOND] = (warm_s + cold_s) / 2
+        for state in (CacheState.SECOND, CacheState.NO_OBJECT):
+            means_s[state] = (warm_s + cold_s) / 2
         return cls(warm_s, means_s)
 
     @property
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -122,7 +122,9 @@
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
 
     def record_object(self, object_key: bytes, now: float) -> None:
-        """Record that this VM sent it a request for the object."""
+        """Record that this VM sent it a request for the object, if any."""
+        if not object_key:
+            return
         self._recent_objects[object_key] = now
         self._recent_objects.move_to_end(object_key)
         if len(self._recent_objects) > RECENT_OBJECTS_MAX:
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -172,6 +172,18 @@
     assert choose(directory, b'1').upstream is first
 
 
+def test_requests_without_an_object_spread() -> None:
+    """Without an object there is no cache to gain from, only load to share."""
+    directory = make_fleet()
+    for _ in range(60):
+        upstream = choose(directory, b'').upstream
+        upstream.in_flight += 1
+        upstream.record_object(b'', NOW)
+    loads = [upstream.in_flight for upstream in directory.of_service(SERVICE)]
+    assert min(loads) >= 3
+    assert max(loads) <= 8
+
+
 def test_known_copy_goes_before_a_new_first() -> None:
     """A release adds upstreams: objects stay where they were sent before."""
     directory = make_fleet()
