Read the store's era, and log a store that returned from an older copy

The era of an answer is decoded and logged (store.returned, with the version before and after), and request.sent tells whether the VM took the upstream for cold. The stand-in of the store learns to return from a copy: its era rises, versions are given out again, and a poll beyond the newest version gets 410. No decision depends on the era yet.

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -52,6 +52,12 @@
     'store.question_hurried',
     'Peers know newer changes or the proof is due: the store is polled now.',
 )
+STORE_RETURNED = define(
+    8015,
+    'store.returned',
+    'The store returned from an older copy, in a new era.',
+    logging.WARNING,
+)
 TABLE_IN_FORCE = define(
     8020,
     'table.in_force',
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -78,8 +78,7 @@
             # All shares of accounts go by the demand that every peer was told.
             state.shares.report_demand(now)
             self._all_due_at = now + fleet.heartbeat_interval_s - TIMER_SLACK_S
-        self._number += 1
-        heartbeat = self._make_heartbeat(now)
+        heartbeat = self.next_heartbeat(now)
         self._is_busy = heartbeat.is_busy
         for index, peer in enumerate(peers):
             peer_sent_at = peer.heartbeat.sent_at if peer.heartbeat else None
@@ -87,6 +86,27 @@
             if index % SENDS_PER_CHECKPOINT == 0:
                 await trio.lowlevel.checkpoint()
 
+    def next_heartbeat(self, now: float) -> Heartbeat:
+        """Return the heartbeat to send now, under the next number."""
+        self._number += 1
+        state = self._state
+        age_s = state.freshness.age_s(now)
+        is_proven = math.isfinite(age_s) and state.is_trusted(now)
+        return Heartbeat(
+            vm=state.settings.vm,
+            incarnation=state.incarnation,
+            number=self._number,
+            sent_at=now,
+            phase=state.phase,
+            table_version=state.table.version if state.table else 0,
+            proof_age_s=age_s if is_proven else None,
+            demand=state.shares.reported_demand,
+            in_flight=state.in_flight(),
+            operators_changed_at=state.operators_changes.changed_at,
+            upstreams_changed_at=state.upstreams_changes.changed_at,
+            delay_s=state.delay_s,
+        )
+
     def send(self, message: Message, peer: Peer) -> None:
         """Send one message; delivery is not guaranteed."""
         endpoint = peer.member.endpoint
@@ -107,25 +127,6 @@
         delay_s = trio.current_time() - due_at
         self._state.delay_s += DELAY_WEIGHT * (delay_s - self._state.delay_s)
 
-    def _make_heartbeat(self, now: float) -> Heartbeat:
-        state = self._state
-        age_s = state.freshness.age_s(now)
-        is_proven = math.isfinite(age_s) and state.is_trusted(now)
-        return Heartbeat(
-            vm=state.settings.vm,
-            incarnation=state.incarnation,
-            number=self._number,
-            sent_at=now,
-            phase=state.phase,
-            table_version=state.table.version if state.table else 0,
-            proof_age_s=age_s if is_proven else None,
-            demand=state.shares.reported_demand,
-            in_flight=state.in_flight(),
-            operators_changed_at=state.operators_changes.changed_at,
-            upstreams_changed_at=state.upstreams_changes.changed_at,
-            delay_s=state.delay_s,
-        )
-
     def _send(self, message: Message, address: Address) -> None:
         if self._port is None:
             return
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -149,6 +149,7 @@
             cache=choice.state.value,
             load=upstream.load(now),
             slots=upstream.slots,
+            is_cold=upstream.is_cold(now),
             waited_s=round(now - pending.started_at, 3),
         )
         ran_before = pending.ran
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -73,6 +73,8 @@
     live_peer_names: Sequence[str] = ()
     operators_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
     upstreams_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
+    # The newest era that the store named.
+    store_era: int = 0
     # The settings as last read; some take effect only after a restart.
     _settings_read: EdgeSettings | None = None
     # When the store last answered this VM or a peer (boot time).
@@ -171,6 +173,15 @@
         if last is not None and answered_at - last > STORE_OUTAGE_MIN_S:
             self.directory.defer_removals(now + LAPSE_GRACE_S)
 
+    def record_era(self, era: int) -> bool:
+        """Record the era of an answer; return whether the store returned.
+
+        An answer may name no era: 0.
+        """
+        before = self.store_era
+        self.store_era = max(before, era)
+        return bool(before) and era > before
+
     def cold_s(self) -> Mapping[str, float]:
         """Return how long upstreams stay cold, by service."""
         if self.table is None:
--- a/chestnutshift/edge/store_tables.py
+++ b/chestnutshift/edge/store_tables.py
@@ -36,7 +36,8 @@
     seconds). is_whole tells whether the view lists every row. store_now is
     the store's monotonic clock at the answer, None if the answer lacks it.
     changed_at is the version of the newest change in the view, 0 if there is
-    none.
+    none. era is the store's: it rises when the store returns from an older
+    copy, and versions are then given out again; 0 if the store names none.
     """
 
     changes: tuple[Change[State], ...]
@@ -45,6 +46,7 @@
     is_whole: bool
     store_now: float | None = None
     changed_at: int = 0
+    era: int = 0
 
 
 class Source(abc.ABC, Generic[State]):
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -77,6 +77,7 @@
         now = boot_time()
         self._count('answered')
         self._log_recovery()
+        self._record_era(view, version)
         self._state.record_store_answer(now, now)
         self._apply(view, now)
         self._version = max(view.version, version or 0)
@@ -99,6 +100,18 @@
                 self._open_poll = None
         return None
 
+    def _record_era(self, view: View, version: int | None) -> None:
+        before = self._state.store_era
+        if self._state.record_era(view.era):
+            self._state.event_log.emit(
+                events.STORE_RETURNED,
+                source=self._name,
+                era=view.era,
+                before=before,
+                version=view.version,
+                known_version=version or 0,
+            )
+
     def _log_recovery(self) -> None:
         if self._failures:
             self._state.event_log.emit(
--- a/chestnutshift/platform/names.py
+++ b/chestnutshift/platform/names.py
@@ -13,6 +13,9 @@
 LOAD = b'x-chestnutshift-server-load'
 NOT_RUN = b'x-chestnutshift-not-executed'
 COLD_MS = b'x-chestnutshift-cold-ms'
+# Rises when the store returns from an older copy; named with or without the
+# prefix.
+STORE_ERA = (b'store-era', b'x-chestnutshift-store-era')
 RESERVED_PREFIX = b'x-chestnutshift-'
 KEY_SCHEME = b'token'
 
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -56,6 +56,7 @@
             is_whole,
             stored.store_now,
             max((row.version for row in stored.rows), default=0),
+            stored.era,
         )
 
     def _change(self, row: StoredRow) -> Change[State]:
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -13,6 +13,8 @@
 from chestnutshift.edge.exceptions import LostHistoryError
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.exceptions import CodedError
+from chestnutshift.forwarding.heads import find_header
+from chestnutshift.forwarding.requests import Headers
 from chestnutshift.platform import names
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import (
@@ -32,6 +34,8 @@
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
 CONNECTIONS_MAX = 6
+# Longer numbers do not fit into a heartbeat.
+ERA_DIGITS_MAX = 18
 # The timeout of a call that does not wait for changes. It starts anew with
 # each part of an answer: a large answer over a slow link takes many times as
 # long.
@@ -60,12 +64,14 @@
     requested_at is the boot time in seconds at which the call was sent: every
     change that was confirmed before it is included. store_now is the store's
     monotonic clock in seconds at the answer, None if the answer lacks it.
+    era is the store's, 0 if the answer names none.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     requested_at: float
     store_now: float | None = None
+    era: int = 0
 
 
 @attrs.frozen
@@ -73,6 +79,7 @@
     status: int
     content: bytes
     requested_at: float
+    era: int
 
 
 class StoreClient:
@@ -91,6 +98,7 @@
     async def read(self, table: str) -> StoreView:
         """Return all rows of a table; raises StoreUnavailableError."""
         rows: list[StoredRow] = []
+        eras: set[int] = set()
         start = ''
         while True:
             query = {'table': table, 'part': '', 'from': start}
@@ -99,6 +107,11 @@
             answer = await self._call('GET', names.READ_ROWS_PATH, query)
             document = _document(answer)
             rows.extend(_rows(document))
+            eras.add(answer.era)
+            if len(eras) > 1:
+                raise StoreUnavailableError(
+                    'the store entered another era between two pages'
+                )
             if not document.get('truncated') or not rows:
                 version = integer_of(document, 'ver')
                 return StoreView(
@@ -106,6 +119,7 @@
                     version,
                     answer.requested_at,
                     _store_now(document),
+                    answer.era,
                 )
             # The smallest key after the last one.
             start = f'{rows[-1].key}\0'
@@ -141,6 +155,7 @@
             version,
             answer.requested_at,
             _store_now(document),
+            answer.era,
         )
 
     async def write(
@@ -191,28 +206,27 @@
                 (b'content-length', b'%d' % len(body)),
             ]
         request = OutboundRequest(method.encode(), target.encode(), headers)
-        requested_at = boot_time()
         try:
             with trio.fail_after(timeout_s) as scope:
-                status, content = await self._exchange(request, body, scope)
+                return await self._exchange(request, body, scope)
         except trio.TooSlowError as error:
             raise StoreUnavailableError('no answer in time') from error
         except CodedError as error:
             raise StoreUnavailableError(error.detail) from error
-        return _Answer(status, content, requested_at)
 
     async def _exchange(
         self,
         request: OutboundRequest,
         body: bytes,
         scope: trio.CancelScope,
-    ) -> tuple[int, bytes]:
-        """Return status and body; each part extends the scope's deadline."""
+    ) -> _Answer:
+        """Return the answer; each part extends the scope's deadline."""
+        requested_at = boot_time()
         chunks: list[bytes] = []
-        statuses: list[int] = []
+        heads: list[UpstreamAnswer] = []
 
         async def collect(answer: UpstreamAnswer) -> None:
-            statuses.append(answer.status)
+            heads.append(answer)
             part = answer.receive_nowait()
             chunks.append(part.content)
             while not part.is_last:
@@ -222,7 +236,10 @@
 
         connection = await self._connections.acquire()
         await self._connections.exchange(connection, request, body, collect)
-        return statuses[0], b''.join(chunks)
+        head = heads[0]
+        return _Answer(
+            head.status, b''.join(chunks), requested_at, _era(head.headers)
+        )
 
 
 def _document(answer: _Answer) -> Mapping[str, Any]:
@@ -236,6 +253,15 @@
         raise StoreUnavailableError(error.detail) from error
 
 
+def _era(headers: Headers) -> int:
+    """Return the era that an answer names; 0 for none or a malformed one."""
+    for name in names.STORE_ERA:
+        text = find_header(headers, name) or b''
+        if text.isdigit() and len(text) <= ERA_DIGITS_MAX:
+            return int(text)
+    return 0
+
+
 def _store_now(document: Mapping[str, Any]) -> float | None:
     if 'now' not in document:
         return None
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -60,14 +60,28 @@
     return b''.join(parts)
 
 
+@attrs.frozen
+class StoreCopy:
+    """The rows and the version of a store at one moment."""
+
+    rows: dict[tuple[str, str], Row]
+    version: int
+
+
 @attrs.define
 class StoreStandIn:
-    """ASGI stand-in for the store: tables of rows and their change feed."""
+    """ASGI stand-in for the store: tables of rows and their change feed.
+
+    It may return from an older copy: its era rises, and versions that were
+    given out since the copy are given out again.
+    """
 
     rows: dict[tuple[str, str], Row] = attrs.field(factory=dict)
     version: int = 0
+    era: int = 1
     is_down: bool = False
     _changed: trio.Event = attrs.field(factory=trio.Event)
+    _copy: 'StoreCopy | None' = None
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one call; 503 while the store is down."""
@@ -82,8 +96,12 @@
             '/-/rows-tx': self._change,
         }
         document = await calls[scope['path']](query, body)
+        era = (b'store-era', b'%d' % self.era)
+        if document is None:
+            await answer(send, 410, b'{}', era)
+            return
         document |= {'ver': self.version, 'now': f'{trio.current_time():.3f}s'}
-        await answer(send, 200, json.dumps(document).encode())
+        await answer(send, 200, json.dumps(document).encode(), era)
 
     def write(self, table: str, key: str, content: bytes) -> None:
         """Write a row as another client of the store."""
@@ -107,6 +125,16 @@
         }
         self._notify()
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the rows, to which `return_from_copy` goes back."""
+        self._copy = StoreCopy(dict(self.rows), self.version)
+
+    def return_from_copy(self) -> None:
+        """Go back to the copy, in the next era."""
+        self.rows = dict(self._copy.rows)
+        self.version = self._copy.version
+        self.era += 1
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -123,8 +151,13 @@
         present = [row for row in rows if not row.get('removed')]
         return {'rows': present, 'truncated': False}
 
-    async def _feed(self, query: dict[str, list[str]], _body: bytes) -> Row:
+    async def _feed(
+        self, query: dict[str, list[str]], _body: bytes
+    ) -> Row | None:
+        """Return the changes, or None if the version is still to come."""
         table, after = query['table'][0], int(query['after'][0])
+        if after > self.version:
+            return None
         with trio.move_on_after(int(query['wait_ms'][0]) / 1000):
             while not self._after(table, after):
                 await self._changed.wait()
