Follow the store by era and version, so that a return ends every position

Cause: a position in the store was a bare version. A store that returns from an older copy gives versions out again, and a poll that resumes once they have passed its own gets no 410. TablePoller and ChangeTracker kept the largest version ever seen, and heartbeats carried versions without an era, so a VM that missed rows never read them and nobody could tell that it was behind.

Change: a position is (era, version), in views, trackers and heartbeats. An answer of a later era ends the positions of all three tables: each is read again whole, open polls are restarted, and peers' news of a later era count as newer. An answer of an earlier era is not used. An answer that names no era counts as of the current one.

--- a/chestnutshift/edge/exceptions.py
+++ b/chestnutshift/edge/exceptions.py
@@ -7,3 +7,9 @@
     """The change feed has a gap, so the whole table must be read again."""
 
     code = 'edge.lost_history'
+
+
+class EarlierEraError(CodedError):
+    """The store answered from before its return from an older copy."""
+
+    code = 'edge.earlier_era'
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -14,7 +14,7 @@
 from chestnutshift.fleet.heartbeats import MemberPhase, hash_upstream
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.shares import AccountShares, Tolerance
-from chestnutshift.fleet.store_polling import ChangeTracker
+from chestnutshift.fleet.store_polling import ChangeTracker, StorePosition
 from chestnutshift.fleet.view import FleetView
 from chestnutshift.routes.matching import RouteIndex
 from chestnutshift.routes.model import RouteTable
@@ -220,8 +220,9 @@
         heartbeats = self.fleet.heartbeats(now)
         operators = [heartbeat.operators_changed_at for heartbeat in heartbeats]
         upstreams = [heartbeat.upstreams_changed_at for heartbeat in heartbeats]
-        self.operators_changes.record_peers(max(operators, default=0), now)
-        self.upstreams_changes.record_peers(max(upstreams, default=0), now)
+        none = StorePosition()
+        self.operators_changes.record_peers(max(operators, default=none), now)
+        self.upstreams_changes.record_peers(max(upstreams, default=none), now)
 
     def in_flight(self) -> dict[int, int]:
         """Return this VM's requests in flight by hash of the upstream's id."""
--- a/chestnutshift/edge/store_polling.py
+++ b/chestnutshift/edge/store_polling.py
@@ -72,6 +72,8 @@
         state.update_known_changes(now)
         age_s = state.freshness.age_s(now)
         bound_s = state.settings.bounds.withdrawal_s
+        for poller in (self._operators, self._upstreams, self._members):
+            poller.poll_if_outdated(now)
         is_due = not self._is_watcher() and is_proof_due(age_s, bound_s)
         if state.operators_changes.is_due(now, is_proof_due=is_due):
             self._operators.poll_now(now)
--- a/chestnutshift/edge/store_tables.py
+++ b/chestnutshift/edge/store_tables.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from chestnutshift.fleet.store_polling import StorePosition
+
 State = TypeVar('State')
 
 
@@ -48,6 +50,16 @@
     changed_at: int = 0
     era: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        """The store's position up to which the view is complete."""
+        return StorePosition(self.era, self.version)
+
+    @property
+    def changed_position(self) -> StorePosition:
+        """The store's position of the newest change in the view."""
+        return StorePosition(self.era, self.changed_at)
+
 
 class Source(abc.ABC, Generic[State]):
     """One table of the store, with decoded rows."""
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -8,12 +8,12 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
-from chestnutshift.edge.exceptions import LostHistoryError
+from chestnutshift.edge.exceptions import EarlierEraError, LostHistoryError
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.store_tables import Evacuation, Source, View
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.members import Member
-from chestnutshift.fleet.store_polling import PollPace
+from chestnutshift.fleet.store_polling import PollPace, StorePosition
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.steering.upstreams import Registration
 
@@ -36,7 +36,7 @@
     _apply: Callable[[View, float], None]
     _rng: random.Random = attrs.field(factory=random.Random)
     _failures: int = 0
-    _version: int | None = None
+    _position: StorePosition | None = None
     _open_poll: trio.CancelScope | None = None
     _skips_wait: bool = False
 
@@ -51,7 +51,7 @@
                     source=self._name,
                     detail=error.detail,
                 )
-                self._version = None
+                self._position = None
             except CodedError as error:
                 await self._back_off(error)
 
@@ -69,25 +69,34 @@
             proof_age_s=round(age_s, 3),
         )
 
+    def poll_if_outdated(self, now: float) -> None:
+        """Poll again at once if the store is in a later era by now."""
+        position = self._position
+        if position is not None and position.era < self._state.store_era:
+            self.poll_now(now)
+
     async def _step(self) -> None:
-        version = self._version
-        view = await self._poll(version)
+        position = self._position
+        view = await self._poll(position)
         if view is None:
             return
+        if not view.era:
+            view = attrs.evolve(view, era=self._state.store_era)
         now = boot_time()
         self._count('answered')
         self._log_recovery()
-        self._record_era(view, version)
+        self._check_era(view)
         self._state.record_store_answer(now, now)
         self._apply(view, now)
-        self._version = max(view.version, version or 0)
-        if version is not None and view.changes:
+        self._position = max(view.position, position or StorePosition())
+        if position is not None and view.changes:
             await trio.sleep(self._pace().settle_s)
 
-    async def _poll(self, version: int | None) -> View | None:
+    async def _poll(self, position: StorePosition | None) -> View | None:
         """Return the answer, or None if the poll was cancelled."""
-        if version is None:
+        if position is None or position.era < self._state.store_era:
             return await self._source.read()
+        version = position.version
         wait_s = 0 if self._skips_wait else self._pace().wait_s
         if not wait_s:
             self._skips_wait = False
@@ -100,7 +109,12 @@
                 self._open_poll = None
         return None
 
-    def _record_era(self, view: View, version: int | None) -> None:
+    def _check_era(self, view: View) -> None:
+        """Raise an error unless the view follows in the current era.
+
+        In a later era versions were given out again, so that changes after a
+        version known before are not all that is new: LostHistoryError.
+        """
         before = self._state.store_era
         if self._state.record_era(view.era):
             self._state.event_log.emit(
@@ -109,8 +123,12 @@
                 era=view.era,
                 before=before,
                 version=view.version,
-                known_version=version or 0,
+                known_version=self._position.version if self._position else 0,
             )
+        if view.era < self._state.store_era:
+            raise EarlierEraError(f'an answer of era {view.era}')
+        if not view.is_whole and view.era > self._position.era:
+            raise LostHistoryError(f'the store is in era {view.era}')
 
     def _log_recovery(self) -> None:
         if self._failures:
@@ -154,7 +172,7 @@
     ) -> None:
         """Apply the route table and evacuations."""
         self._state.operators_changes.record_answer(
-            view.changed_at, view.version
+            view.changed_position, view.position
         )
         if view.is_whole:
             self._evacuations.clear()
@@ -179,7 +197,7 @@
         """Apply the registrations of upstreams."""
         directory = self._state.directory
         self._state.upstreams_changes.record_answer(
-            view.changed_at, view.version
+            view.changed_position, view.position
         )
         if view.is_whole:
             listed = [change.key for change in view.changes if change.state]
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -8,6 +8,7 @@
 from chestnutshift.fleet.exceptions import BrokenDatagramError
 from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 from chestnutshift.fleet.questions import LimitAnswer, LimitQuestion
+from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.wire.generated.fleet import ttypes
 
 Message = Heartbeat | LimitQuestion | LimitAnswer
@@ -84,8 +85,10 @@
             for account, rate in heartbeat.demand.items()
         },
         in_flight=dict(heartbeat.in_flight),
-        operators_changed_at=heartbeat.operators_changed_at,
-        upstreams_changed_at=heartbeat.upstreams_changed_at,
+        operators_changed_at=heartbeat.operators_changed_at.version,
+        upstreams_changed_at=heartbeat.upstreams_changed_at.version,
+        operators_era=heartbeat.operators_changed_at.era,
+        upstreams_era=heartbeat.upstreams_changed_at.era,
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
@@ -103,8 +106,12 @@
         proof_age_s=_seconds(struct.proof_age_us),
         demand={name: rate / MILLI_PER_UNIT for name, rate in demand.items()},
         in_flight=struct.in_flight or {},
-        operators_changed_at=struct.operators_changed_at or 0,
-        upstreams_changed_at=struct.upstreams_changed_at or 0,
+        operators_changed_at=StorePosition(
+            struct.operators_era or 0, struct.operators_changed_at or 0
+        ),
+        upstreams_changed_at=StorePosition(
+            struct.upstreams_era or 0, struct.upstreams_changed_at or 0
+        ),
         delay_s=_seconds(struct.delay_us) or 0,
     )
 
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from chestnutshift.fleet.store_polling import StorePosition
+
 _SIGN_BIT = 0x80000000
 _UINT32_END = 0x100000000
 
@@ -26,8 +28,8 @@
     receiver, proof_age_s the age of the proof that the sender's route table
     is the newest; both are None if there is none. demand is requests per
     second by account, in_flight the sender's requests by hash of the
-    upstream's id. operators_changed_at and upstreams_changed_at are the store
-    versions of the newest changes that the sender knows, so that a receiver
+    upstream's id. operators_changed_at and upstreams_changed_at are the store's
+    positions of the newest changes that the sender knows, so that a receiver
     notices changes that it missed. delay_s is how late the sender's timers
     fire, which grows as its processor is fully used.
     """
@@ -42,8 +44,8 @@
     proof_age_s: float | None = None
     demand: Mapping[str, float] = attrs.field(factory=dict)
     in_flight: Mapping[int, int] = attrs.field(factory=dict)
-    operators_changed_at: int = 0
-    upstreams_changed_at: int = 0
+    operators_changed_at: StorePosition = StorePosition()
+    upstreams_changed_at: StorePosition = StorePosition()
     delay_s: float = 0
 
     @property
--- a/chestnutshift/fleet/store_polling.py
+++ b/chestnutshift/fleet/store_polling.py
@@ -65,27 +65,41 @@
     return age_s > bound_s * PROOF_DUE_RATIO
 
 
+@attrs.frozen(order=True)
+class StorePosition:
+    """A version of the store and the era in which it was given out.
+
+    A store that returns from an older copy gives versions out again, in the
+    next era.
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 @attrs.define
 class ChangeTracker:
     """A tracker of changes to a table that peers know and this VM does not.
 
-    changed_at is the version of the newest change that this VM knows; it has
-    seen all changes up to version known_until.
+    changed_at is the position of the newest change that this VM knows; it has
+    seen all changes up to the position known_until.
     """
 
-    changed_at: int = 0
-    _known_until: int = 0
+    changed_at: StorePosition = StorePosition()
+    _known_until: StorePosition = StorePosition()
     _behind_since: float = math.inf
     _polled_at: float = -math.inf
 
-    def record_answer(self, changed_at: int, known_until: int) -> None:
-        """Record the versions of an answer from the store."""
+    def record_answer(
+        self, changed_at: StorePosition, known_until: StorePosition
+    ) -> None:
+        """Record the positions of an answer from the store."""
         self.changed_at = max(self.changed_at, changed_at)
         self._known_until = max(self._known_until, known_until)
         self._behind_since = math.inf
 
-    def record_peers(self, changed_at: int, now: float) -> None:
-        """Record the version of the newest change that any peer knows."""
+    def record_peers(self, changed_at: StorePosition, now: float) -> None:
+        """Record the position of the newest change that any peer knows."""
         if changed_at <= self._known_until:
             self._behind_since = math.inf
             return
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -26,6 +26,10 @@
   12: optional i64 upstreams_changed_at
   // How late the sender's timers fire, as a moving average.
   13: optional i64 delay_us
+  // The eras in which the store gave out these versions: it gives them out
+  // again when it returns from an older copy.
+  14: optional i64 operators_era
+  15: optional i64 upstreams_era
 }
 
 // Asks the VM that decides on an account whether a request is within its
--- a/tests/fleet/test_heartbeats.py
+++ b/tests/fleet/test_heartbeats.py
@@ -12,6 +12,7 @@
     hash_upstream,
 )
 from chestnutshift.fleet.questions import LimitAnswer, LimitQuestion
+from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.fleet.view import SHARE_EXPIRY_S, SILENCE_MIN_S, FleetView
 from tests.fleet.factories import make_member
 
@@ -27,6 +28,7 @@
     proof_age_s=1.0,
     demand={'konya': 2.5},
     in_flight={hash_upstream('i-1'): 3},
+    upstreams_changed_at=StorePosition(2, 7),
 )
 
 
--- a/tests/fleet/test_store_polling.py
+++ b/tests/fleet/test_store_polling.py
@@ -5,6 +5,7 @@
     CATCH_UP_INTERVAL_MIN_S,
     WATCHER_COUNT,
     ChangeTracker,
+    StorePosition,
     is_proof_due,
     is_watcher,
 )
@@ -13,6 +14,11 @@
 FLEET = tuple(f'vm-{number}' for number in range(78))
 
 
+def at(version: int, era: int = 1) -> StorePosition:
+    """Return a position of the store, of its first era by default."""
+    return StorePosition(era, version)
+
+
 def watchers(fleet: tuple[str, ...]) -> list[str]:
     """Return the watchers of a fleet in which all VMs are live."""
     return [
@@ -42,12 +48,12 @@
 def test_missed_change_triggers_a_poll() -> None:
     """Peers' heartbeats reveal a removal whose answer was lost."""
     tracker = ChangeTracker()
-    tracker.record_answer(changed_at=5, known_until=8)
-    tracker.record_peers(9, NOW)
+    tracker.record_answer(at(5), known_until=at(8))
+    tracker.record_peers(at(9), NOW)
     assert not tracker.is_due(NOW + CATCH_UP_DELAY_S / 2)
     assert tracker.is_due(NOW + CATCH_UP_DELAY_S + 0.1)
     assert not tracker.is_due(NOW + CATCH_UP_DELAY_S + 0.2)
-    tracker.record_answer(changed_at=9, known_until=9)
+    tracker.record_answer(at(9), known_until=at(9))
     assert not tracker.is_due(
         NOW + CATCH_UP_DELAY_S + 2 * CATCH_UP_INTERVAL_MIN_S
     )
@@ -56,8 +62,22 @@
 def test_full_read_covers_removals() -> None:
     """A full read has no row for a removal; its own version covers it."""
     tracker = ChangeTracker()
-    tracker.record_answer(changed_at=5, known_until=20)
-    tracker.record_peers(19, NOW)
+    tracker.record_answer(at(5), known_until=at(20))
+    tracker.record_peers(at(19), NOW)
+    assert not tracker.is_due(NOW + 10)
+
+
+# Guards against a VM that misses a return of the store: its versions were
+# higher, and no peer's news counted as newer.
+def test_news_of_a_later_era_is_newer() -> None:
+    """Versions are given out again after the store returned from a copy."""
+    tracker = ChangeTracker()
+    tracker.record_answer(at(90), known_until=at(95))
+    tracker.record_peers(at(80, era=2), NOW)
+    assert tracker.is_due(NOW + CATCH_UP_DELAY_S + 0.1)
+    tracker.record_answer(at(80, era=2), known_until=at(82, era=2))
+    assert tracker.changed_at == at(80, era=2)
+    tracker.record_peers(at(95), NOW)
     assert not tracker.is_due(NOW + 10)
 
 
