Keep live VMs in the fleet, and register again when the store lacks the row

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: a VM wrote its row once, at its start. After the store returned from a copy older than that, every VM that read all rows knew fewer VMs than there were, in the worst case only itself, and then used the cold rate of the whole fleet: 12 x 3.7 requests a second where 6.1 x 1.5 + 5 are allowed. Shares of accounts went the same way.

Change: a peer without a row stays in the view until it is silent; a row of an earlier run in an older copy does not replace the peer; each VM looks for its own row in every view of the table and writes it again if it is missing or of an earlier run (store.registration_lost).

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -58,6 +58,12 @@
     'The store returned from an older copy, in a new era.',
     logging.WARNING,
 )
+REGISTRATION_LOST = define(
+    8016,
+    'store.registration_lost',
+    "The store lacks this VM's row, which is written again.",
+    logging.WARNING,
+)
 TABLE_IN_FORCE = define(
     8020,
     'table.in_force',
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -5,13 +5,18 @@
 from collections.abc import Mapping, Sequence
 
 import attrs
+import trio
 
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.bandwidth import without_slow_links
 from chestnutshift.fleet.deciders import Deciders
-from chestnutshift.fleet.heartbeats import MemberPhase, hash_upstream
+from chestnutshift.fleet.heartbeats import (
+    MemberPhase,
+    hash_upstream,
+    sum_in_flight,
+)
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.store_polling import ChangeTracker, StorePosition
@@ -73,6 +78,8 @@
     live_peer_names: Sequence[str] = ()
     operators_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
     upstreams_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
+    # Set when the store is found to lack this VM's row.
+    registration_lost: trio.Event = attrs.field(factory=trio.Event)
     # The newest era that the store named.
     store_era: int = 0
     # The settings as last read; some take effect only after a restart.
@@ -194,6 +201,7 @@
     def refresh(self, now: float) -> None:
         """Update the state that is derived from the peers' heartbeats."""
         fleet = self.fleet
+        fleet.drop_unlisted(now)
         demands = {
             heartbeat.vm: heartbeat.demand
             for heartbeat in fleet.heartbeats(now)
@@ -209,7 +217,7 @@
             self.record_proof(fleet.proof(self.table.version), now)
         self.cold_rate_limiter.update(fleet.names, rates)
         self.cold_rate_limiter.drop_warm(now)
-        counts = fleet.in_flight(now)
+        counts = sum_in_flight(fleet.heartbeats(now))
         for upstream in self.directory:
             upstream.peers_in_flight = counts.get(
                 hash_upstream(upstream.name), 0
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -14,6 +14,7 @@
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.store_polling import PollPace, StorePosition
+from chestnutshift.fleet.view import FleetView
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.steering.upstreams import Registration
 
@@ -162,6 +163,8 @@
 
     _state: EdgeState
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
+    # The era of the last view of each table.
+    _eras: dict[str, int] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
     _malformed_keys: set[str] = attrs.field(factory=set)
 
@@ -223,16 +226,39 @@
     def apply_members(self, view: View[Member], now: float) -> None:
         """Apply the list of VMs."""
         fleet = self._state.fleet
+        is_copy = self._is_copy('members', view)
         if view.is_whole:
-            listed = {change.key for change in view.changes if change.state}
-            for vm in set(fleet.names) - listed:
-                fleet.remove_member(vm)
+            fleet.keep_only({change.key for change in view.changes}, now)
         for change in view.changes:
             self._log_malformed_row('members', change.key, change.problem)
             if change.state is None:
                 fleet.remove_member(change.key)
-            else:
+            elif not (is_copy and _is_earlier(fleet, change.state)):
                 fleet.add_member(change.state, now)
+        self._check_registration(view)
+
+    def _check_registration(self, view: View[Member]) -> None:
+        """Have this VM register again if the store lacks its row."""
+        state = self._state
+        rows = [
+            change.state
+            for change in view.changes
+            if change.key == state.settings.vm
+        ]
+        is_registered = any(
+            row and row.incarnation == state.incarnation for row in rows
+        )
+        if not is_registered and (rows or view.is_whole):
+            state.registration_lost.set()
+
+    def _is_copy(self, source: str, view: View) -> bool:
+        """Return whether the view shows an older copy of a table.
+
+        That is the first view of the table after the store returned.
+        """
+        before = self._eras.get(source)
+        self._eras[source] = view.era
+        return before is not None and view.era > before
 
     def _sent_at_bound(self, view: View, now: float) -> float:
         """Return a time at or before the store's answer."""
@@ -274,3 +300,9 @@
                 key=key,
                 detail=problem,
             )
+
+
+def _is_earlier(fleet: FleetView, member: Member) -> bool:
+    """Return whether the row is of an earlier run of a known VM."""
+    known = fleet.find(member.vm)
+    return known is not None and member.incarnation < known.member.incarnation
--- a/chestnutshift/edge/vm_registration.py
+++ b/chestnutshift/edge/vm_registration.py
@@ -31,7 +31,14 @@
     _rng: random.Random = attrs.field(factory=random.Random)
 
     async def run(self, state: EdgeState) -> None:
-        """Register, and return once the store confirmed it."""
+        """Register, and again whenever the store lacks the row."""
+        while True:
+            state.registration_lost = trio.Event()
+            await self._register_until_confirmed(state)
+            await state.registration_lost.wait()
+            state.event_log.emit(events.REGISTRATION_LOST, era=state.store_era)
+
+    async def _register_until_confirmed(self, state: EdgeState) -> None:
         settings = state.settings
         member = Member(
             vm=settings.vm,
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -1,7 +1,8 @@
 """Heartbeats, by which VMs report their state to their peers."""
 
 import enum
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from zlib import crc32
 
 import attrs
@@ -54,6 +55,14 @@
         return bool(self.in_flight or self.demand)
 
 
+def sum_in_flight(heartbeats: Iterable[Heartbeat]) -> Mapping[int, int]:
+    """Return the senders' requests by hash of the upstream's id."""
+    counts: Counter[int] = Counter()
+    for heartbeat in heartbeats:
+        counts.update(heartbeat.in_flight)
+    return counts
+
+
 def hash_upstream(name: str) -> int:
     """Return the hash of an upstream's id as a signed 32-bit number."""
     unsigned = crc32(name.encode())
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -1,8 +1,7 @@
 """View of the fleet from one VM: listed peers and their heartbeats."""
 
 import math
-from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Sequence
 
 import attrs
 
@@ -26,7 +25,8 @@
     """Another VM; times are seconds of this VM's boot clock.
 
     proven_at is the time of the newest proof of the peer's route table, from
-    a heartbeat that echoed one of this VM's.
+    a heartbeat that echoed one of this VM's. unlisted_at is the time at which
+    the store was found to lack the peer's row, None while it is listed.
     """
 
     member: Member
@@ -34,10 +34,15 @@
     heartbeat: Heartbeat | None = None
     last_heartbeat_at: float = -math.inf
     proven_at: float = -math.inf
+    unlisted_at: float | None = None
 
 
 class FleetView:
-    """The listed VMs except this one, by name."""
+    """The listed VMs except this one, by name.
+
+    A store that returned from an older copy may lack the rows of VMs that
+    run, until they register again. A live peer therefore stays in the view.
+    """
 
     def __init__(self, vm: str) -> None:
         """Create a view of the named VM without peers."""
@@ -78,6 +83,26 @@
         known = self._peers.get(member.vm)
         if known is None or known.member.incarnation != member.incarnation:
             self._peers[member.vm] = Peer(member, now)
+            return
+        known.unlisted_at = None
+
+    def keep_only(self, vms: Collection[str], now: float) -> None:
+        """Unlist all VMs but these, after a read of all rows."""
+        for vm, peer in self._peers.items():
+            if vm not in vms and peer.unlisted_at is None:
+                peer.unlisted_at = now
+
+    def drop_unlisted(self, now: float) -> None:
+        """Remove the unlisted VMs that are silent."""
+        silent = [
+            vm
+            for vm, peer in self._peers.items()
+            if peer.unlisted_at is not None
+            and now - max(peer.unlisted_at, peer.last_heartbeat_at)
+            > self.silence_s
+        ]
+        for vm in silent:
+            self._peers.pop(vm)
 
     def remove_member(self, vm: str) -> None:
         """Remove a VM that is no longer listed."""
@@ -103,13 +128,10 @@
             peer.proven_at = max(peer.proven_at, proven_at)
         return True
 
-    def is_live(self, peer: Peer, now: float) -> bool:
-        """Return whether the peer is live, by its last heartbeat."""
-        return now - peer.last_heartbeat_at <= self.silence_s
-
     def live_peers(self, now: float) -> list[Peer]:
-        """Return the live peers."""
-        return [peer for peer in self if self.is_live(peer, now)]
+        """Return the peers that are live, by their last heartbeats."""
+        heard_since = now - self.silence_s
+        return [peer for peer in self if peer.last_heartbeat_at >= heard_since]
 
     def heartbeats(self, now: float) -> list[Heartbeat]:
         """Return the last heartbeats of the live peers."""
@@ -134,13 +156,6 @@
             for peer in self
         )
 
-    def in_flight(self, now: float) -> Mapping[int, int]:
-        """Return the live peers' requests by hash of the upstream's id."""
-        counts: Counter[int] = Counter()
-        for heartbeat in self.heartbeats(now):
-            counts.update(heartbeat.in_flight)
-        return counts
-
     def proof(self, version: int) -> float:
         """Return the time of the peers' newest proof of a table version."""
         return max(
--- a/tests/edge/test_store_return.py
+++ b/tests/edge/test_store_return.py
@@ -2,6 +2,7 @@
 
 import json
 
+import trio
 from trio.testing import trio_test
 
 from chestnutshift.clocks import boot_time
@@ -51,3 +52,23 @@
         write_cold(world, 'i-0')
         await until(lambda: state.store_era == 2)
         await until(lambda: state.operators_changes.changed_at.era == 2)
+
+
+# Guards against a VM that stays out of the list: its row was written once, at
+# the start, and nobody else writes it again.
+@trio_test
+async def test_vm_registers_again() -> None:
+    """The store returns from a copy older than the VM's registration."""
+    async with running_edge('serve') as world:
+        store = world.store
+        row = ('vms', 'vm-1')
+        await until(lambda: row in store.rows)
+        await until(lambda: world.state.store_era == 1)
+        store.rows.pop(row)
+        store.keep_copy()
+        store.return_from_copy()
+        store.write('op', 'other', b'{}')
+        await until(lambda: row in store.rows)
+        writes = store.version
+        await trio.sleep(1)
+        assert store.version == writes
--- a/tests/fleet/test_heartbeats.py
+++ b/tests/fleet/test_heartbeats.py
@@ -96,3 +96,25 @@
     assert small.heartbeat_interval_s < large.heartbeat_interval_s
     assert 300 / large.heartbeat_interval_s < 66
     assert large.silence_s > 2 * large.heartbeat_interval_s
+
+
+# Guards against VMs that know different fleets while the store lacks rows:
+# each divided the limits of the fleet by the VMs that it knew.
+def test_live_peer_outlasts_its_row() -> None:
+    """A peer without a row is dropped only once it is silent."""
+    view = make_view()
+    view.record_heartbeat(HEARTBEAT, NOW)
+    view.keep_only((), NOW)
+    view.drop_unlisted(NOW + SILENCE_MIN_S)
+    assert view.find('vm-2')
+    view.drop_unlisted(NOW + SILENCE_MIN_S + 0.1)
+    assert view.find('vm-2') is None
+
+
+def test_unlisted_peer_that_registers_again() -> None:
+    """A peer that wrote its row again stays when it falls silent."""
+    view = make_view()
+    view.keep_only((), NOW)
+    view.add_member(make_member('vm-2'), NOW)
+    view.drop_unlisted(NOW + 60)
+    assert view.find('vm-2')
