Apply rows of an older copy only if they are newer than the known ones

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: after the store's return every VM reads all rows. The row of an earlier run under the same id differs in its start time, and so replaced the run that had started since: all VMs took the cold upstream for the earlier, warm one and sent at full rate; the address and the id are the same, so it ran them all. The row of an upstream that had left brought it back in the same way.

Change: in the first view of a table after a return, a registration applies only if its start time and sequence are newer than those of the last registration under that id, present or removed. Outside such a view a start time may go back, since an upstream's clock may.

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -202,6 +202,7 @@
         self._state.upstreams_changes.record_answer(
             view.changed_position, view.position
         )
+        is_copy = self._is_copy('upstreams', view)
         if view.is_whole:
             listed = [change.key for change in view.changes if change.state]
             directory.keep_only(listed, now)
@@ -211,7 +212,9 @@
             if change.state is None:
                 removed.append(change.key)
             else:
-                upstream = directory.register(change.state, now)
+                upstream = directory.register(
+                    change.state, now, is_copy=is_copy
+                )
                 self._state.event_log.emit(
                     events.UPSTREAM_LISTED,
                     upstream=change.key,
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -81,13 +81,19 @@
         self,
         registration: Registration,
         now: float,
+        *,
+        is_copy: bool = False,
     ) -> Upstream | None:
         """Add or update an upstream by its registration; return its state.
 
-        Returns None for a stale registration of a removed upstream.
+        Returns None for a stale registration of a removed upstream. is_copy
+        tells that the row may be older than those registered before: only a
+        newer one than the upstream's last is then applied.
         """
-        self._deferred.pop(registration.upstream, None)
         known = self._by_name.get(registration.upstream)
+        if is_copy and not self._is_news(registration):
+            return known
+        self._deferred.pop(registration.upstream, None)
         if known is None or _has_restarted(known.registration, registration):
             last = self._removed.get(registration.upstream)
             if known is None and last and _is_older(last, registration):
@@ -179,6 +185,13 @@
                 cold_until = now + duration_s
                 upstream.cold_until = max(upstream.cold_until, cold_until)
 
+    def _is_news(self, registration: Registration) -> bool:
+        """Return whether the row is newer than all of that id before."""
+        known = self._by_name.get(registration.upstream)
+        last = known.registration if known else None
+        last = last or self._removed.get(registration.upstream)
+        return last is None or _order(registration) > _order(last)
+
     def _add(self, registration: Registration) -> Upstream:
         domain = registration.failure_domain
         upstream = Upstream(registration, self._regions.get(domain, ''))
@@ -223,6 +236,11 @@
     return registration.sequence < before.sequence
 
 
+def _order(registration: Registration) -> tuple[int, int]:
+    """Return what increases with each registration under one id."""
+    return registration.started_at_ms, registration.sequence
+
+
 def _has_restarted(before: Registration, registration: Registration) -> bool:
     return (
         before.started_at_ms != registration.started_at_ms
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -100,3 +100,20 @@
     )
     directory.register(registration, NOW)
     assert upstream.is_cold(NOW + 2.9)
+
+
+# Guards against a flood of an upstream that just started again: the row of
+# its earlier run, from an older copy of the store, replaced it.
+def test_row_of_an_earlier_run_in_a_copy() -> None:
+    """Rows of a copy apply only if they are newer than the known ones."""
+    directory = make_directory()
+    register(directory, 'u1', started_at_ms=5, sequence=9)
+    known = register(directory, 'u1', started_at_ms=7, cold_for_s=3.0)
+    row = attrs.evolve(known.registration, started_at_ms=5, sequence=9)
+    assert directory.register(row, NOW, is_copy=True) is known
+    assert known.is_cold(NOW)
+    newer = attrs.evolve(known.registration, sequence=2, is_leaving=True)
+    directory.register(newer, NOW, is_copy=True)
+    assert known.condition is Condition.LEAVING
+    directory.unregister(('u1',), NOW)
+    assert directory.register(newer, NOW, is_copy=True) is None
