Keep what is known of an upstream whose row was lost for a moment

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: a reading of all rows dropped an upstream that the store's older copy lacked; written again, it was added anew, without the cold time after an evacuation (which no row tells) and with a new bucket.

Change: in the first view after a return a missing upstream gets the two seconds in which it may register again; and a run that is listed again after a removal is the same object as before, with its cold time.

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -9,7 +9,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.exceptions import EarlierEraError, LostHistoryError
-from chestnutshift.edge.state import EdgeState
+from chestnutshift.edge.state import LAPSE_GRACE_S, EdgeState
 from chestnutshift.edge.store_tables import Evacuation, Source, View
 from chestnutshift.exceptions import CodedError
 from chestnutshift.fleet.members import Member
@@ -205,7 +205,8 @@
         is_copy = self._is_copy('upstreams', view)
         if view.is_whole:
             listed = [change.key for change in view.changes if change.state]
-            directory.keep_only(listed, now)
+            grace_s = LAPSE_GRACE_S if is_copy else 0
+            directory.keep_only(listed, now, grace_s)
         removed: list[str] = []
         for change in view.changes:
             self._log_malformed_row('upstreams', change.key, change.problem)
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -3,13 +3,18 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
+from chestnutshift.steering.registration_order import (
+    is_newer,
+    is_older,
+    is_same_run,
+)
+from chestnutshift.steering.removed_upstreams import RemovedUpstreams
 from chestnutshift.steering.upstreams import (
     Condition,
     Registration,
     Upstream,
 )
 
-REMOVED_KEPT_MAX = 1000
 # If removals after a store outage would leave a service less than this
 # fraction of its peak number of upstreams, the registrations are assumed to
 # have lapsed, and removal is deferred. Otherwise going without a few upstreams
@@ -26,8 +31,7 @@
         self._by_name: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._evacuated: frozenset[str] = frozenset()
-        # Last registrations of removed upstreams, to reject stale ones.
-        self._removed: dict[str, Registration] = {}
+        self._removed = RemovedUpstreams()
         # When to apply removals that came while registrations may have lapsed.
         self._deferred: dict[str, float] = {}
         self._defer_removals_until = -math.inf
@@ -91,27 +95,18 @@
         newer one than the upstream's last is then applied.
         """
         known = self._by_name.get(registration.upstream)
-        if is_copy and not self._is_news(registration):
+        last = known or self._removed.find(registration.upstream)
+        if is_copy and last and not is_newer(registration, last.registration):
             return known
         self._deferred.pop(registration.upstream, None)
-        if known is None or _has_restarted(known.registration, registration):
-            last = self._removed.get(registration.upstream)
-            if known is None and last and _is_older(last, registration):
-                return None
-            if known is not None:
-                self._drop(known)
-            known = self._add(registration)
-        elif _is_older(known.registration, registration):
+        if known and not is_same_run(registration, known.registration):
+            self._drop(known)
+            known = None
+        elif last and is_older(registration, last.registration):
             return known
-        known.registration = registration
-        if registration.cold_for_s:
-            cold_until = now + registration.cold_for_s
-            known.cold_until = max(known.cold_until, cold_until)
-        if registration.is_leaving:
-            known.condition = Condition.LEAVING
-        elif known.condition is Condition.LEAVING:
-            known.condition = Condition.READY
-        return known
+        upstream = known or self._add(registration)
+        upstream.update(registration, now)
+        return upstream
 
     def unregister(self, names: Iterable[str], now: float) -> list[str]:
         """Remove upstreams whose rows are gone; return the ids removed.
@@ -161,9 +156,18 @@
                 self._drop(known)
         return due
 
-    def keep_only(self, names: Iterable[str], now: float) -> None:
-        """Unregister all upstreams but these, after a read of all rows."""
-        self.unregister(sorted(self._by_name.keys() - set(names)), now)
+    def keep_only(
+        self, names: Iterable[str], now: float, grace_s: float = 0
+    ) -> None:
+        """Unregister all upstreams but these, after a read of all rows.
+
+        An upstream that does not register again is removed after grace_s.
+        """
+        missing = sorted(self._by_name.keys() - set(names))
+        if not grace_s:
+            self.unregister(missing, now)
+        for name in missing if grace_s else ():
+            self._deferred.setdefault(name, now + grace_s)
 
     def evacuate(
         self,
@@ -185,16 +189,11 @@
                 cold_until = now + duration_s
                 upstream.cold_until = max(upstream.cold_until, cold_until)
 
-    def _is_news(self, registration: Registration) -> bool:
-        """Return whether the row is newer than all of that id before."""
-        known = self._by_name.get(registration.upstream)
-        last = known.registration if known else None
-        last = last or self._removed.get(registration.upstream)
-        return last is None or _order(registration) > _order(last)
-
     def _add(self, registration: Registration) -> Upstream:
         domain = registration.failure_domain
-        upstream = Upstream(registration, self._regions.get(domain, ''))
+        upstream = self._removed.revive(registration) or Upstream(
+            registration, self._regions.get(domain, '')
+        )
         self._by_name[upstream.name] = upstream
         same_service = self._by_service.setdefault(registration.service, [])
         same_service.append(upstream)
@@ -204,11 +203,8 @@
         return upstream
 
     def _drop(self, upstream: Upstream) -> None:
-        upstream.condition = Condition.GONE
         self._by_name.pop(upstream.name)
-        self._removed[upstream.name] = upstream.registration
-        if len(self._removed) > REMOVED_KEPT_MAX:
-            self._removed.pop(next(iter(self._removed)))
+        self._removed.keep(upstream)
         self._by_service[upstream.registration.service].remove(upstream)
         self._generation += 1
 
@@ -221,30 +217,3 @@
     """Return whether too few of a service's upstreams would remain."""
     remaining = sum(upstream.name not in missing for upstream in upstreams)
     return remaining < peak * REMAINING_RATIO_MIN
-
-
-def _is_older(before: Registration, registration: Registration) -> bool:
-    """Return whether the registration is stale.
-
-    Without a start time a restart, which resets the sequence, can't be told
-    from the earlier run, so the registration is then accepted.
-    """
-    if not registration.started_at_ms:
-        return False
-    if before.started_at_ms != registration.started_at_ms:
-        return False
-    return registration.sequence < before.sequence
-
-
-def _order(registration: Registration) -> tuple[int, int]:
-    """Return what increases with each registration under one id."""
-    return registration.started_at_ms, registration.sequence
-
-
-def _has_restarted(before: Registration, registration: Registration) -> bool:
-    return (
-        before.started_at_ms != registration.started_at_ms
-        or before.service != registration.service
-        or before.address != registration.address
-        or before.port != registration.port
-    )
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -91,6 +91,17 @@
         """The number of requests that it runs concurrently."""
         return self.registration.slots
 
+    def update(self, registration: Registration, now: float) -> None:
+        """Apply a registration of this run that was just read."""
+        self.registration = registration
+        if registration.cold_for_s:
+            cold_until = now + registration.cold_for_s
+            self.cold_until = max(self.cold_until, cold_until)
+        if registration.is_leaving:
+            self.condition = Condition.LEAVING
+        elif self.condition is Condition.LEAVING:
+            self.condition = Condition.READY
+
     def is_cold(self, now: float) -> bool:
         """Return whether it is warming up and accepts only its cold rate."""
         return now < self.cold_until
@@ -130,6 +141,10 @@
         if len(self._recent_objects) > RECENT_OBJECTS_MAX:
             self._recent_objects.popitem(last=False)
 
+    def forget_objects(self) -> None:
+        """Forget the objects that it was sent requests for."""
+        self._recent_objects.clear()
+
     def object_age_s(self, object_key: bytes, now: float) -> float:
         """Return how long ago this VM sent it a request for the object."""
         return now - self._recent_objects.get(object_key, -math.inf)
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -117,3 +117,30 @@
     assert known.condition is Condition.LEAVING
     directory.unregister(('u1',), NOW)
     assert directory.register(newer, NOW, is_copy=True) is None
+
+
+# Guards against a flood of an upstream whose row was lost for a moment: the
+# one that was listed again counted as a new, warm one.
+def test_relisted_upstream_stays_cold() -> None:
+    """The same run is as cold as before its removal, another run is not."""
+    directory = make_directory()
+    upstream = register(directory, 'u1', cold_for_s=3.0)
+    directory.unregister(('u1',), NOW)
+    again = register(directory, 'u1', sequence=2)
+    assert again.is_cold(NOW)
+    assert directory.is_usable(upstream)
+    directory.unregister(('u1',), NOW)
+    other = register(directory, 'u1', started_at_ms=2)
+    assert not other.is_cold(NOW)
+
+
+def test_upstream_that_a_copy_lacks_gets_time() -> None:
+    """An upstream that registers again in time is never removed."""
+    directory = make_directory()
+    register(directory, 'u1')
+    register(directory, 'u2')
+    directory.keep_only((), NOW, grace_s=2)
+    register(directory, 'u1', sequence=2)
+    assert directory.expire(NOW + 1.9) == []
+    assert directory.expire(NOW + 2) == ['u2']
+    assert directory.find('u1')
