Tell peers which upstreams are cold

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: only a row of the store, an evacuation's end or a health answer tells that an upstream is cold. A VM that the store turns away serves on by its peers' proofs and hears of none of them, so it sent at full rate; the rule counts VMs in touch or not.

Change: heartbeats carry how long upstreams stay cold, and a VM applies them as they arrive, so that the news takes one interval. Peers' news count only if they prolong the cold time by more than a heartbeat takes, so that VMs which repeat them to each other do not prolong it. What heartbeats tell of upstreams moves to a module of its own.

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -95,6 +95,11 @@
     'upstream.proven',
     'A health check of an unproven upstream passed.',
 )
+UPSTREAM_COLD = define(
+    8026,
+    'upstream.cold',
+    "A peer's heartbeat told that an upstream is cold.",
+)
 PEER_LOST = define(
     8030,
     'peer.lost',
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -101,10 +101,11 @@
             table_version=state.table.version if state.table else 0,
             proof_age_s=age_s if is_proven else None,
             demand=state.shares.reported_demand,
-            in_flight=state.in_flight(),
+            in_flight=state.upstream_news.in_flight(),
             operators_changed_at=state.operators_changes.changed_at,
             upstreams_changed_at=state.upstreams_changes.changed_at,
             delay_s=state.delay_s,
+            cold_for_s=state.upstream_news.cold_for_s(now),
         )
 
     def send(self, message: Message, peer: Peer) -> None:
@@ -168,7 +169,7 @@
             return None
         now = boot_time()
         if isinstance(message, Heartbeat):
-            self._state.fleet.record_heartbeat(message, now)
+            self._state.record_heartbeat(message, now)
             return None
         handler = self.handlers.get(type(message))
         return None if handler is None else handler(message, now)
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -1,7 +1,6 @@
 """The state that the tasks of an edge VM share."""
 
 import math
-import time
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -9,14 +8,11 @@
 
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
+from chestnutshift.edge.upstream_news import UpstreamNews
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.bandwidth import without_slow_links
 from chestnutshift.fleet.deciders import Deciders
-from chestnutshift.fleet.heartbeats import (
-    MemberPhase,
-    hash_upstream,
-    sum_in_flight,
-)
+from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.store_polling import ChangeTracker, StorePosition
@@ -87,6 +83,7 @@
     # When the store last answered this VM or a peer (boot time).
     _store_answered_at: float | None = None
     directory: UpstreamDirectory = attrs.field(init=False)
+    upstream_news: UpstreamNews = attrs.field(init=False)
     policy: ChoicePolicy = attrs.field(init=False)
     fleet: FleetView = attrs.field(init=False)
     deciders: Deciders = attrs.field(init=False)
@@ -103,6 +100,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.directory = UpstreamDirectory(settings.regions)
+        self.upstream_news = UpstreamNews(self.directory, self.event_log)
         self.policy = POLICIES.get(POLICY)(
             self.directory,
             settings.failure_domain,
@@ -217,11 +215,12 @@
             self.record_proof(fleet.proof(self.table.version), now)
         self.cold_rate_limiter.update(fleet.names, rates)
         self.cold_rate_limiter.drop_warm(now)
-        counts = sum_in_flight(fleet.heartbeats(now))
-        for upstream in self.directory:
-            upstream.peers_in_flight = counts.get(
-                hash_upstream(upstream.name), 0
-            )
+        self.upstream_news.apply_in_flight(fleet.heartbeats(now))
+
+    def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Record a peer's heartbeat and apply its news of upstreams."""
+        if self.fleet.record_heartbeat(heartbeat, now):
+            self.upstream_news.apply(heartbeat, now)
 
     def update_known_changes(self, now: float) -> None:
         """Update the newest store changes that any peer reports."""
@@ -232,14 +231,6 @@
         self.operators_changes.record_peers(max(operators, default=none), now)
         self.upstreams_changes.record_peers(max(upstreams, default=none), now)
 
-    def in_flight(self) -> dict[int, int]:
-        """Return this VM's requests in flight by hash of the upstream's id."""
-        return {
-            hash_upstream(upstream.name): upstream.in_flight
-            for upstream in self.directory
-            if upstream.in_flight
-        }
-
     def _decider_candidates(self, now: float) -> dict[str, list[str]]:
         """Return the VMs that may decide on accounts, by region.
 
@@ -257,8 +248,3 @@
             region: sorted(vm.vm for vm in without_slow_links(vms))
             for region, vms in regions.items()
         }
-
-
-def make_incarnation() -> int:
-    """Return the start time in milliseconds, to tell starts of a VM apart."""
-    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/chestnutshift/edge/upstream_news.py
@@ -0,0 +1,80 @@
+"""What VMs tell each other of upstreams, in heartbeats.
+
+Upstreams are named by the hash of the id, which is short.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chestnutshift.edge import events
+from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.heartbeats import (
+    Heartbeat,
+    hash_upstream,
+    sum_in_flight,
+)
+from chestnutshift.steering.directory import UpstreamDirectory
+from chestnutshift.steering.upstreams import Upstream
+
+# A peer's news that an upstream stays cold for longer counts from this much
+# on: the time that a heartbeat takes must not prolong it.
+COLD_NEWS_MIN_S = 0.3
+
+
+@attrs.define
+class UpstreamNews:
+    """News of the directory's upstreams, to and from the peers."""
+
+    _directory: UpstreamDirectory
+    _event_log: EventLog
+    _hashed: Mapping[int, Upstream] = attrs.field(factory=dict)
+    # The directory's generation of which the upstreams are hashed.
+    _generation: int = -1
+
+    def in_flight(self) -> dict[int, int]:
+        """Return this VM's requests in flight."""
+        return {
+            name_hash: upstream.in_flight
+            for name_hash, upstream in self._by_hash().items()
+            if upstream.in_flight
+        }
+
+    def cold_for_s(self, now: float) -> dict[int, float]:
+        """Return how long upstreams stay cold."""
+        return {
+            name_hash: upstream.cold_until - now
+            for name_hash, upstream in self._by_hash().items()
+            if upstream.is_cold(now)
+        }
+
+    def apply_in_flight(self, heartbeats: Iterable[Heartbeat]) -> None:
+        """Set the peers' requests in flight by their last heartbeats."""
+        counts = sum_in_flight(heartbeats)
+        for name_hash, upstream in self._by_hash().items():
+            upstream.peers_in_flight = counts.get(name_hash, 0)
+
+    def apply(self, heartbeat: Heartbeat, now: float) -> None:
+        """Apply the news in a heartbeat that just arrived."""
+        for name_hash, left_s in heartbeat.cold_for_s.items():
+            upstream = self._by_hash().get(name_hash)
+            if upstream is None:
+                continue
+            cold_until = now + left_s
+            if cold_until > upstream.cold_until + COLD_NEWS_MIN_S:
+                upstream.cold_until = cold_until
+                self._event_log.emit(
+                    events.UPSTREAM_COLD,
+                    upstream=upstream.name,
+                    peer=heartbeat.vm,
+                    cold_for_s=left_s,
+                )
+
+    def _by_hash(self) -> Mapping[int, Upstream]:
+        if self._generation != self._directory.generation:
+            self._generation = self._directory.generation
+            self._hashed = {
+                hash_upstream(upstream.name): upstream
+                for upstream in self._directory
+            }
+        return self._hashed
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -89,6 +89,10 @@
         upstreams_changed_at=heartbeat.upstreams_changed_at.version,
         operators_era=heartbeat.operators_changed_at.era,
         upstreams_era=heartbeat.upstreams_changed_at.era,
+        cold_for_ms={
+            upstream: round(duration_s * MILLI_PER_UNIT)
+            for upstream, duration_s in heartbeat.cold_for_s.items()
+        },
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
@@ -113,6 +117,10 @@
             struct.upstreams_era or 0, struct.upstreams_changed_at or 0
         ),
         delay_s=_seconds(struct.delay_us) or 0,
+        cold_for_s={
+            upstream: duration / MILLI_PER_UNIT
+            for upstream, duration in (struct.cold_for_ms or {}).items()
+        },
     )
 
 
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -31,7 +31,8 @@
     second by account, in_flight the sender's requests by hash of the
     upstream's id. operators_changed_at and upstreams_changed_at are the store's
     positions of the newest changes that the sender knows, so that a receiver
-    notices changes that it missed. delay_s is how late the sender's timers
+    notices changes that it missed. cold_for_s is how long upstreams stay cold,
+    by hash of the id. delay_s is how late the sender's timers
     fire, which grows as its processor is fully used.
     """
 
@@ -48,6 +49,7 @@
     operators_changed_at: StorePosition = StorePosition()
     upstreams_changed_at: StorePosition = StorePosition()
     delay_s: float = 0
+    cold_for_s: Mapping[int, float] = attrs.field(factory=dict)
 
     @property
     def is_busy(self) -> bool:
--- a/chestnutshift/platform/assembly.py
+++ b/chestnutshift/platform/assembly.py
@@ -5,7 +5,8 @@
 
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.process import EdgeProcess
-from chestnutshift.edge.state import EdgeState, make_incarnation
+from chestnutshift.clocks import make_incarnation
+from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.vm_registration import Registrar
 from chestnutshift.events.log import EventLog
 from chestnutshift.logs.bounded import set_up_bounded_logging
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -30,6 +30,8 @@
   // again when it returns from an older copy.
   14: optional i64 operators_era
   15: optional i64 upstreams_era
+  // How long upstreams stay cold, by the hash of their ids.
+  16: optional map<i32, i32> cold_for_ms
 }
 
 // Asks the VM that decides on an account whether a request is within its
--- a/tests/edge/fleet_world.py
+++ b/tests/edge/fleet_world.py
@@ -76,7 +76,7 @@
         for vm in reached:
             for sender, heartbeat in zip(self.vms, beats, strict=True):
                 if sender is not vm and sender in reached:
-                    vm.state.fleet.record_heartbeat(heartbeat, self.now)
+                    vm.state.record_heartbeat(heartbeat, self.now)
 
     def send_for(
         self,
--- a/tests/fleet/test_heartbeats.py
+++ b/tests/fleet/test_heartbeats.py
@@ -29,6 +29,7 @@
     demand={'konya': 2.5},
     in_flight={hash_upstream('i-1'): 3},
     upstreams_changed_at=StorePosition(2, 7),
+    cold_for_s={hash_upstream('i-2'): 2.5},
 )
 
 
