Let the cold rate of a VM follow the fleet while an upstream is cold

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: the bucket for a cold upstream kept the rate of the moment at which it was made. VMs that join while it is cold become senders; those that had been senders before went on.

Checked: tests.steering.test_budgets.test_cold_rate_holds_while_vms_join failed before (more requests over the cold time than the cold rate and one saved request of each VM allow).

--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -213,7 +213,7 @@
             services = self.table.services.values()
             rates = {service.name: service.cold_rate for service in services}
             self.record_proof(fleet.proof(self.table.version), now)
-        self.cold_rate_limiter.update(fleet.names, rates)
+        self.cold_rate_limiter.update(fleet.names, rates, now)
         self.cold_rate_limiter.drop_warm(now)
         self.upstream_news.apply_in_flight(fleet.heartbeats(now))
 
--- a/chestnutshift/platform/assembly.py
+++ b/chestnutshift/platform/assembly.py
@@ -3,9 +3,9 @@
 import sys
 import time
 
+from chestnutshift.clocks import make_incarnation
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.process import EdgeProcess
-from chestnutshift.clocks import make_incarnation
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.vm_registration import Registrar
 from chestnutshift.events.log import EventLog
--- a/chestnutshift/steering/cold.py
+++ b/chestnutshift/steering/cold.py
@@ -27,13 +27,20 @@
         self._rates: dict[str, float] = {}
         self._buckets: dict[Upstream, TokenBucket] = {}
 
-    def update(self, vms: Sequence[str], rates: dict[str, float]) -> None:
+    def update(
+        self, vms: Sequence[str], rates: dict[str, float], now: float
+    ) -> None:
         """Set the names of all VMs and the cold rate of each service.
 
         Rates are requests per second of all VMs together.
         """
+        if (vms, rates) == (self._vms, self._rates):
+            return
         self._vms = vms
         self._rates = rates
+        for upstream, bucket in self._buckets.items():
+            rate = self._rate(upstream)
+            bucket.resize(rate, 1 if rate else 0, now)
 
     def may_send(self, upstream: Upstream, now: float) -> bool:
         """Return whether this VM may send the cold upstream a request now."""
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -37,7 +37,7 @@
     limiters = [ColdRateLimiter(vm) for vm in VMS]
     sent: list[float] = []
     for limiter in limiters:
-        limiter.update(VMS, {SERVICE: 6.1})
+        limiter.update(VMS, {SERVICE: 6.1}, NOW)
     for step in range(300):
         now = NOW + step / 100
         for limiter in limiters:
@@ -57,10 +57,32 @@
     for known in (VMS[:6], VMS[6:]):
         for vm in known:
             limiter = ColdRateLimiter(vm)
-            limiter.update(known, {SERVICE: 6.1})
+            limiter.update(known, {SERVICE: 6.1}, NOW)
             for step in range(100):
                 now = NOW + step / 100
                 if limiter.may_send(upstream, now):
                     limiter.take(upstream, now)
                     sent.append(now)
     assert len(sent) <= 6.1 * 1.5 + 5
+
+
+# Guards against a flood while VMs join: a bucket kept the rate of the moment
+# at which it was made, so that each new sender came on top of the former ones.
+def test_cold_rate_holds_while_vms_join() -> None:
+    """VMs join one after the other while the upstream is cold."""
+    upstream = register(make_directory(), 'u1', cold_for_s=9.0)
+    limiters = [ColdRateLimiter(vm) for vm in VMS]
+    sent: list[float] = []
+    for step in range(900):
+        now = NOW + step / 100
+        known = VMS[: 1 + step // 30]
+        for limiter in limiters[: len(known)]:
+            limiter.update(known, {SERVICE: 6.1}, now)
+            if limiter.may_send(upstream, now):
+                limiter.take(upstream, now)
+                sent.append(now)
+    worst = max(
+        sum(start <= time < start + 1 for time in sent) for start in sent
+    )
+    assert 3 <= worst <= 6.1 * 1.5 + 5
+    assert len(sent) <= 6.1 * 9 + 12
