Keep an evacuation in force that an older copy of the store lacks

An evacuation that the copy lacked ended at once, at all VMs, and its upstreams got requests until the operator asked for it again.

Change: such an evacuation stays in force for the bound within which one takes effect (evac), unless the operator asks for it again or takes it back before.

Checked: tests.edge.test_table_polling.test_evacuation_outlasts_an_older_copy failed before.

--- a/chestnutshift/edge/store_polling.py
+++ b/chestnutshift/edge/store_polling.py
@@ -32,6 +32,7 @@
 
     _state: EdgeState
     _backend: Backend
+    _updater: StateUpdater = attrs.field(init=False)
     _operators: TablePoller = attrs.field(init=False)
     _upstreams: TablePoller = attrs.field(init=False)
     _members: TablePoller = attrs.field(init=False)
@@ -39,6 +40,7 @@
     def __attrs_post_init__(self) -> None:
         """Create one poller for each table."""
         updater, backend = StateUpdater(self._state), self._backend
+        self._updater = updater
         self._operators = TablePoller(
             self._state,
             backend.operators,
@@ -69,6 +71,7 @@
     def poll_if_due(self, now: float) -> None:
         """Poll at once for changes that peers know, or for a due proof."""
         state = self._state
+        self._updater.end_held_evacuations(now)
         state.update_known_changes(now)
         age_s = state.freshness.age_s(now)
         bound_s = state.settings.bounds.withdrawal_s
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -1,5 +1,6 @@
 """Long-poll the store's tables and apply their changes to the state."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -163,6 +164,10 @@
 
     _state: EdgeState
     _evacuations: dict[str, Evacuation] = attrs.field(factory=dict)
+    # Evacuations that an older copy of the store lacks, and until when they
+    # stay in force unless the operator asks for them again.
+    _held: dict[str, Evacuation] = attrs.field(factory=dict)
+    _held_until: float = -math.inf
     # The era of the last view of each table.
     _eras: dict[str, int] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
@@ -177,6 +182,10 @@
         self._state.operators_changes.record_answer(
             view.changed_position, view.position
         )
+        if self._is_copy('operators', view):
+            self._held |= self._evacuations
+            bound_s = self._state.settings.bounds.evacuation_s
+            self._held_until = now + bound_s
         if view.is_whole:
             self._evacuations.clear()
             self._malformed_keys.clear()
@@ -186,6 +195,7 @@
             if change.problem:
                 self._malformed_keys.add(change.key)
                 continue
+            self._held.pop(change.key, None)
             if isinstance(change.state, RouteTable):
                 self._adopt(change.state)
             elif isinstance(change.state, Evacuation):
@@ -196,6 +206,12 @@
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
+    def end_held_evacuations(self, now: float) -> None:
+        """End those that the operator did not ask for again in time."""
+        if self._held and now >= self._held_until:
+            self._held.clear()
+            self._evacuate(now)
+
     def apply_upstreams(self, view: View[Registration], now: float) -> None:
         """Apply the registrations of upstreams."""
         directory = self._state.directory
@@ -286,7 +302,7 @@
         state = self._state
         domains = frozenset(
             evacuation.failure_domain
-            for evacuation in self._evacuations.values()
+            for evacuation in (self._held | self._evacuations).values()
         )
         if domains == state.directory.evacuated:
             return
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -6,7 +6,12 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.edge.store_tables import Change, Source, View
+from chestnutshift.edge.store_tables import (
+    Change,
+    Evacuation,
+    Source,
+    View,
+)
 from chestnutshift.edge.table_polling import StateUpdater, TablePoller
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.store_polling import PollPace
@@ -97,3 +102,44 @@
     for answered_at in (103, 106, 109):
         state.record_store_answer(answered_at, now=109)
     assert state.directory.unregister(['i-1'], now=109) == ['i-1']
+
+
+def make_operators_view(*changes: Change, **fields: object) -> View:
+    """Return a view of the operators' table."""
+    view = View(changes, 1, requested_at=0, is_whole=False, era=1)
+    return attrs.evolve(view, **fields)
+
+
+# Guards against requests to an evacuated failure domain after the store
+# returned from a copy that is older than the operator's request.
+def test_evacuation_outlasts_an_older_copy() -> None:
+    """It ends in time if the operator does not ask for it again."""
+    state = make_state()
+    updater = StateUpdater(state)
+    request = Change('evacuate/a1', Evacuation('a1'))
+    updater.apply_operators(make_operators_view(is_whole=True), now=90)
+    updater.apply_operators(make_operators_view(request), now=95)
+    copy = make_operators_view(is_whole=True, era=2)
+    updater.apply_operators(copy, now=100)
+    bound_s = state.settings.bounds.evacuation_s
+    updater.end_held_evacuations(now=99.9 + bound_s)
+    assert state.directory.evacuated == {'a1'}
+    updater.end_held_evacuations(now=100 + bound_s)
+    assert not state.directory.evacuated
+
+
+def test_evacuation_that_ends_after_a_return() -> None:
+    """The operator asks again for what the copy lacks, then takes it back."""
+    state = make_state()
+    updater = StateUpdater(state)
+    request = Change('evacuate/a1', Evacuation('a1'))
+    whole = make_operators_view(request, is_whole=True)
+    updater.apply_operators(whole, now=95)
+    copy = make_operators_view(is_whole=True, era=2)
+    updater.apply_operators(copy, now=100)
+    updater.apply_operators(make_operators_view(request, era=2), now=101)
+    updater.end_held_evacuations(now=200)
+    assert state.directory.evacuated == {'a1'}
+    end = Change('evacuate/a1', None)
+    updater.apply_operators(make_operators_view(end, era=2), now=201)
+    assert not state.directory.evacuated
