Take no proof from an older copy while a peer knows a newer route table

Change: for the bound of a withdrawal after a return, an answer is no proof while a live peer has a newer route table.

Checked: tests.edge.test_table_polling.test_older_copy_proves_no_older_table failed before.

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -168,6 +168,8 @@
     # stay in force unless the operator asks for them again.
     _held: dict[str, Evacuation] = attrs.field(factory=dict)
     _held_until: float = -math.inf
+    # Until when the store may lack a route table that peers know.
+    _doubted_until: float = -math.inf
     # The era of the last view of each table.
     _eras: dict[str, int] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
@@ -183,9 +185,10 @@
             view.changed_position, view.position
         )
         if self._is_copy('operators', view):
+            bounds = self._state.settings.bounds
             self._held |= self._evacuations
-            bound_s = self._state.settings.bounds.evacuation_s
-            self._held_until = now + bound_s
+            self._held_until = now + bounds.evacuation_s
+            self._doubted_until = now + bounds.withdrawal_s
         if view.is_whole:
             self._evacuations.clear()
             self._malformed_keys.clear()
@@ -202,7 +205,7 @@
                 self._evacuations[change.key] = change.state
             else:
                 self._evacuations.pop(change.key, None)
-        if not self._malformed_keys:
+        if not self._malformed_keys and not self._is_doubtful(now):
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
@@ -280,6 +283,20 @@
         self._eras[source] = view.era
         return before is not None and view.era > before
 
+    def _is_doubtful(self, now: float) -> bool:
+        """Return whether a newer route table than the store's is known.
+
+        After its return the store may lack the newest one until the operator
+        writes it again.
+        """
+        if now >= self._doubted_until:
+            return False
+        table = self._state.table
+        return table is None or any(
+            heartbeat.table_version > table.version
+            for heartbeat in self._state.fleet.heartbeats(now)
+        )
+
     def _sent_at_bound(self, view: View, now: float) -> float:
         """Return a time at or before the store's answer."""
         if view.store_now is None:
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -14,9 +14,13 @@
 )
 from chestnutshift.edge.table_polling import StateUpdater, TablePoller
 from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 from chestnutshift.fleet.store_polling import PollPace
+from chestnutshift.platform.route_tables import decode_route_table
 from chestnutshift.steering.upstreams import Registration
 from tests.edge.world import make_settings, until
+from tests.fleet.factories import make_member
+from tests.platform.samples import route_table
 
 WAIT_S = 30.0
 PACE = PollPace(WAIT_S, settle_s=0)
@@ -128,6 +132,31 @@
     assert not state.directory.evacuated
 
 
+# Guards against withdrawn keys that are accepted after the store returned
+# from a copy: its older route table passed for the newest.
+def test_older_copy_proves_no_older_table() -> None:
+    """A peer knows a newer route table than the store's copy has."""
+    state = make_state()
+    updater = StateUpdater(state)
+    table = decode_route_table(route_table())
+    row = Change('config', table)
+    whole = make_operators_view(row, is_whole=True)
+    updater.apply_operators(whole, now=95)
+    state.fleet.add_member(make_member('vm-2'), 95)
+    heartbeat = Heartbeat(
+        'vm-2', 1, 1, 95, MemberPhase.SERVING, table.version + 1
+    )
+    state.record_heartbeat(heartbeat, 100)
+    copy = attrs.evolve(whole, era=2, requested_at=100)
+    updater.apply_operators(copy, now=100)
+    assert state.freshness.age_s(100) > 4
+    newer = attrs.evolve(table, version=table.version + 1)
+    again = make_operators_view(Change('config', newer), era=2)
+    again = attrs.evolve(again, requested_at=101)
+    updater.apply_operators(again, now=101)
+    assert state.freshness.age_s(101) < 1
+
+
 def test_evacuation_that_ends_after_a_return() -> None:
     """The operator asks again for what the copy lacks, then takes it back."""
     state = make_state()
