Ask one place whether an upstream may get a request

No change of behaviour. The policy asked whether an upstream is cold and then the limiter whether it may get a request; the runner asked again before it counted. Now UpstreamRates decides both, so that cold need not stay the only reason for a limit. The stand-in in tests.steering.test_choice refuses cold upstreams itself.

--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -88,7 +88,7 @@
                 pending.profile(estimate.answer_b),
                 estimate,
                 pending.avoided,
-                state.cold_rate_limiter.may_send,
+                state.upstream_rates.may_send,
                 now,
                 allowed_s,
             )
@@ -124,8 +124,7 @@
         admitted = pending.admitted
         upstream = choice.upstream
         now = boot_time()
-        if upstream.is_cold(now):
-            self._state.cold_rate_limiter.take(upstream, now)
+        self._state.upstream_rates.record_send(upstream, now)
         outbound = self._dialect.write_request(
             admitted.request,
             upstream.name,
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -21,12 +21,12 @@
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.routes.splitting import Splitter
 from chestnutshift.steering.choice import POLICIES, ChoicePolicy
-from chestnutshift.steering.cold import ColdRateLimiter
 from chestnutshift.steering.directory import UpstreamDirectory
 from chestnutshift.steering.freshness import TableFreshness
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
 from chestnutshift.steering.service_time import ServiceTimeEstimate
 from chestnutshift.steering.store_clock import StoreClock
+from chestnutshift.steering.upstream_rates import UpstreamRates
 
 POLICY = 'soonest'
 # Allowance for the time between a key's check and the upstream's receipt of
@@ -89,7 +89,7 @@
     deciders: Deciders = attrs.field(init=False)
     shares: AccountShares = attrs.field(init=False)
     retries: FleetRetryBudget = attrs.field(init=False)
-    cold_rate_limiter: ColdRateLimiter = attrs.field(init=False)
+    upstream_rates: UpstreamRates = attrs.field(init=False)
     freshness: TableFreshness = attrs.field(init=False)
     service_time_estimates: dict[tuple[str, str], ServiceTimeEstimate] = (
         attrs.field(factory=dict)
@@ -116,7 +116,7 @@
                 bounds.retry_slack,
             ),
         )
-        self.cold_rate_limiter = ColdRateLimiter(settings.vm)
+        self.upstream_rates = UpstreamRates(settings.vm)
         self.freshness = TableFreshness(
             bounds.withdrawal_s,
             FRESHNESS_MARGIN_S,
@@ -213,8 +213,7 @@
             services = self.table.services.values()
             rates = {service.name: service.cold_rate for service in services}
             self.record_proof(fleet.proof(self.table.version), now)
-        self.cold_rate_limiter.update(fleet.names, rates, now)
-        self.cold_rate_limiter.drop_warm(now)
+        self.upstream_rates.update(fleet.names, rates, now)
         self.upstream_news.apply_in_flight(fleet.heartbeats(now))
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -42,8 +42,8 @@
 SLOWNESS_MIN = 0.7
 # Lowest slowness that is assumed for a cold upstream.
 COLD_SLOWNESS_MIN = 2.0
-# Tells whether a cold upstream may receive one more request now.
-ColdCheck = Callable[[Upstream, float], bool]
+# Tells whether this VM may send an upstream one more request now.
+RateCheck = Callable[[Upstream, float], bool]
 
 
 @attrs.frozen
@@ -98,25 +98,21 @@
         profile: RequestProfile,
         estimate: ServiceTimeEstimate,
         avoided: Collection[Upstream],
-        may_send_cold: ColdCheck,
+        may_send: RateCheck,
         now: float,
         late_after_s: float = math.inf,
     ) -> Choice | None:
         """Return the choice of lowest cost, None if there is no candidate.
 
-        Upstreams in avoided are skipped, and so are cold ones that
-        may_send_cold rejects. If the request would queue and be answered
-        after more than late_after_s, a less busy upstream may relieve it.
+        Upstreams in avoided are skipped, and so are those that may_send
+        rejects. If the request would queue and be answered after more than
+        late_after_s, a less busy upstream may relieve it.
         """
         ranked = sorted(self._rank(profile, estimate, now), key=_cost_s)
         usable = [
             choice
             for choice in ranked
-            if choice.upstream not in avoided
-            and (
-                not choice.upstream.is_cold(now)
-                or may_send_cold(choice.upstream, now)
-            )
+            if choice.upstream not in avoided and may_send(choice.upstream, now)
         ]
         if not usable:
             return None
--- /dev/null
+++ b/chestnutshift/steering/upstream_rates.py
@@ -0,0 +1,116 @@
+"""This VM's share of the request rates that upstreams accept.
+
+Some upstreams accept only a certain rate from all VMs together, for example
+while they are cold. Only a few VMs, which all VMs determine alike by
+rendezvous hashing of the VM names, may send to such an upstream. Each of them
+has an equal share of the rate, in a token bucket with a capacity of one
+request.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from chestnutshift.accounts.bucket import TokenBucket
+from chestnutshift.rendezvous import score
+from chestnutshift.steering.upstreams import Upstream
+
+SENDERS_PER_UPSTREAM = 3
+# Fraction of the cold rate that is used, so that the rate holds while VMs
+# briefly disagree about which of them are senders.
+RATE_FRACTION = 0.6
+
+
+@attrs.define
+class _Allowance:
+    """This VM's share of the rate that one upstream accepts."""
+
+    fleet_rate: float
+    bucket: TokenBucket
+
+
+class UpstreamRates:
+    """Rate limiters for this VM's requests to upstreams that need one."""
+
+    def __init__(self, vm: str) -> None:
+        """Create the limiters of the named VM, which knows no other VM yet."""
+        self._vm = vm
+        self._vms: Sequence[str] = (vm,)
+        self._cold_rates: dict[str, float] = {}
+        self._allowances: dict[Upstream, _Allowance] = {}
+
+    def update(
+        self, vms: Sequence[str], cold_rates: dict[str, float], now: float
+    ) -> None:
+        """Set the names of all VMs and the cold rate of each service.
+
+        Rates are requests per second of all VMs together.
+        """
+        if (vms, cold_rates) != (self._vms, self._cold_rates):
+            self._vms = vms
+            self._cold_rates = cold_rates
+            for upstream, allowance in self._allowances.items():
+                self._resize(upstream, allowance, now)
+        self._drop_unlimited(now)
+
+    def may_send(self, upstream: Upstream, now: float) -> bool:
+        """Return whether this VM may send the upstream a request now."""
+        allowance = self._allowance(upstream, now)
+        if allowance is None:
+            return True
+        allowance.bucket.fill(now)
+        return allowance.bucket.level >= 1
+
+    def record_send(self, upstream: Upstream, now: float) -> None:
+        """Count a request that is sent to the upstream."""
+        allowance = self._allowance(upstream, now)
+        if allowance is not None:
+            allowance.bucket.take(1, now)
+
+    def _fleet_rate(self, upstream: Upstream, now: float) -> float | None:
+        """Return the rate of all VMs together, None without a limit."""
+        if not upstream.is_cold(now):
+            return None
+        return self._cold_rates.get(upstream.registration.service, 0)
+
+    def _allowance(self, upstream: Upstream, now: float) -> _Allowance | None:
+        """Return this VM's share of the upstream's rate, if it has one."""
+        rate = self._fleet_rate(upstream, now)
+        if rate is None:
+            return None
+        allowance = self._allowances.get(upstream)
+        if allowance is None:
+            allowance = _Allowance(rate, TokenBucket(updated=now))
+            self._resize(upstream, allowance, now)
+            allowance.bucket.add(1)
+            self._allowances[upstream] = allowance
+        elif allowance.fleet_rate != rate:
+            allowance.fleet_rate = rate
+            self._resize(upstream, allowance, now)
+        return allowance
+
+    def _resize(
+        self, upstream: Upstream, allowance: _Allowance, now: float
+    ) -> None:
+        share = self._share(upstream)
+        rate = allowance.fleet_rate * RATE_FRACTION * share
+        allowance.bucket.resize(rate, 1 if rate else 0, now)
+
+    def _share(self, upstream: Upstream) -> float:
+        """Return this VM's part of the rate; 0 if it is not a sender."""
+        name = upstream.name.encode()
+        senders = sorted(
+            self._vms,
+            key=lambda vm: score(name, vm),
+            reverse=True,
+        )[:SENDERS_PER_UPSTREAM]
+        return 1 / len(senders) if self._vm in senders else 0
+
+    def _drop_unlimited(self, now: float) -> None:
+        unlimited = [
+            upstream
+            for upstream in self._allowances
+            if self._fleet_rate(upstream, now) is None
+        ]
+        for upstream in unlimited:
+            self._allowances.pop(upstream)
--- a/tests/edge/fleet_world.py
+++ b/tests/edge/fleet_world.py
@@ -109,11 +109,10 @@
         upstream = vm.state.directory.find(name)
         if upstream is None or self.now < vm.next_send_at:
             return
-        limiter = vm.state.cold_rate_limiter
-        if upstream.is_cold(self.now):
-            if not limiter.may_send(upstream, self.now):
-                return
-            limiter.take(upstream, self.now)
+        rates = vm.state.upstream_rates
+        if not rates.may_send(upstream, self.now):
+            return
+        rates.record_send(upstream, self.now)
         vm.next_send_at = self.now + 1 / DEMAND_RATE
         self.sent_at.append(self.now)
 
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -1,7 +1,7 @@
 """Fleet-wide bounds hold although VMs divide them without communicating."""
 
-from chestnutshift.steering.cold import ColdRateLimiter
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
+from chestnutshift.steering.upstream_rates import UpstreamRates
 from tests.steering.factories import NOW, SERVICE, make_directory, register
 
 VMS = [f'vm-{number}' for number in range(12)]
@@ -34,7 +34,7 @@
 def test_vms_together_keep_to_the_cold_rate() -> None:
     """The rate holds while every VM tries to send to the cold upstream."""
     upstream = register(make_directory(), 'u1', cold_for_s=3.0)
-    limiters = [ColdRateLimiter(vm) for vm in VMS]
+    limiters = [UpstreamRates(vm) for vm in VMS]
     sent: list[float] = []
     for limiter in limiters:
         limiter.update(VMS, {SERVICE: 6.1}, NOW)
@@ -42,7 +42,7 @@
         now = NOW + step / 100
         for limiter in limiters:
             if limiter.may_send(upstream, now):
-                limiter.take(upstream, now)
+                limiter.record_send(upstream, now)
                 sent.append(now)
     worst = max(
         sum(start <= time < start + 1 for time in sent) for start in sent
@@ -56,12 +56,12 @@
     sent: list[float] = []
     for known in (VMS[:6], VMS[6:]):
         for vm in known:
-            limiter = ColdRateLimiter(vm)
+            limiter = UpstreamRates(vm)
             limiter.update(known, {SERVICE: 6.1}, NOW)
             for step in range(100):
                 now = NOW + step / 100
                 if limiter.may_send(upstream, now):
-                    limiter.take(upstream, now)
+                    limiter.record_send(upstream, now)
                     sent.append(now)
     assert len(sent) <= 6.1 * 1.5 + 5
 
@@ -71,7 +71,7 @@
 def test_cold_rate_holds_while_vms_join() -> None:
     """VMs join one after the other while the upstream is cold."""
     upstream = register(make_directory(), 'u1', cold_for_s=9.0)
-    limiters = [ColdRateLimiter(vm) for vm in VMS]
+    limiters = [UpstreamRates(vm) for vm in VMS]
     sent: list[float] = []
     for step in range(900):
         now = NOW + step / 100
@@ -79,7 +79,7 @@
         for limiter in limiters[: len(known)]:
             limiter.update(known, {SERVICE: 6.1}, now)
             if limiter.may_send(upstream, now):
-                limiter.take(upstream, now)
+                limiter.record_send(upstream, now)
                 sent.append(now)
     worst = max(
         sum(start <= time < start + 1 for time in sent) for start in sent
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -43,11 +43,11 @@
     """Choose while no cold upstream may receive a request."""
     policy = POLICIES.get('soonest')(directory, *location)
     profile = RequestProfile(SERVICE, object_key, size_b, frozenset(regions))
-    return policy.choose(profile, make_estimate(), avoided, _reject, NOW)
+    return policy.choose(profile, make_estimate(), avoided, _reject_cold, NOW)
 
 
-def _reject(_upstream: Upstream, _now: float) -> bool:
-    return False
+def _reject_cold(upstream: Upstream, now: float) -> bool:
+    return not upstream.is_cold(now)
 
 
 def test_an_object_stays_on_one_upstream() -> None:
@@ -196,7 +196,7 @@
         estimate.learn(0.9, CacheState.FIRST)
     policy = POLICIES.get('soonest')(directory, 'a1', 'a')
     profile = RequestProfile(SERVICE, b'1')
-    choice = policy.choose(profile, estimate, (), _reject, NOW)
+    choice = policy.choose(profile, estimate, (), _reject_cold, NOW)
     assert choice.upstream is before
 
 
