Have an isolated VM check whether the upstreams that it uses are cold

Callers saw: a cold upstream was flooded (suspected from the code).

Cause: a VM that hears neither from the store nor from its peers took no news for good news. An upstream that came back from an evacuation, or turned cold in another way that breaks no connection, got the full rate of every such VM; a VM that wakes from a suspension did the same until its first answer.

Change: a VM whose proof is older than an idle poll lasts and that hears from at most half of the fleet is isolated. It takes an upstream for warm only for 1.5 s after a health check said so, and keeps to its share of the cold rate otherwise; it checks just the upstreams that it considers for requests. A store that is away for all isolates nobody: some VM notices, and its heartbeats tell.

--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -1,4 +1,4 @@
-"""Health checks of upstreams whose condition is unproven."""
+"""Health checks of upstreams that are unproven, or that may be cold."""
 
 import math
 import random
@@ -22,6 +22,12 @@
 # Pause after a failed check, multiplied by the number of failures.
 RETRY_BACKOFF_S = 0.4
 RETRY_BACKOFF_MAX_S = 2.0
+# How long an isolated VM takes an upstream for warm after a check, how long
+# before the end of that time it checks again, and how long it checks an
+# upstream that no request would go to any more.
+VERIFIED_S = 1.5
+CHECK_LEAD_S = 0.4
+ASKED_AGE_MAX_S = 2.0
 HTTP_OK = 200
 CONNECTIONS_MAX = 8
 
@@ -35,7 +41,11 @@
 
 @attrs.define
 class HealthChecker:
-    """Checks unproven upstreams and marks those that answer as ready."""
+    """Checks unproven upstreams and marks those that answer as ready.
+
+    While this VM is isolated, it also checks whether the upstreams that it
+    uses have become cold.
+    """
 
     _state: EdgeState
     _dialect: Dialect
@@ -54,15 +64,17 @@
 
     def _due_upstreams(self, now: float) -> list[Upstream]:
         """Return the upstreams whose check is due; drop stale schedules."""
-        unproven = [
+        is_isolated = self._state.is_isolated(now + CHECK_LEAD_S)
+        unchecked = [
             upstream
             for upstream in self._state.directory
             if upstream.condition is Condition.UNPROVEN
+            or (is_isolated and _may_be_cold(upstream, now))
         ]
-        for upstream in self._schedules.keys() - set(unproven):
+        for upstream in self._schedules.keys() - set(unchecked):
             self._schedules.pop(upstream)
         due = []
-        for upstream in unproven:
+        for upstream in unchecked:
             schedule = self._schedules.setdefault(upstream, _CheckSchedule())
             if not schedule.is_running and now >= schedule.due_at:
                 due.append(upstream)
@@ -89,10 +101,11 @@
             )
             schedule.due_at = now + pause_s * self._rng.uniform(0.7, 1.3)
             return
-        if upstream.condition is not Condition.UNPROVEN:
-            return
         if facts.cold_s:
             upstream.cold_until = max(upstream.cold_until, now + facts.cold_s)
+        upstream.verified_until = now + VERIFIED_S
+        if upstream.condition is not Condition.UNPROVEN:
+            return
         upstream.condition = Condition.READY
         upstream.answered_at = now
         self._state.event_log.emit(
@@ -129,3 +142,12 @@
             # The caller counts this as a failed check.
             return 0, None
         return answers[0]
+
+
+def _may_be_cold(upstream: Upstream, now: float) -> bool:
+    """Return whether an isolated VM must check the upstream now."""
+    if upstream.condition is not Condition.READY or upstream.is_cold(now):
+        return False
+    if now - upstream.asked_at > ASKED_AGE_MAX_S:
+        return False
+    return upstream.verified_until <= now + CHECK_LEAD_S
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -36,6 +36,9 @@
 # may have lapsed; they are renewed within LAPSE_GRACE_S of its return.
 STORE_OUTAGE_MIN_S = 4.4
 LAPSE_GRACE_S = 2.0
+# A VM whose proof of the route table is older than this, and that hears from
+# at most half of the fleet, is isolated. Idle polls prove it more often.
+ISOLATED_PROOF_AGE_S = 3.0
 # A VM without a request for this long counts as one that serves no callers.
 SERVING_AGE_MAX_S = 5.0
 
@@ -116,7 +119,7 @@
                 bounds.retry_slack,
             ),
         )
-        self.upstream_rates = UpstreamRates(settings.vm)
+        self.upstream_rates = UpstreamRates(settings.vm, self.is_isolated)
         self.freshness = TableFreshness(
             bounds.withdrawal_s,
             FRESHNESS_MARGIN_S,
@@ -144,6 +147,17 @@
             return True
         return self.freshness.is_fresh(now)
 
+    def is_isolated(self, now: float) -> bool:
+        """Return whether news of upstreams may not reach this VM.
+
+        If most VMs are connected, one of them notices what happens to an
+        upstream and tells the others, even while the store is away.
+        """
+        if self.freshness.age_s(now) <= ISOLATED_PROOF_AGE_S:
+            return False
+        live = len(self.fleet.live_peers(now)) + 1
+        return 2 * live <= len(self.fleet.names)
+
     def is_serving_callers(self, now: float) -> bool:
         """Return whether a request was admitted lately."""
         return now - self.admitted_at < SERVING_AGE_MAX_S
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -1,13 +1,14 @@
 """This VM's share of the request rates that upstreams accept.
 
 Some upstreams accept only a certain rate from all VMs together, for example
-while they are cold. Only a few VMs, which all VMs determine alike by
+while they are cold. An upstream of which an isolated VM has no recent news may
+be cold as well. Only a few VMs, which all VMs determine alike by
 rendezvous hashing of the VM names, may send to such an upstream. Each of them
 has an equal share of the rate, in a token bucket with a capacity of one
 request.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -21,6 +22,10 @@
 RATE_FRACTION = 0.6
 
 
+def _never(_now: float) -> bool:
+    return False
+
+
 @attrs.define
 class _Allowance:
     """This VM's share of the rate that one upstream accepts."""
@@ -29,15 +34,16 @@
     bucket: TokenBucket
 
 
+@attrs.define
 class UpstreamRates:
     """Rate limiters for this VM's requests to upstreams that need one."""
 
-    def __init__(self, vm: str) -> None:
-        """Create the limiters of the named VM, which knows no other VM yet."""
-        self._vm = vm
-        self._vms: Sequence[str] = (vm,)
-        self._cold_rates: dict[str, float] = {}
-        self._allowances: dict[Upstream, _Allowance] = {}
+    _vm: str
+    # Tells whether news of upstreams may not reach this VM.
+    _is_isolated: Callable[[float], bool] = _never
+    _vms: Sequence[str] = ()
+    _cold_rates: Mapping[str, float] = attrs.field(factory=dict)
+    _allowances: dict[Upstream, _Allowance] = attrs.field(factory=dict)
 
     def update(
         self, vms: Sequence[str], cold_rates: dict[str, float], now: float
@@ -55,6 +61,7 @@
 
     def may_send(self, upstream: Upstream, now: float) -> bool:
         """Return whether this VM may send the upstream a request now."""
+        upstream.asked_at = now
         allowance = self._allowance(upstream, now)
         if allowance is None:
             return True
@@ -69,8 +76,10 @@
 
     def _fleet_rate(self, upstream: Upstream, now: float) -> float | None:
         """Return the rate of all VMs together, None without a limit."""
+        is_unverified = now >= upstream.verified_until
         if not upstream.is_cold(now):
-            return None
+            if not is_unverified or not self._is_isolated(now):
+                return None
         return self._cold_rates.get(upstream.registration.service, 0)
 
     def _allowance(self, upstream: Upstream, now: float) -> _Allowance | None:
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -59,6 +59,8 @@
 class Upstream:
     """One run of an upstream process; times are boot time in seconds.
 
+    An isolated VM takes it for warm until verified_until, by a health check;
+    asked_at is when it last considered the upstream for a request.
     in_flight counts this VM's requests to it, peers_in_flight those that the
     other VMs last reported.
     """
@@ -67,6 +69,8 @@
     region: str
     condition: Condition = Condition.READY
     cold_until: float = -math.inf
+    verified_until: float = -math.inf
+    asked_at: float = -math.inf
     in_flight: int = 0
     peers_in_flight: int = 0
     failure_rate: float = 0
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -175,14 +175,16 @@
     """ASGI stand-in for an upstream with one of several behaviours.
 
     behaviour names the method that answers requests. received lists the
-    headers of requests, checks counts health checks, and cancelled the
-    requests that were cancelled while the upstream was silent.
+    headers of requests, checks counts health checks, which tell that it stays
+    cold for cold_ms, and cancelled counts the requests that were cancelled
+    while the upstream was silent.
     """
 
     name: str
     behaviour: str = 'serve'
     received: list[dict[str, str]] = attrs.field(factory=list)
     checks: int = 0
+    cold_ms: int = 0
     cancelled: int = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -193,7 +195,8 @@
         }
         if scope['path'] == '/healthz':
             self.checks += 1
-            await answer(send, 200, b'', self._instance_header())
+            cold = (b'x-chestnutshift-cold-ms', b'%d' % self.cold_ms)
+            await answer(send, 200, b'', self._instance_header(), cold)
             return
         self.received.append(headers)
         request_id = (
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -8,6 +8,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge.settings import Endpoint
 from tests.edge.world import BOOK, SEARCH, running_edge, until
+from tests.fleet.factories import make_member
 from tests.platform.samples import ROUTE_TABLE
 
 
@@ -179,3 +180,23 @@
         )
         assert 'requests_total{outcome="200",route="search"} 1.0' in page.text
         assert 'outcome="request.no_route"' in page.text
+
+
+# Guards against a VM that floods upstreams which became cold while it heard
+# from nobody, and against one that serves no callers for fear of that.
+@trio_test
+async def test_isolated_vm_checks_its_upstreams() -> None:
+    """It serves open routes, and slows down once a check tells of cold."""
+    async with running_edge('serve', tenants=None) as world:
+        state = world.state
+        for number in range(2, 6):
+            state.fleet.add_member(make_member(f'vm-{number}'), boot_time())
+        world.store.is_down = True
+        await until(lambda: state.is_isolated(boot_time()))
+        upstream = state.directory.find('i-0')
+        await until(
+            lambda: state.upstream_rates.may_send(upstream, boot_time())
+        )
+        assert (await world.ask()).status_code == 200
+        world.upstreams[0].cold_ms = 5000
+        await until(lambda: upstream.is_cold(boot_time()))
