--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -17,6 +17,9 @@
 # A broken exchange does not indicate a restart if the upstream has answered
 # within this time.
 RECENT_ANSWER_S = 0.5
+# Unknown headers that are logged, once each, and the length of their names.
+UNKNOWN_HEADERS_MAX = 32
+HEADER_NAME_MAX = 64
 
 
 @attrs.define
@@ -31,6 +34,8 @@
     """Passive health checks: upstream state from the results of attempts."""
 
     _state: EdgeState
+    # Names that were logged already.
+    _unknown_headers: set[bytes] = attrs.field(factory=set)
 
     @contextmanager
     def observe(
@@ -55,6 +60,7 @@
                 _record_cancelled(choice, estimate, now - started_at)
             else:
                 record_facts(upstream, observation.end, now)
+                self._log_unknown_headers(upstream, observation.end)
                 _record_duration(
                     choice, estimate, observation.end, started_at, now
                 )
@@ -73,6 +79,21 @@
             reason=reason,
         )
 
+    def _log_unknown_headers(self, upstream: Upstream, end: AttemptEnd) -> None:
+        if end.facts is None or end.facts.unknown_headers.issubset(
+            self._unknown_headers
+        ):
+            return
+        for name in sorted(end.facts.unknown_headers - self._unknown_headers):
+            if len(self._unknown_headers) >= UNKNOWN_HEADERS_MAX:
+                return
+            self._unknown_headers.add(name)
+            self._state.event_log.emit(
+                events.HEADER_UNKNOWN,
+                upstream=upstream.name,
+                header=name.decode('latin-1')[:HEADER_NAME_MAX],
+            )
+
     def _record_outcome(
         self,
         admitted: Admitted,
--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -44,7 +44,8 @@
     that an upstream produced it. is_not_run tells whether the upstream states
     that it did not run the request. is_encoded tells whether the body has a
     content encoding. cold_s is how long the upstream stays cold, None if it
-    does not say.
+    does not say. unknown_headers are the names of headers that the dialect
+    does not know.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     keep_alive_s: float | None = None
     load: LoadReport | None = None
     cold_s: float | None = None
+    unknown_headers: frozenset[bytes] = frozenset()
 
 
 class Dialect(abc.ABC):
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -100,6 +100,11 @@
     'upstream.cold',
     "A peer's heartbeat told that an upstream is cold.",
 )
+HEADER_UNKNOWN = define(
+    8027,
+    'upstream.header_unknown',
+    'An upstream sent a header that this system does not know.',
+)
 PEER_LOST = define(
     8030,
     'peer.lost',
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -100,6 +100,7 @@
             keep_alive_s=_keep_alive_s(fields.get(b'keep-alive', b'')),
             load=_load(fields.get(names.LOAD)),
             cold_s=None if cold_ms is None else cold_ms / MILLISECONDS_PER_S,
+            unknown_headers=fields.keys() - names.ANSWER_HEADERS,
         )
 
     def caller_headers(self, headers: Headers) -> Headers:
--- a/chestnutshift/platform/names.py
+++ b/chestnutshift/platform/names.py
@@ -17,6 +17,26 @@
 # prefix.
 STORE_ERA = (b'store-era', b'x-chestnutshift-store-era')
 RESERVED_PREFIX = b'x-chestnutshift-'
+# Headers of an upstream's answer that are read or need no reading.
+ANSWER_HEADERS = frozenset(
+    (
+        REQUEST_ID,
+        UPSTREAM,
+        SEAL,
+        LOAD,
+        NOT_RUN,
+        COLD_MS,
+        b'connection',
+        b'content-encoding',
+        b'content-length',
+        b'content-type',
+        b'date',
+        b'keep-alive',
+        b'retry-after',
+        b'server',
+        b'transfer-encoding',
+    )
+)
 KEY_SCHEME = b'token'
 
 OPERATOR_TABLE = 'op'
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -177,7 +177,8 @@
     behaviour names the method that answers requests. received lists the
     headers of requests, checks counts health checks, which tell that it stays
     cold for cold_ms, and cancelled counts the requests that were cancelled
-    while the upstream was silent.
+    while the upstream was silent. Answers bear headers as well; served_at are
+    the times of served requests.
     """
 
     name: str
@@ -185,6 +186,8 @@
     received: list[dict[str, str]] = attrs.field(factory=list)
     checks: int = 0
     cold_ms: int = 0
+    headers: tuple[Header, ...] = ()
+    served_at: list[float] = attrs.field(factory=list)
     cancelled: int = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
@@ -210,7 +213,9 @@
 
     async def _serve(self, send: Any, request_id: Header, text: bytes) -> None:
         seal = (b'x-chestnutshift-server-seal', self.name.encode())
-        await answer(send, 200, text, request_id, seal, self._instance_header())
+        self.served_at.append(trio.current_time())
+        headers = (request_id, seal, self._instance_header(), *self.headers)
+        await answer(send, 200, text, *headers)
 
     async def _slow(self, send: Any, request_id: Header, text: bytes) -> None:
         await trio.sleep(SLOW_S)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -6,7 +6,9 @@
 from trio.testing import trio_test
 
 from chestnutshift.clocks import boot_time
+from chestnutshift.edge import events
 from chestnutshift.edge.settings import Endpoint
+from chestnutshift.events.log import EventFilter
 from tests.edge.world import BOOK, SEARCH, running_edge, until
 from tests.fleet.factories import make_member
 from tests.platform.samples import ROUTE_TABLE
@@ -200,3 +202,15 @@
         assert (await world.ask()).status_code == 200
         world.upstreams[0].cold_ms = 5000
         await until(lambda: upstream.is_cold(boot_time()))
+
+
+@trio_test
+async def test_unknown_headers_are_logged_once() -> None:
+    """A header that the platform's pages do not name leaves a trace."""
+    async with running_edge('serve') as world:
+        world.upstreams[0].headers = ((b'x-news', b'1'),)
+        for _ in range(3):
+            await world.ask()
+        number = events.HEADER_UNKNOWN.number
+        logged = world.state.event_log.select(EventFilter(number=number))
+        assert [event.facts['header'] for event in logged] == ['x-news']
