--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -214,3 +214,25 @@
         number = events.HEADER_UNKNOWN.number
         logged = world.state.event_log.select(EventFilter(number=number))
         assert [event.facts['header'] for event in logged] == ['x-news']
+
+
+# Guards against an upstream that gets far more requests than the limit that
+# it names in its answers: the limit was not read.
+@trio_test
+async def test_upstream_that_names_a_limit() -> None:
+    """What goes beyond the limit is refused at once, with a Retry-After."""
+    limit, window_s = 3.0, 4.0
+    async with running_edge('serve') as world:
+        upstream = world.upstreams[0]
+        upstream.headers = ((b'server-limit', b'3.0'),)
+        await world.ask()
+        await trio.sleep(0.5)
+        upstream.served_at.clear()
+        with trio.move_on_after(window_s):
+            while True:
+                answer = await world.ask()
+                if answer.status_code != 200:
+                    assert answer.status_code == 503
+                    assert float(answer.headers['retry-after']) > 0
+                await trio.sleep(0.02)
+        assert 3 <= len(upstream.served_at) <= limit * 1.5 * window_s + 5
