Apply only the last change of each row in a view of the upstreams

Cause: a view may list a row several times, in order. Removals were collected and applied after all registrations, so a row that was removed and written again in one view was dropped although it is listed, and one that was removed twice ended the process.

Change: the last change of each row counts.

Checked: tests.edge.test_table_polling.test_view_with_several_changes_of_a_row failed before.

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -227,7 +227,9 @@
             grace_s = LAPSE_GRACE_S if is_copy else 0
             directory.keep_only(listed, now, grace_s)
         removed: list[str] = []
-        for change in view.changes:
+        # A view may list a row several times, with its newest state last.
+        latest = {change.key: change for change in view.changes}
+        for change in latest.values():
             self._log_malformed_row('upstreams', change.key, change.problem)
             if change.state is None:
                 removed.append(change.key)
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -108,6 +108,27 @@
     assert state.directory.unregister(['i-1'], now=109) == ['i-1']
 
 
+# Guards against a VM that ends by itself, and against an upstream that is
+# dropped although it is listed: a view told of several changes of one row.
+def test_view_with_several_changes_of_a_row() -> None:
+    """The last change of each row counts."""
+    state = make_state()
+    updater = StateUpdater(state)
+    listed = Registration('i-1', 1, 's1', '127.0.0.1', 80, 'a1', 8)
+    row, gone = Change('i-1', listed), Change('i-1', None)
+    updater.apply_upstreams(make_upstreams_view(gone, row), now=100)
+    assert state.directory.find('i-1')
+    updater.apply_upstreams(make_upstreams_view(gone, row), now=101)
+    assert state.directory.find('i-1')
+    updater.apply_upstreams(make_upstreams_view(gone, row, gone), now=102)
+    assert state.directory.find('i-1') is None
+
+
+def make_upstreams_view(*changes: Change) -> View:
+    """Return a view of the upstreams' changes."""
+    return View(changes, 1, requested_at=0, is_whole=False)
+
+
 def make_operators_view(*changes: Change, **fields: object) -> View:
     """Return a view of the operators' table."""
     view = View(changes, 1, requested_at=0, is_whole=False, era=1)
