Keep to the limits that upstreams name, over all VMs together

Callers saw: nothing refused, while two upstreams in need got two to three times what they had asked for.

Cause: nobody read the header.

Change: a limit is one more source of the rate that all VMs may send to an upstream, beside cold, and the lower one applies: few senders that all VMs choose alike, more of them for a higher rate, each with a part of the rate. Heartbeats carry the limits with the age of the answer that told them, so that all VMs know within an interval and the newest answer counts. A limit ends with an answer, to a later request, that names none.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -60,6 +60,9 @@
                 _record_cancelled(choice, estimate, now - started_at)
             else:
                 record_facts(upstream, observation.end, now)
+                self._record_rate_limit(
+                    upstream, observation.end, started_at, now
+                )
                 self._log_unknown_headers(upstream, observation.end)
                 _record_duration(
                     choice, estimate, observation.end, started_at, now
@@ -79,6 +82,39 @@
             reason=reason,
         )
 
+    def _record_rate_limit(
+        self,
+        upstream: Upstream,
+        end: AttemptEnd,
+        started_at: float,
+        now: float,
+    ) -> None:
+        """Record the limit that an answer names, or that it names none.
+
+        An answer to a request from before the limit was named does not end
+        it: upstreams answer requests in any order.
+        """
+        if end.kind not in {EndKind.ANSWERED, EndKind.NOT_RUN}:
+            return
+        if end.facts.is_rate_limit_malformed:
+            self._state.metrics.rate_limits_malformed.inc()
+            if not upstream.has_malformed_limit:
+                upstream.has_malformed_limit = True
+                self._state.event_log.emit(
+                    events.RATE_LIMIT_MALFORMED, upstream=upstream.name
+                )
+            return
+        limit = end.facts.rate_limit
+        if limit is None and not _ends_limit(upstream, end, started_at):
+            return
+        if upstream.record_rate_limit(limit, now):
+            self._state.event_log.emit(
+                events.RATE_LIMIT_CHANGED,
+                upstream=upstream.name,
+                limit=limit,
+                source='answer',
+            )
+
     def _log_unknown_headers(self, upstream: Upstream, end: AttemptEnd) -> None:
         if end.facts is None or end.facts.unknown_headers.issubset(
             self._unknown_headers
@@ -126,6 +162,13 @@
             self.mark_unproven(upstream, end.detail)
 
 
+def _ends_limit(upstream: Upstream, end: AttemptEnd, started_at: float) -> bool:
+    """Return whether an answer without a limit ends the one in force."""
+    if upstream.rate_limit is None or end.kind is not EndKind.ANSWERED:
+        return False
+    return started_at > upstream.rate_limit_at
+
+
 def record_facts(upstream: Upstream, end: AttemptEnd, now: float) -> None:
     """Record the load and cold state that an answer's head reports."""
     facts = end.facts
--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -44,7 +44,10 @@
     that an upstream produced it. is_not_run tells whether the upstream states
     that it did not run the request. is_encoded tells whether the body has a
     content encoding. cold_s is how long the upstream stays cold, None if it
-    does not say. unknown_headers are the names of headers that the dialect
+    does not say. rate_limit is the requests per second that the upstream
+    accepts from all VMs together, None if it names no limit;
+    is_rate_limit_malformed tells that it names one that can't be read.
+    unknown_headers are the names of headers that the dialect
     does not know.
     """
 
@@ -56,6 +59,8 @@
     keep_alive_s: float | None = None
     load: LoadReport | None = None
     cold_s: float | None = None
+    rate_limit: float | None = None
+    is_rate_limit_malformed: bool = False
     unknown_headers: frozenset[bytes] = frozenset()
 
 
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -105,6 +105,17 @@
     'upstream.header_unknown',
     'An upstream sent a header that this system does not know.',
 )
+RATE_LIMIT_CHANGED = define(
+    8028,
+    'upstream.rate_limit_changed',
+    'An upstream named another limit of requests from all VMs, or none.',
+)
+RATE_LIMIT_MALFORMED = define(
+    8029,
+    'upstream.rate_limit_malformed',
+    'An upstream named a limit that is no decimal number; it is ignored.',
+    logging.WARNING,
+)
 PEER_LOST = define(
     8030,
     'peer.lost',
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -57,6 +57,10 @@
             'Questions to the VM that decides on an account by outcome.',
             'outcome',
         )
+        self.rate_limits_malformed = self._counter(
+            'rate_limits_malformed_total',
+            'Answers of upstreams that named a limit that is no number.',
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_left_out',
             'Log lines left out since the start.',
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -106,6 +106,7 @@
             upstreams_changed_at=state.upstreams_changes.changed_at,
             delay_s=state.delay_s,
             cold_for_s=state.upstream_news.cold_for_s(now),
+            rate_limits=state.upstream_news.rate_limits(now),
         )
 
     def send(self, message: Message, peer: Peer) -> None:
--- a/chestnutshift/edge/upstream_news.py
+++ b/chestnutshift/edge/upstream_news.py
@@ -11,6 +11,7 @@
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.heartbeats import (
     Heartbeat,
+    RateLimitNews,
     hash_upstream,
     sum_in_flight,
 )
@@ -20,6 +21,10 @@
 # A peer's news that an upstream stays cold for longer counts from this much
 # on: the time that a heartbeat takes must not prolong it.
 COLD_NEWS_MIN_S = 0.3
+# Likewise for the time at which an upstream named its limit.
+RATE_LIMIT_NEWS_MIN_S = 0.1
+# How long VMs tell each other that an upstream no longer names a limit.
+RATE_LIMIT_END_TOLD_S = 10.0
 
 
 @attrs.define
@@ -48,6 +53,17 @@
             if upstream.is_cold(now)
         }
 
+    def rate_limits(self, now: float) -> dict[int, RateLimitNews]:
+        """Return the limits that upstreams name, and which ended lately."""
+        return {
+            name_hash: RateLimitNews(
+                upstream.rate_limit, now - upstream.rate_limit_at
+            )
+            for name_hash, upstream in self._by_hash().items()
+            if upstream.rate_limit is not None
+            or now - upstream.rate_limit_at < RATE_LIMIT_END_TOLD_S
+        }
+
     def apply_in_flight(self, heartbeats: Iterable[Heartbeat]) -> None:
         """Set the peers' requests in flight by their last heartbeats."""
         counts = sum_in_flight(heartbeats)
@@ -56,6 +72,10 @@
 
     def apply(self, heartbeat: Heartbeat, now: float) -> None:
         """Apply the news in a heartbeat that just arrived."""
+        self._apply_cold(heartbeat, now)
+        self._apply_rate_limits(heartbeat, now)
+
+    def _apply_cold(self, heartbeat: Heartbeat, now: float) -> None:
         for name_hash, left_s in heartbeat.cold_for_s.items():
             upstream = self._by_hash().get(name_hash)
             if upstream is None:
@@ -70,6 +90,23 @@
                     cold_for_s=left_s,
                 )
 
+    def _apply_rate_limits(self, heartbeat: Heartbeat, now: float) -> None:
+        for name_hash, news in heartbeat.rate_limits.items():
+            upstream = self._by_hash().get(name_hash)
+            named_at = now - news.age_s
+            if (
+                upstream is None
+                or named_at <= upstream.rate_limit_at + RATE_LIMIT_NEWS_MIN_S
+            ):
+                continue
+            if upstream.record_rate_limit(news.limit, named_at):
+                self._event_log.emit(
+                    events.RATE_LIMIT_CHANGED,
+                    upstream=upstream.name,
+                    limit=news.limit,
+                    source=heartbeat.vm,
+                )
+
     def _by_hash(self) -> Mapping[int, Upstream]:
         if self._generation != self._directory.generation:
             self._generation = self._directory.generation
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -6,7 +6,7 @@
 from thrift.Thrift import TException
 
 from chestnutshift.fleet.exceptions import BrokenDatagramError
-from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
+from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase, RateLimitNews
 from chestnutshift.fleet.questions import LimitAnswer, LimitQuestion
 from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.wire.generated.fleet import ttypes
@@ -93,6 +93,10 @@
             upstream: round(duration_s * MILLI_PER_UNIT)
             for upstream, duration_s in heartbeat.cold_for_s.items()
         },
+        rate_limits={
+            upstream: _rate_limit_struct(news)
+            for upstream, news in heartbeat.rate_limits.items()
+        },
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
@@ -121,6 +125,26 @@
             upstream: duration / MILLI_PER_UNIT
             for upstream, duration in (struct.cold_for_ms or {}).items()
         },
+        rate_limits={
+            upstream: _read_rate_limit(limit)
+            for upstream, limit in (struct.rate_limits or {}).items()
+        },
+    )
+
+
+def _rate_limit_struct(news: RateLimitNews) -> ttypes.RateLimit:
+    limit = news.limit
+    return ttypes.RateLimit(
+        limit_milli=None if limit is None else round(limit * MILLI_PER_UNIT),
+        age_ms=round(news.age_s * MILLI_PER_UNIT),
+    )
+
+
+def _read_rate_limit(struct: ttypes.RateLimit) -> RateLimitNews:
+    limit = struct.limit_milli
+    return RateLimitNews(
+        None if limit is None else limit / MILLI_PER_UNIT,
+        struct.age_ms / MILLI_PER_UNIT,
     )
 
 
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -21,6 +21,18 @@
     STOPPING = 'stopping'
 
 
+@attrs.frozen
+class RateLimitNews:
+    """A limit that an upstream named to any VM, age_s seconds ago.
+
+    limit is requests per second from all VMs together, None if the upstream
+    no longer names one.
+    """
+
+    limit: float | None
+    age_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """A heartbeat: one VM's state, in seconds of the sender's boot clock.
@@ -29,11 +41,12 @@
     receiver, proof_age_s the age of the proof that the sender's route table
     is the newest; both are None if there is none. demand is requests per
     second by account, in_flight the sender's requests by hash of the
-    upstream's id. operators_changed_at and upstreams_changed_at are the store's
-    positions of the newest changes that the sender knows, so that a receiver
-    notices changes that it missed. cold_for_s is how long upstreams stay cold,
-    by hash of the id. delay_s is how late the sender's timers
-    fire, which grows as its processor is fully used.
+    upstream's id. operators_changed_at and upstreams_changed_at are the
+    store's positions of the newest changes that the sender knows, so that a
+    receiver notices changes that it missed. cold_for_s is how long upstreams
+    stay cold, and rate_limits what they accept, by hash of the id. delay_s is
+    how late the sender's timers fire, which grows as its processor is fully
+    used.
     """
 
     vm: str
@@ -50,6 +63,7 @@
     upstreams_changed_at: StorePosition = StorePosition()
     delay_s: float = 0
     cold_for_s: Mapping[int, float] = attrs.field(factory=dict)
+    rate_limits: Mapping[int, RateLimitNews] = attrs.field(factory=dict)
 
     @property
     def is_busy(self) -> bool:
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -1,6 +1,8 @@
 """Translate the heads of requests and answers."""
 
 import math
+import re
+from collections.abc import Collection
 from typing import Any
 
 from chestnutshift.edge.dialect import (
@@ -34,6 +36,7 @@
     names.EXPECTED_UPSTREAM,
 }
 _HTTP_BAD_REQUEST = 400
+_DECIMAL = re.compile(rb'\d+(\.\d+)?')
 
 
 @DIALECTS.register('platform')
@@ -91,6 +94,10 @@
         """Parse the headers of an upstream's answer."""
         fields = dict(headers)
         cold_ms = _parse_digits(fields.get(names.COLD_MS))
+        limit_texts = {
+            text for name, text in headers if name in names.RATE_LIMIT
+        }
+        rate_limit = _parse_decimal(limit_texts)
         return AnswerFacts(
             request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
             upstream=fields.get(names.UPSTREAM, b'').decode('latin-1'),
@@ -100,6 +107,8 @@
             keep_alive_s=_keep_alive_s(fields.get(b'keep-alive', b'')),
             load=_load(fields.get(names.LOAD)),
             cold_s=None if cold_ms is None else cold_ms / MILLISECONDS_PER_S,
+            rate_limit=rate_limit,
+            is_rate_limit_malformed=bool(limit_texts) and rate_limit is None,
             unknown_headers=fields.keys() - names.ANSWER_HEADERS,
         )
 
@@ -129,6 +138,15 @@
     return int(text)
 
 
+def _parse_decimal(texts: Collection[bytes]) -> float | None:
+    """Return the number of the only text, None for any other texts."""
+    if len(texts) != 1:
+        return None
+    text = next(iter(texts)).strip()
+    is_decimal = _DECIMAL.fullmatch(text) and len(text) <= DIGITS_MAX
+    return float(text) if is_decimal else None
+
+
 def _timeout_s(headers: Headers) -> float | None:
     text = find_header(headers, names.DEADLINE)
     if text is None:
--- a/chestnutshift/platform/names.py
+++ b/chestnutshift/platform/names.py
@@ -17,6 +17,9 @@
 # prefix.
 STORE_ERA = (b'store-era', b'x-chestnutshift-store-era')
 RESERVED_PREFIX = b'x-chestnutshift-'
+# Requests a second that an upstream accepts from all VMs together; named with
+# or without the prefix.
+RATE_LIMIT = (b'server-limit', b'x-chestnutshift-server-limit')
 # Headers of an upstream's answer that are read or need no reading.
 ANSWER_HEADERS = frozenset(
     (
@@ -26,6 +29,7 @@
         LOAD,
         NOT_RUN,
         COLD_MS,
+        *RATE_LIMIT,
         b'connection',
         b'content-encoding',
         b'content-length',
--- a/chestnutshift/steering/choice.py
+++ b/chestnutshift/steering/choice.py
@@ -25,7 +25,7 @@
 # that is too busy, and the load per slot that this other one may have.
 RELIEF_UTILIZATION_MAX = 0.75
 RELIEF_LOAD_RATIO = 0.5
-# Upstreams that are not warming up and are considered without knowledge of the
+# Upstreams without a limited rate that are considered without knowledge of the
 # object in their caches: the first of its order.
 CANDIDATES_MAX = 8
 # Small cost of an upstream that is not the first of the order, so that
@@ -221,13 +221,13 @@
                 for upstream in usable
             ]
         choices = []
-        warm_count = 0
+        unlimited_count = 0
         for rank, upstream in enumerate(usable):
             age_s = upstream.object_age_s(profile.object_key, now)
             state = cache_state(rank, age_s)
-            if state is CacheState.OTHER and warm_count >= CANDIDATES_MAX:
+            if state is CacheState.OTHER and unlimited_count >= CANDIDATES_MAX:
                 continue
-            warm_count += not upstream.is_cold(now)
+            unlimited_count += not upstream.is_limited(now)
             choices.append(
                 self._estimate(upstream, rank, state, profile, costs, now)
             )
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -1,11 +1,11 @@
 """This VM's share of the request rates that upstreams accept.
 
-Some upstreams accept only a certain rate from all VMs together, for example
-while they are cold. An upstream of which an isolated VM has no recent news may
-be cold as well. Only a few VMs, which all VMs determine alike by
-rendezvous hashing of the VM names, may send to such an upstream. Each of them
-has an equal share of the rate, in a token bucket with a capacity of one
-request.
+Some upstreams accept only a certain rate from all VMs together: while they
+are cold, or while they name a limit in their answers; the lower rate applies.
+An upstream of which an isolated VM has no recent news may be cold as well.
+Only some VMs, which all VMs determine alike by rendezvous hashing of the VM
+names, may send to such an upstream. Each of them has an equal share of the
+rate, in a token bucket with a capacity of one request.
 """
 
 from collections.abc import Callable, Mapping, Sequence
@@ -16,10 +16,15 @@
 from chestnutshift.rendezvous import score
 from chestnutshift.steering.upstreams import Upstream
 
-SENDERS_PER_UPSTREAM = 3
-# Fraction of the cold rate that is used, so that the rate holds while VMs
-# briefly disagree about which of them are senders.
-RATE_FRACTION = 0.6
+# VMs that may send to an upstream: at least so many, and more if each of them
+# may send so many requests per second.
+SENDERS_MIN = 3
+SENDER_RATE_MIN = 1.2
+# Fractions of the rates that are used, so that they hold while VMs briefly
+# disagree about which of them are senders. A cold upstream may fail beyond its
+# rate.
+COLD_RATE_FRACTION = 0.6
+NAMED_RATE_FRACTION = 0.9
 
 
 def _never(_now: float) -> bool:
@@ -28,7 +33,7 @@
 
 @attrs.define
 class _Allowance:
-    """This VM's share of the rate that one upstream accepts."""
+    """This VM's share of the rate that all VMs may send to an upstream."""
 
     fleet_rate: float
     bucket: TokenBucket
@@ -76,11 +81,19 @@
 
     def _fleet_rate(self, upstream: Upstream, now: float) -> float | None:
         """Return the rate of all VMs together, None without a limit."""
-        is_unverified = now >= upstream.verified_until
-        if not upstream.is_cold(now):
-            if not is_unverified or not self._is_isolated(now):
-                return None
-        return self._cold_rates.get(upstream.registration.service, 0)
+        rates = []
+        if upstream.rate_limit is not None:
+            rates.append(upstream.rate_limit * NAMED_RATE_FRACTION)
+        if self._may_be_cold(upstream, now):
+            service = upstream.registration.service
+            cold_rate = self._cold_rates.get(service, 0)
+            rates.append(cold_rate * COLD_RATE_FRACTION)
+        return min(rates, default=None)
+
+    def _may_be_cold(self, upstream: Upstream, now: float) -> bool:
+        if upstream.is_cold(now):
+            return True
+        return now >= upstream.verified_until and self._is_isolated(now)
 
     def _allowance(self, upstream: Upstream, now: float) -> _Allowance | None:
         """Return this VM's share of the upstream's rate, if it has one."""
@@ -101,18 +114,20 @@
     def _resize(
         self, upstream: Upstream, allowance: _Allowance, now: float
     ) -> None:
-        share = self._share(upstream)
-        rate = allowance.fleet_rate * RATE_FRACTION * share
+        rate = allowance.fleet_rate * self._share(
+            upstream, allowance.fleet_rate
+        )
         allowance.bucket.resize(rate, 1 if rate else 0, now)
 
-    def _share(self, upstream: Upstream) -> float:
+    def _share(self, upstream: Upstream, fleet_rate: float) -> float:
         """Return this VM's part of the rate; 0 if it is not a sender."""
         name = upstream.name.encode()
+        count = max(SENDERS_MIN, int(fleet_rate / SENDER_RATE_MIN))
         senders = sorted(
             self._vms,
             key=lambda vm: score(name, vm),
             reverse=True,
-        )[:SENDERS_PER_UPSTREAM]
+        )[:count]
         return 1 / len(senders) if self._vm in senders else 0
 
     def _drop_unlimited(self, now: float) -> None:
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -61,6 +61,8 @@
 
     An isolated VM takes it for warm until verified_until, by a health check;
     asked_at is when it last considered the upstream for a request.
+    rate_limit is the requests per second that it accepts from all VMs, by its
+    newest answer to any VM, at rate_limit_at; None for no limit.
     in_flight counts this VM's requests to it, peers_in_flight those that the
     other VMs last reported.
     """
@@ -71,6 +73,9 @@
     cold_until: float = -math.inf
     verified_until: float = -math.inf
     asked_at: float = -math.inf
+    rate_limit: float | None = None
+    rate_limit_at: float = -math.inf
+    has_malformed_limit: bool = False
     in_flight: int = 0
     peers_in_flight: int = 0
     failure_rate: float = 0
@@ -110,6 +115,24 @@
         """Return whether it is warming up and accepts only its cold rate."""
         return now < self.cold_until
 
+    def is_limited(self, now: float) -> bool:
+        """Return whether it accepts only a certain rate of requests."""
+        return self.is_cold(now) or self.rate_limit is not None
+
+    def record_rate_limit(
+        self, limit: float | None, answered_at: float
+    ) -> bool:
+        """Record the limit by an answer; return whether it changed.
+
+        An answer older than the one known is ignored.
+        """
+        if answered_at <= self.rate_limit_at:
+            return False
+        has_changed = limit != self.rate_limit
+        self.rate_limit_at = answered_at
+        self.rate_limit = limit
+        return has_changed
+
     def load(self, now: float) -> float:
         """Return the estimated number of its running and queued requests."""
         in_flight = self.in_flight + self.peers_in_flight
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -2,6 +2,14 @@
 // that VMs of this and of the next release understand each other.
 namespace py fleet
 
+// The requests that an upstream accepts from all VMs together, in thousandths
+// of a request per second, and the age of the answer that told so. Without
+// limit_milli the upstream no longer names a limit.
+struct RateLimit {
+  1: optional i64 limit_milli
+  2: optional i64 age_ms
+}
+
 // The heartbeat of one VM.
 struct Beat {
   1: optional string vm
@@ -32,6 +40,8 @@
   15: optional i64 upstreams_era
   // How long upstreams stay cold, by the hash of their ids.
   16: optional map<i32, i32> cold_for_ms
+  // The limits that upstreams named, by the hash of their ids.
+  17: optional map<i32, RateLimit> rate_limits
 }
 
 // Asks the VM that decides on an account whether a request is within its
--- a/tests/edge/fleet_world.py
+++ b/tests/edge/fleet_world.py
@@ -1,5 +1,6 @@
 """A fleet of VMs in simulated time that asks one upstream for all it takes."""
 
+from collections import deque
 from collections.abc import Collection, Sequence
 
 import attrs
@@ -21,6 +22,7 @@
 COLD_REQUESTS_MAX = COLD_RATE * 1.5 + 5
 STEP_S = 0.01
 HEARTBEAT_S = 0.25
+ANSWER_S = 0.3
 SERVICE = 's1'
 VM_COUNT = 12
 # Requests per second that each VM has for the upstream.
@@ -39,11 +41,17 @@
 
 @attrs.define
 class FleetWorld:
-    """VMs that share heartbeats, and the times at which they sent requests."""
+    """VMs that share heartbeats, and the times at which they sent requests.
+
+    The upstream names rate_limit in its answers.
+    """
 
     now: float
     vms: list[FleetVm]
     sent_at: list[float] = attrs.field(factory=list)
+    rate_limit: float | None = None
+    # When the VMs get answers.
+    _answers: deque[tuple[float, FleetVm]] = attrs.field(factory=deque)
 
     def tell(
         self,
@@ -93,18 +101,30 @@
                 self.exchange_heartbeats(cut_off)
             for vm in self.vms:
                 self._send_if_allowed(vm, upstream)
+            self._answer(upstream)
             self.now += STEP_S
 
     def most_in_a_second(self) -> int:
         """Return the most requests that were sent within one second."""
+        return self.most_within(1)
+
+    def most_within(self, window_s: float) -> int:
+        """Return the most requests that were sent within such a window."""
         return max(
             (
-                sum(start <= time < start + 1 for time in self.sent_at)
+                sum(start <= time < start + window_s for time in self.sent_at)
                 for start in self.sent_at
             ),
             default=0,
         )
 
+    def _answer(self, name: str) -> None:
+        while self._answers and self._answers[0][0] <= self.now:
+            vm = self._answers.popleft()[1]
+            upstream = vm.state.directory.find(name)
+            if (upstream.rate_limit, self.rate_limit) != (None, None):
+                upstream.record_rate_limit(self.rate_limit, self.now)
+
     def _send_if_allowed(self, vm: FleetVm, name: str) -> None:
         upstream = vm.state.directory.find(name)
         if upstream is None or self.now < vm.next_send_at:
@@ -115,6 +135,7 @@
         rates.record_send(upstream, self.now)
         vm.next_send_at = self.now + 1 / DEMAND_RATE
         self.sent_at.append(self.now)
+        self._answers.append((self.now + ANSWER_S, vm))
 
     def _view(self, changes: tuple[Change, ...], fields: dict) -> View:
         view = View(changes, 1, self.now, is_whole=False)
