Spread callers whom limited upstreams have no room for

Cause: with every upstream of a service at its limit, each refused caller was told to return after about 0.3 s: all came back at once, for the same room.

Change: Retry-After is drawn from the time in which this VM's share of the rates can take the requests that it refused in the last second, up to 3 s. The reason of the refusal counts upstreams at their limit. The average of a rate moves to a module of its own, as limits of accounts and of upstreams use it.

Checked: tests.edge.test_limit_floods.test_refused_callers_return_spread (new); tests of accounts and edge.

--- a/chestnutshift/edge/reasons.py
+++ b/chestnutshift/edge/reasons.py
@@ -72,4 +72,6 @@
         return 'evacuated'
     if not directory.is_usable(upstream):
         return upstream.condition.value
-    return 'cold' if upstream.is_cold(now) else 'tried before'
+    if upstream.is_cold(now):
+        return 'cold'
+    return 'tried before' if upstream.rate_limit is None else 'at its limit'
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -100,6 +100,7 @@
                     reasons.none_usable(
                         state.directory, pending.profile(), now
                     ),
+                    self._room_wait_s(admitted.service, now),
                 ),
             )
         is_late = choice.expected_s > allowed_s
@@ -114,6 +115,21 @@
             )
         return choice
 
+    def _room_wait_s(self, service: str, now: float) -> float:
+        """Return a time until upstreams with a limited rate have room.
+
+        Callers that are refused at the same time return spread over the time
+        in which their requests can be sent.
+        """
+        state = self._state
+        usable = [
+            upstream
+            for upstream in state.directory.of_service(service)
+            if state.directory.is_usable(upstream)
+        ]
+        room_s = state.upstream_rates.room_s(service, usable, now)
+        return self._rng.uniform(0, min(RETRY_AFTER_MAX_S, room_s))
+
     async def _attempt(
         self,
         pending: PendingRequest,
--- a/chestnutshift/fleet/shares.py
+++ b/chestnutshift/fleet/shares.py
@@ -7,16 +7,15 @@
 report demand.
 """
 
-import math
 from collections.abc import Mapping
 
 import attrs
 
 from chestnutshift.accounts.bucket import TokenBucket
+from chestnutshift.accounts.demand import DemandAverage
 from chestnutshift.fleet.deciders import Deciders
 from chestnutshift.routes.model import Account
 
-DEMAND_TIME_CONSTANT_S = 1.0
 # Demand that is added for the VMs that decide on an account, as a fraction of
 # the account's rate for all of them together, so that a VM without demand has
 # a share for its first requests.
@@ -46,24 +45,6 @@
         return limit * self.ratio + self.slack
 
 
-@attrs.define
-class DemandAverage:
-    """Requests per second as an exponentially decaying average."""
-
-    rate: float = 0
-    updated_at: float = -math.inf
-
-    def count(self, now: float) -> None:
-        """Count one request."""
-        self.rate = self.rate_at(now) + 1 / DEMAND_TIME_CONSTANT_S
-        self.updated_at = now
-
-    def rate_at(self, now: float) -> float:
-        """Return the rate at that time."""
-        age_s = max(0, now - self.updated_at)
-        return self.rate * math.exp(-age_s / DEMAND_TIME_CONSTANT_S)
-
-
 @attrs.define
 class _Limit:
     account: Account
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -8,11 +8,13 @@
 rate, in a token bucket with a capacity of one request.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
 from chestnutshift.accounts.bucket import TokenBucket
+from chestnutshift.accounts.demand import DemandAverage
 from chestnutshift.rendezvous import score
 from chestnutshift.steering.upstreams import Upstream
 
@@ -49,6 +51,8 @@
     _vms: Sequence[str] = ()
     _cold_rates: Mapping[str, float] = attrs.field(factory=dict)
     _allowances: dict[Upstream, _Allowance] = attrs.field(factory=dict)
+    # Requests refused for want of room, by service.
+    _refused: dict[str, DemandAverage] = attrs.field(factory=dict)
 
     def update(
         self, vms: Sequence[str], cold_rates: dict[str, float], now: float
@@ -79,6 +83,29 @@
         if allowance is not None:
             allowance.bucket.take(1, now)
 
+    def room_s(
+        self, service: str, upstreams: Iterable[Upstream], now: float
+    ) -> float:
+        """Return in how long the refused requests of a second can be sent.
+
+        Counts a request that is refused for want of an upstream with room.
+        Infinite if this VM may send to none of the limited upstreams, and 0
+        if none of the upstreams is limited.
+        """
+        limited = [
+            upstream
+            for upstream in upstreams
+            if self._fleet_rate(upstream, now) is not None
+        ]
+        if not limited:
+            return 0
+        refused = self._refused.setdefault(service, DemandAverage())
+        refused.count(now)
+        rate = sum(
+            self._allowance(upstream, now).bucket.rate for upstream in limited
+        )
+        return refused.rate_at(now) / rate if rate else math.inf
+
     def _fleet_rate(self, upstream: Upstream, now: float) -> float | None:
         """Return the rate of all VMs together, None without a limit."""
         rates = []
--- a/tests/edge/test_limit_floods.py
+++ b/tests/edge/test_limit_floods.py
@@ -88,3 +88,21 @@
         facts = PlatformDialect().read_answer([(name, text)])
         assert facts.rate_limit == limit
         assert not facts.is_rate_limit_malformed
+
+
+# Guards against callers that all return at once while every upstream of a
+# service names a limit.
+def test_refused_callers_return_spread() -> None:
+    """The time until there is room grows with the requests refused."""
+    world = make_limited_world(12)
+    state = world.vms[0].state
+    upstreams = list(state.directory)
+    waits_s = [
+        state.upstream_rates.room_s('s1', upstreams, world.now)
+        for _ in range(200)
+    ]
+    assert waits_s == sorted(waits_s)
+    assert waits_s[-1] > 3
+    for upstream in upstreams:
+        upstream.record_rate_limit(None, world.now + 1)
+    assert state.upstream_rates.room_s('s1', upstreams, world.now) == 0
