Ask an upstream with a limit near 0 whether it still has it

Cause: a limit ends with an answer that names none, and an upstream that accepts nothing gets no request that it could answer.

Change: while the limit is under one request in four seconds, the first sender of the upstream sends a health check every two seconds. A check that names no limit lets a request a second pass, whose answers tell.

Checked: tests.edge.test_edge.test_limit_of_zero_ends failed before (no check was sent); a test of malformed limits end to end.

--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -28,6 +28,12 @@
 VERIFIED_S = 1.5
 CHECK_LEAD_S = 0.4
 ASKED_AGE_MAX_S = 2.0
+# An upstream that accepts fewer requests per second than this is asked for its
+# limit by a check at this age of it, and may be tried at the other rate if the
+# check names none.
+ASKED_LIMIT_MAX = 0.25
+LIMIT_AGE_MAX_S = 2.0
+TRIED_LIMIT = 1.0
 HTTP_OK = 200
 CONNECTIONS_MAX = 8
 
@@ -44,7 +50,8 @@
     """Checks unproven upstreams and marks those that answer as ready.
 
     While this VM is isolated, it also checks whether the upstreams that it
-    uses have become cold.
+    uses have become cold. Of an upstream that accepts hardly any requests, no
+    answer tells whether it still does; one VM checks that.
     """
 
     _state: EdgeState
@@ -70,6 +77,7 @@
             for upstream in self._state.directory
             if upstream.condition is Condition.UNPROVEN
             or (is_isolated and _may_be_cold(upstream, now))
+            or self._must_ask_for_limit(upstream, now)
         ]
         for upstream in self._schedules.keys() - set(unchecked):
             self._schedules.pop(upstream)
@@ -80,6 +88,14 @@
                 due.append(upstream)
         return due
 
+    def _must_ask_for_limit(self, upstream: Upstream, now: float) -> bool:
+        limit = upstream.rate_limit
+        if limit is None or limit >= ASKED_LIMIT_MAX:
+            return False
+        if now - upstream.rate_limit_at < LIMIT_AGE_MAX_S:
+            return False
+        return self._state.upstream_rates.is_first_sender(upstream)
+
     async def _check(self, upstream: Upstream) -> None:
         schedule = self._schedules[upstream]
         status, facts = 0, None
@@ -104,6 +120,7 @@
         if facts.cold_s:
             upstream.cold_until = max(upstream.cold_until, now + facts.cold_s)
         upstream.verified_until = now + VERIFIED_S
+        self._record_limit(upstream, facts, now)
         if upstream.condition is not Condition.UNPROVEN:
             return
         upstream.condition = Condition.READY
@@ -115,6 +132,27 @@
             cold_for_s=facts.cold_s or 0,
         )
 
+    def _record_limit(
+        self, upstream: Upstream, facts: AnswerFacts, now: float
+    ) -> None:
+        """Record the limit that a health check names.
+
+        A check without one doesn't prove that requests may come at full rate:
+        a few are tried first, whose answers tell.
+        """
+        if upstream.rate_limit is None or facts.is_rate_limit_malformed:
+            return
+        limit = facts.rate_limit
+        if limit is None:
+            limit = max(TRIED_LIMIT, upstream.rate_limit)
+        if upstream.record_rate_limit(limit, now):
+            self._state.event_log.emit(
+                events.RATE_LIMIT_CHANGED,
+                upstream=upstream.name,
+                limit=limit,
+                source='check',
+            )
+
     async def _send_check(
         self, upstream: Upstream
     ) -> tuple[int, AnswerFacts | None]:
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -106,6 +106,10 @@
         )
         return refused.rate_at(now) / rate if rate else math.inf
 
+    def is_first_sender(self, upstream: Upstream) -> bool:
+        """Return whether this VM is the first to send, of all VMs."""
+        return self._senders(upstream, 1) == [self._vm]
+
     def _fleet_rate(self, upstream: Upstream, now: float) -> float | None:
         """Return the rate of all VMs together, None without a limit."""
         rates = []
@@ -148,15 +152,16 @@
 
     def _share(self, upstream: Upstream, fleet_rate: float) -> float:
         """Return this VM's part of the rate; 0 if it is not a sender."""
-        name = upstream.name.encode()
         count = max(SENDERS_MIN, int(fleet_rate / SENDER_RATE_MIN))
-        senders = sorted(
-            self._vms,
-            key=lambda vm: score(name, vm),
-            reverse=True,
-        )[:count]
+        senders = self._senders(upstream, count)
         return 1 / len(senders) if self._vm in senders else 0
 
+    def _senders(self, upstream: Upstream, count: int) -> list[str]:
+        """Return the VMs that may send to the upstream, the first first."""
+        name = upstream.name.encode()
+        ranked = sorted(self._vms, key=lambda vm: score(name, vm), reverse=True)
+        return ranked[:count]
+
     def _drop_unlimited(self, now: float) -> None:
         unlimited = [
             upstream
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -199,7 +199,8 @@
         if scope['path'] == '/healthz':
             self.checks += 1
             cold = (b'x-chestnutshift-cold-ms', b'%d' % self.cold_ms)
-            await answer(send, 200, b'', self._instance_header(), cold)
+            facts = (self._instance_header(), cold, *self.headers)
+            await answer(send, 200, b'', *facts)
             return
         self.received.append(headers)
         request_id = (
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -9,7 +9,7 @@
 from chestnutshift.edge import events
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.events.log import EventFilter
-from tests.edge.world import BOOK, SEARCH, running_edge, until
+from tests.edge.world import BOOK, SEARCH, TIMEOUT_S, running_edge, until
 from tests.fleet.factories import make_member
 from tests.platform.samples import ROUTE_TABLE
 
@@ -236,3 +236,41 @@
                     assert float(answer.headers['retry-after']) > 0
                 await trio.sleep(0.02)
         assert 3 <= len(upstream.served_at) <= limit * 1.5 * window_s + 5
+
+
+# Guards against an upstream that gets no request ever again after it named a
+# limit of 0: only answers told that the limit had ended.
+@trio_test
+async def test_limit_of_zero_ends() -> None:
+    """Health checks tell that the upstream accepts requests again."""
+    async with running_edge('serve') as world:
+        upstream = world.upstreams[0]
+        upstream.headers = ((b'server-limit', b'0'),)
+        await world.ask()
+        assert (await world.ask()).status_code == 503
+        served = len(upstream.served_at)
+        await until(lambda: upstream.checks > 0)
+        assert len(upstream.served_at) == served
+        upstream.headers = ()
+        known = world.state.directory.find('i-0')
+        await until(lambda: known.rate_limit != 0)
+        with trio.fail_after(TIMEOUT_S):
+            while (await world.ask()).status_code != 200:
+                await trio.sleep(0.1)
+        assert known.rate_limit is None
+
+
+@trio_test
+async def test_malformed_limit_keeps_the_last_good_one() -> None:
+    """It is counted, and logged once."""
+    async with running_edge('serve') as world:
+        upstream = world.upstreams[0]
+        known = world.state.directory.find('i-0')
+        for text in (b'50', b'-1', b'nan'):
+            upstream.headers = ((b'server-limit', text),)
+            await world.ask()
+            assert known.rate_limit == 50
+        number = events.RATE_LIMIT_MALFORMED.number
+        assert (
+            len(world.state.event_log.select(EventFilter(number=number))) == 1
+        )
