Trust no key at a VM that started on an older copy of the store

Cause: the doubt about an older copy began only at a VM that saw the era rise. One that started after the return read the copy as its first table, took the answer for the proof that it is the newest, and accepted keys that a newer table had withdrawn, which its peers knew.

Change: the doubt also begins with the first view of the table, and covers the keys themselves, not only the next proof: the one that came before the first heartbeat would be good for seconds.

Checked: tests.edge.test_table_polling.test_vm_that_starts_on_an_older_copy failed before. Not closed: the quarter of a second until the first heartbeats.

--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -79,6 +79,8 @@
     upstreams_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
     # Set when the store is found to lack this VM's row.
     registration_lost: trio.Event = attrs.field(factory=trio.Event)
+    # Until when the store may lack a route table that peers know (boot time).
+    doubted_until: float = -math.inf
     # The newest era that the store named.
     store_era: int = 0
     # The settings as last read; some take effect only after a restart.
@@ -145,7 +147,21 @@
         """Return whether keys may be accepted: proof is fresh or not needed."""
         if not self.settings.bounds.bounds_withdrawals:
             return True
-        return self.freshness.is_fresh(now)
+        return self.freshness.is_fresh(now) and not self.is_in_doubt(now)
+
+    def is_in_doubt(self, now: float) -> bool:
+        """Return whether peers know a newer route table than the store.
+
+        A store that returned from an older copy lacks the newest table until
+        the operator writes it again.
+        """
+        if now >= self.doubted_until:
+            return False
+        table = self.table
+        return table is None or any(
+            heartbeat.table_version > table.version
+            for heartbeat in self.fleet.heartbeats(now)
+        )
 
     def is_isolated(self, now: float) -> bool:
         """Return whether news of upstreams may not reach this VM.
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -168,8 +168,6 @@
     # stay in force unless the operator asks for them again.
     _held: dict[str, Evacuation] = attrs.field(factory=dict)
     _held_until: float = -math.inf
-    # Until when the store may lack a route table that peers know.
-    _doubted_until: float = -math.inf
     # The era of the last view of each table.
     _eras: dict[str, int] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
@@ -184,11 +182,7 @@
         self._state.operators_changes.record_answer(
             view.changed_position, view.position
         )
-        if self._is_copy('operators', view):
-            bounds = self._state.settings.bounds
-            self._held |= self._evacuations
-            self._held_until = now + bounds.evacuation_s
-            self._doubted_until = now + bounds.withdrawal_s
+        self._prepare_for_copy(view, now)
         if view.is_whole:
             self._evacuations.clear()
             self._malformed_keys.clear()
@@ -205,7 +199,7 @@
                 self._evacuations[change.key] = change.state
             else:
                 self._evacuations.pop(change.key, None)
-        if not self._malformed_keys and not self._is_doubtful(now):
+        if not self._malformed_keys and not self._state.is_in_doubt(now):
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
@@ -262,6 +256,17 @@
                 fleet.add_member(change.state, now)
         self._check_registration(view)
 
+    def _prepare_for_copy(self, view: View, now: float) -> None:
+        """Note what an older copy of the operators' table may lack."""
+        bounds = self._state.settings.bounds
+        is_first = 'operators' not in self._eras
+        is_copy = self._is_copy('operators', view)
+        if is_first or is_copy:
+            self._state.doubted_until = now + bounds.withdrawal_s
+        if is_copy:
+            self._held |= self._evacuations
+            self._held_until = now + bounds.evacuation_s
+
     def _check_registration(self, view: View[Member]) -> None:
         """Have this VM register again if the store lacks its row."""
         state = self._state
@@ -285,20 +290,6 @@
         self._eras[source] = view.era
         return before is not None and view.era > before
 
-    def _is_doubtful(self, now: float) -> bool:
-        """Return whether a newer route table than the store's is known.
-
-        After its return the store may lack the newest one until the operator
-        writes it again.
-        """
-        if now >= self._doubted_until:
-            return False
-        table = self._state.table
-        return table is None or any(
-            heartbeat.table_version > table.version
-            for heartbeat in self._state.fleet.heartbeats(now)
-        )
-
     def _sent_at_bound(self, view: View, now: float) -> float:
         """Return a time at or before the store's answer."""
         if view.store_now is None:
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -178,6 +178,26 @@
     assert state.freshness.age_s(101) < 1
 
 
+# Guards against withdrawn keys that a VM accepts which started after the
+# store's return: the first table that it read passed for the newest.
+def test_vm_that_starts_on_an_older_copy() -> None:
+    """It trusts no key while a peer knows a newer route table."""
+    state = make_state()
+    table = decode_route_table(route_table())
+    row = Change('config', table)
+    whole = make_operators_view(row, is_whole=True, requested_at=100)
+    StateUpdater(state).apply_operators(whole, now=100)
+    assert state.is_trusted(100)
+    state.fleet.add_member(make_member('vm-2'), 100)
+    heartbeat = Heartbeat(
+        'vm-2', 1, 1, 95, MemberPhase.SERVING, table.version + 1
+    )
+    state.record_heartbeat(heartbeat, 100)
+    assert not state.is_trusted(100)
+    state.adopt(attrs.evolve(table, version=table.version + 1))
+    assert state.is_trusted(100)
+
+
 def test_evacuation_that_ends_after_a_return() -> None:
     """The operator asks again for what the copy lacks, then takes it back."""
     state = make_state()
