--- a/tests/soak_edge/deployment.py
+++ b/tests/soak_edge/deployment.py
@@ -12,7 +12,7 @@
 
 from tests.edge.stand_ins import StoreStandIn, served
 from tests.platform.samples import ROUTE_TABLE
-from tests.soak_edge.guarantees import IssuedKey, SentRequest
+from tests.soak_edge.guarantees import IssuedKey, NamedLimit, SentRequest
 from tests.soak_edge.links import Link, LinkFault
 from tests.soak_edge.upstreams import Run, SoakUpstream
 from tests.soak_edge.vms import SoakVm, make_vm
@@ -44,6 +44,8 @@
     runs: list[Run] = attrs.field(factory=list)
     sent_requests: list[SentRequest] = attrs.field(factory=list)
     issued_keys: dict[str, IssuedKey] = attrs.field(factory=dict)
+    upstreams: dict[str, SoakUpstream] = attrs.field(factory=dict)
+    named_limits: list[NamedLimit] = attrs.field(factory=list)
     _version: int = FIRST_VERSION
 
     async def start(self, vm_count: int, nursery: trio.Nursery) -> None:
@@ -52,6 +54,7 @@
         for number in range(UPSTREAM_COUNT):
             name = f'i-{number}'
             upstream = SoakUpstream(name, self.rng, self.runs)
+            self.upstreams[name] = upstream
             port = await nursery.start(_serve, upstream)
             link = Link(port)
             await nursery.start(link.run)
@@ -123,9 +126,25 @@
         """Remove an upstream's row; the upstream keeps serving."""
         self.store.remove('servers', name)
 
+    def name_limit(self, name: str, limit: float) -> None:
+        """Have an upstream name a limit in its answers."""
+        self.upstreams[name].rate_limit = limit
+        self.named_limits.append(NamedLimit(name, limit, time.monotonic()))
+
+    def end_limits(self) -> None:
+        """Have no upstream name a limit any more."""
+        for upstream in self.upstreams.values():
+            upstream.rate_limit = None
+        now = time.monotonic()
+        self.named_limits = [
+            limit if limit.ended_at else attrs.evolve(limit, ended_at=now)
+            for limit in self.named_limits
+        ]
+
     async def end_faults(self) -> None:
         """End every fault, and start the VMs that are not running."""
         self.store.is_down = False
+        self.end_limits()
         for link in (*self.store_links, *self.upstream_links.values()):
             link.set_fault(LinkFault.NONE)
         for name in self.upstream_links:
--- a/tests/soak_edge/faults.py
+++ b/tests/soak_edge/faults.py
@@ -15,6 +15,8 @@
 FAULTS: Registry[Fault] = Registry('fault of the soak')
 DOWN_S = (0, 2)
 FAULT_DURATION_S = (0.5, 7.0)
+LIMITS = (0.5, 8.0)
+LIMIT_DURATION_S = (6.0, 12.0)
 STOP_TIMEOUT_S = 8.0
 LINK_FAULTS = (
     LinkFault.DELAYED,
@@ -104,6 +106,15 @@
     deployment.list_upstream(name)
 
 
+@FAULTS.register('name_limit')
+async def name_limit(deployment: SoakDeployment) -> None:
+    """Have an upstream name a limit for a while."""
+    name = deployment.rng.choice(list(deployment.upstreams))
+    deployment.name_limit(name, deployment.rng.uniform(*LIMITS))
+    await trio.sleep(deployment.rng.uniform(*LIMIT_DURATION_S))
+    deployment.end_limits()
+
+
 @FAULTS.register('replace_key')
 async def replace_key(deployment: SoakDeployment) -> None:
     """Withdraw a key and issue another."""
--- a/tests/soak_edge/guarantees.py
+++ b/tests/soak_edge/guarantees.py
@@ -1,5 +1,6 @@
 """Check guarantees against what callers and upstreams recorded."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
 
@@ -12,6 +13,12 @@
 SUCCESS = 200
 # Requests sent later than this after a confirmed withdrawal must not run.
 MAX_WITHDRAWAL_S = 5.0
+# From so long after an upstream named a limit, it runs at most so many
+# requests in a window.
+LIMIT_CONTACT_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVER = 1.5
+LIMIT_SLACK = 5
 
 
 @attrs.frozen
@@ -35,6 +42,45 @@
     withdrawn_at: float | None = None
 
 
+@attrs.frozen
+class NamedLimit:
+    """Requests per second that an upstream accepted from all VMs."""
+
+    upstream: str
+    limit: float
+    named_at: float
+    ended_at: float | None = None
+
+
+def find_exceeded_limits(
+    runs: Sequence[Run], limits: Sequence[NamedLimit]
+) -> list[str]:
+    """Return one line for each limit that the VMs together exceeded."""
+    problems = []
+    for named in limits:
+        times = [
+            run.started_at
+            for run in runs
+            if run.upstream == named.upstream
+            and run.started_at >= named.named_at + LIMIT_CONTACT_S
+            and run.started_at <= (named.ended_at or math.inf)
+        ]
+        most = max(
+            (
+                sum(start <= time < start + LIMIT_WINDOW_S for time in times)
+                for start in times
+            ),
+            default=0,
+        )
+        allowed = named.limit * LIMIT_OVER * LIMIT_WINDOW_S + LIMIT_SLACK
+        if most > allowed:
+            problems.append(
+                f'{named.upstream} named a limit of {named.limit:.1f} a '
+                f'second and ran {most} requests in {LIMIT_WINDOW_S} s'
+            )
+    return problems
+
+
 def find_broken_guarantees(
     sent_requests: Sequence[SentRequest],
     runs: Sequence[Run],
--- a/tests/soak_edge/runner.py
+++ b/tests/soak_edge/runner.py
@@ -10,7 +10,10 @@
 from tests.soak_edge.callers import Callers
 from tests.soak_edge.deployment import SoakDeployment
 from tests.soak_edge.faults import FAULTS
-from tests.soak_edge.guarantees import find_broken_guarantees
+from tests.soak_edge.guarantees import (
+    find_broken_guarantees,
+    find_exceeded_limits,
+)
 
 CALLER_COUNT = 8
 # Maximum number of faults at the same time.
@@ -79,6 +82,9 @@
     outcome.problems += find_broken_guarantees(
         deployment.sent_requests, deployment.runs, deployment.issued_keys
     )
+    outcome.problems += find_exceeded_limits(
+        deployment.runs, deployment.named_limits
+    )
     outcome.statuses.update(
         str(request.status) for request in deployment.sent_requests
     )
--- a/tests/soak_edge/test_guarantees.py
+++ b/tests/soak_edge/test_guarantees.py
@@ -1,11 +1,14 @@
 """The soak's checks report each broken guarantee."""
 
+import attrs
 from nose2.tools import params
 
 from tests.soak_edge.guarantees import (
     IssuedKey,
+    NamedLimit,
     SentRequest,
     find_broken_guarantees,
+    find_exceeded_limits,
 )
 from tests.soak_edge.upstreams import Run
 
@@ -59,3 +62,15 @@
     mismatched = SentRequest('r1', 'k1', True, b'b', 1, 200, 'answer to r2')
     problems = find_broken_guarantees([mismatched], [run()], ISSUED_KEYS)
     assert "another answer: 'answer to r2'" in problems[0]
+
+
+def test_exceeded_limit() -> None:
+    """Runs count from some seconds after the limit was named until its end."""
+    limit = NamedLimit('i-1', 1, named_at=0, ended_at=20)
+    runs = [Run('r', 'konya', b'', 4 + step / 5, 'i-1') for step in range(12)]
+    assert find_exceeded_limits(runs, [limit])
+    assert not find_exceeded_limits(runs[:11], [limit])
+    earlier = [attrs.evolve(run, started_at=3) for run in runs]
+    assert not find_exceeded_limits(earlier, [limit])
+    later = [attrs.evolve(run, started_at=21) for run in runs]
+    assert not find_exceeded_limits(later, [limit])
--- a/tests/soak_edge/upstreams.py
+++ b/tests/soak_edge/upstreams.py
@@ -25,15 +25,20 @@
     account: str
     body: bytes
     started_at: float
+    upstream: str = ''
 
 
 @attrs.define
 class SoakUpstream:
-    """ASGI application of one upstream; all upstreams append to runs."""
+    """ASGI application of one upstream; all upstreams append to runs.
+
+    Answers name rate_limit, in requests per second, unless it is None.
+    """
 
     name: str
     rng: random.Random
     runs: list[Run]
+    rate_limit: float | None = None
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer, shed, fail or lose the answer, at random."""
@@ -56,7 +61,9 @@
             await answer(send, 503, b'', id_header, not_executed_header)
             return
         account = headers.get('x-chestnutshift-tenant', '')
-        self.runs.append(Run(request_id, account, body, time.monotonic()))
+        self.runs.append(
+            Run(request_id, account, body, time.monotonic(), self.name)
+        )
         await self._run_request(
             send, draw - SHED_PROBABILITY, request_id, id_header
         )
@@ -80,7 +87,8 @@
         )
         seal_header = (b'x-chestnutshift-server-seal', self.name.encode())
         instance_header = (b'x-chestnutshift-instance-id', self.name.encode())
+        headers = [id_header, seal_header, instance_header]
+        if self.rate_limit is not None:
+            headers.append((b'server-limit', b'%.1f' % self.rate_limit))
         text = f'answer to {request_id}'.encode()
-        await answer(
-            send, status, text, id_header, seal_header, instance_header
-        )
+        await answer(send, status, text, *headers)
