Soak: a store that returns from an older copy

The checks stay: no request runs twice, none runs with a key that was withdrawn over 5 s before, every VM serves again after the faults.

--- a/tests/soak_edge/deployment.py
+++ b/tests/soak_edge/deployment.py
@@ -46,6 +46,7 @@
     issued_keys: dict[str, IssuedKey] = attrs.field(factory=dict)
     upstreams: dict[str, SoakUpstream] = attrs.field(factory=dict)
     named_limits: list[NamedLimit] = attrs.field(factory=list)
+    _rows: dict[str, dict] = attrs.field(factory=dict)
     _version: int = FIRST_VERSION
 
     async def start(self, vm_count: int, nursery: trio.Nursery) -> None:
@@ -120,12 +121,21 @@
             },
             'status': {'state': 'ready', 'seq': 1, 'cold_left': '0ms'},
         }
+        self._rows[name] = document
         self.store.write('servers', name, json.dumps(document).encode())
 
     def unlist_upstream(self, name: str) -> None:
         """Remove an upstream's row; the upstream keeps serving."""
+        self._rows.pop(name, None)
         self.store.remove('servers', name)
 
+    def write_again(self) -> None:
+        """Write what the operator and the upstreams say, after a return."""
+        self.write_table()
+        for name, document in self._rows.items():
+            document['status']['seq'] += 1
+            self.store.write('servers', name, json.dumps(document).encode())
+
     def name_limit(self, name: str, limit: float) -> None:
         """Have an upstream name a limit in its answers."""
         self.upstreams[name].rate_limit = limit
@@ -145,6 +155,7 @@
         """End every fault, and start the VMs that are not running."""
         self.store.is_down = False
         self.end_limits()
+        self.write_table()
         for link in (*self.store_links, *self.upstream_links.values()):
             link.set_fault(LinkFault.NONE)
         for name in self.upstream_links:
--- a/tests/soak_edge/faults.py
+++ b/tests/soak_edge/faults.py
@@ -106,6 +106,16 @@
     deployment.list_upstream(name)
 
 
+@FAULTS.register('store_returns')
+async def store_returns(deployment: SoakDeployment) -> None:
+    """Let the store return from an older copy, with what it lacks later."""
+    deployment.store.keep_copy()
+    await trio.sleep(deployment.rng.uniform(*FAULT_DURATION_S))
+    deployment.store.return_from_copy()
+    await trio.sleep(deployment.rng.uniform(*DOWN_S))
+    deployment.write_again()
+
+
 @FAULTS.register('name_limit')
 async def name_limit(deployment: SoakDeployment) -> None:
     """Have an upstream name a limit for a while."""
