--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -246,3 +246,25 @@
     """There is no choice if all upstreams are to be avoided."""
     directory = make_fleet()
     assert choose(directory, b'1', avoided=tuple(directory)) is None
+
+
+# Guards against a cascade: the load of an upstream that names a limit goes to
+# the next one in order, until that one names a limit as well.
+def test_load_of_limited_upstreams_spreads() -> None:
+    """Four of twelve upstreams take nothing; none of the rest is overloaded."""
+    directory = make_fleet()
+    policy = POLICIES.get('soonest')(directory, 'a1', 'a')
+    limited = {directory.find(f'u{number}') for number in range(4)}
+    for upstream in limited:
+        upstream.record_rate_limit(0, NOW)
+
+    def may_send(upstream: Upstream, _now: float) -> bool:
+        return upstream not in limited
+
+    for number in range(16):
+        profile = RequestProfile(SERVICE, b'%d' % number)
+        choice = policy.choose(profile, make_estimate(), (), may_send, NOW)
+        choice.upstream.in_flight += 1
+    used = [upstream for upstream in directory if upstream.in_flight]
+    assert not limited.intersection(used)
+    assert all(upstream.in_flight <= upstream.slots for upstream in used)
