State the bound of the cascade test: twice the mean load

Its bound was no rule: it asked that no upstream queues, while the policy lets a request wait shortly at an upstream that has the object. What a cascade would show is that the load goes to few of the others: none may get more than twice the mean of 16 requests over 8 upstreams. With the load on the next upstream alone it would be 16.

--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -251,7 +251,7 @@
 # Guards against a cascade: the load of an upstream that names a limit goes to
 # the next one in order, until that one names a limit as well.
 def test_load_of_limited_upstreams_spreads() -> None:
-    """Four of twelve upstreams take nothing; none of the rest is overloaded."""
+    """Four of twelve take nothing; none of the rest gets twice its part."""
     directory = make_fleet()
     policy = POLICIES.get('soonest')(directory, 'a1', 'a')
     limited = {directory.find(f'u{number}') for number in range(4)}
@@ -267,4 +267,4 @@
         choice.upstream.in_flight += 1
     used = [upstream for upstream in directory if upstream.in_flight]
     assert not limited.intersection(used)
-    assert all(upstream.in_flight <= upstream.slots for upstream in used)
+    assert max(upstream.in_flight for upstream in used) <= 2 * 16 / 8
