--- a/chestnutshift/logs/request_trace.py
+++ b/chestnutshift/logs/request_trace.py
@@ -15,6 +15,7 @@
         'evacuations.changed',
         'store.lost',
         'store.regained',
+        'store.returned',
         'edge.ready_changed',
         'edge.stopping',
         'log.lines_left_out',
--- a/tests/logs/test_request_trace.py
+++ b/tests/logs/test_request_trace.py
@@ -22,6 +22,7 @@
 LINES = (
     make_line('store.lost', 5, source='operators'),
     make_line('store.lost', 6, vm='vm-2', source='operators'),
+    make_line('store.returned', 7, source='operators', era=2),
     'Traceback of something else\n',
     make_line('request.sent', 9, request='r-1', upstream='i-1')[:-9],
     make_line(
@@ -44,7 +45,8 @@
         'request.sent',
         'request.turned_down',
     ]
-    assert [line['vm'] for line in trace.background] == ['vm-1']
+    assert [line['vm'] for line in trace.background] == ['vm-1', 'vm-1']
+    assert trace.background[1]['name'] == 'store.returned'
     assert 'keys.stale' in trace.reason
 
 
