Let a VM save half a second of its part of an upstream's rate

Cause: each sender could save one request, so a limit far above the demand still sent the second of two requests that arrive together to another upstream, which has not got the object.

Change: half a second of the VM's part, at least one request as before. All parts together are 0.45 of the limit, less than what the rule leaves beyond 0.9 of it in four seconds (2.4 of it and 5). For a cold upstream the saved requests stay those of a second at most 0.3 of the rate; at 6.1 a second nothing changes.

Checked: tests.steering.test_budgets.test_high_limit_leaves_room_for_bursts failed before; the tests of floods hold.

--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -5,7 +5,7 @@
 An upstream of which an isolated VM has no recent news may be cold as well.
 Only some VMs, which all VMs determine alike by rendezvous hashing of the VM
 names, may send to such an upstream. Each of them has an equal share of the
-rate, in a token bucket with a capacity of one request.
+rate, in a token bucket.
 """
 
 import math
@@ -22,6 +22,8 @@
 # may send so many requests per second.
 SENDERS_MIN = 3
 SENDER_RATE_MIN = 1.2
+# A VM may save the requests of so many seconds, and at least one.
+SAVED_S = 0.5
 # Fractions of the rates that are used, so that they hold while VMs briefly
 # disagree about which of them are senders. A cold upstream may fail beyond its
 # rate.
@@ -148,7 +150,8 @@
         rate = allowance.fleet_rate * self._share(
             upstream, allowance.fleet_rate
         )
-        allowance.bucket.resize(rate, 1 if rate else 0, now)
+        capacity = max(1, rate * SAVED_S) if rate else 0
+        allowance.bucket.resize(rate, capacity, now)
 
     def _share(self, upstream: Upstream, fleet_rate: float) -> float:
         """Return this VM's part of the rate; 0 if it is not a sender."""
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -70,6 +70,23 @@
     assert len(sent) <= 6.1 * 1.5 + 5
 
 
+# Guards against requests that leave an upstream which has room: a limit far
+# above the demand still let each VM send one request at a time.
+def test_high_limit_leaves_room_for_bursts() -> None:
+    """Three requests at once are less than a VM's part in half a second."""
+    upstream = register(make_directory(), 'u1')
+    upstream.record_rate_limit(100, NOW)
+    rates = UpstreamRates(VMS[0])
+    rates.update(VMS, {SERVICE: 6.1}, NOW)
+    rates.may_send(upstream, NOW)
+    sent = 0
+    for _ in range(9):
+        if rates.may_send(upstream, NOW + 1):
+            rates.record_send(upstream, NOW + 1)
+            sent += 1
+    assert sent == 3
+
+
 # Guards against a flood while VMs join: a bucket kept the rate of the moment
 # at which it was made, so that each new sender came on top of the former ones.
 def test_cold_rate_holds_while_vms_join() -> None:
