Treat a reading from behind what is known as an older copy

Within one era nothing kept its rows from replacing newer ones; an upstream that had left came back if its row had the last known sequence.

Change: a whole view from before the position that was reached is treated like one from an older copy: only newer rows apply, missing upstreams get two seconds, evacuations and VMs stay.

Checked: tests.edge.test_table_polling.test_reading_from_behind failed before (the upstream came back).

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -168,8 +168,8 @@
     # stay in force unless the operator asks for them again.
     _held: dict[str, Evacuation] = attrs.field(factory=dict)
     _held_until: float = -math.inf
-    # The era of the last view of each table.
-    _eras: dict[str, int] = attrs.field(factory=dict)
+    # The newest position of the views of each table.
+    _positions: dict[str, StorePosition] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
     _malformed_keys: set[str] = attrs.field(factory=set)
 
@@ -259,7 +259,7 @@
     def _prepare_for_copy(self, view: View, now: float) -> None:
         """Note what an older copy of the operators' table may lack."""
         bounds = self._state.settings.bounds
-        is_first = 'operators' not in self._eras
+        is_first = 'operators' not in self._positions
         is_copy = self._is_copy('operators', view)
         if is_first or is_copy:
             self._state.doubted_until = now + bounds.withdrawal_s
@@ -282,13 +282,19 @@
             state.registration_lost.set()
 
     def _is_copy(self, source: str, view: View) -> bool:
-        """Return whether the view shows an older copy of a table.
+        """Return whether the view may lack rows that are known.
 
-        That is the first view of the table after the store returned.
+        That is the first view of the table after the store returned from an
+        older copy, and a whole view from behind one that was applied before.
         """
-        before = self._eras.get(source)
-        self._eras[source] = view.era
-        return before is not None and view.era > before
+        before = self._positions.get(source)
+        position = view.position
+        if before is None:
+            self._positions[source] = position
+            return False
+        self._positions[source] = max(position, before)
+        is_behind = view.is_whole and position < before
+        return is_behind or position.era > before.era
 
     def _sent_at_bound(self, view: View, now: float) -> float:
         """Return a time at or before the store's answer."""
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -153,6 +153,25 @@
     assert not state.directory.evacuated
 
 
+# Guards against requests to upstreams that have left, and to runs that have
+# ended: a reading from behind the history that was lost brought them back.
+def test_reading_from_behind() -> None:
+    """After a loss of history the store may answer with older rows."""
+    state = make_state()
+    updater = StateUpdater(state)
+    listed = Registration('i-1', 5, 's1', '127.0.0.1', 80, 'a1', 8, sequence=3)
+    rows = (Change('i-1', listed),)
+    whole = View(rows, 10, requested_at=0, is_whole=True)
+    updater.apply_upstreams(whole, now=100)
+    gone = View((Change('i-1', None),), 12, requested_at=0, is_whole=False)
+    updater.apply_upstreams(gone, now=101)
+    updater.apply_upstreams(attrs.evolve(whole, version=9), now=102)
+    assert state.directory.find('i-1') is None
+    again = Change('i-1', attrs.evolve(listed, sequence=4))
+    updater.apply_upstreams(View((again,), 13, 0, is_whole=False), now=103)
+    assert state.directory.find('i-1')
+
+
 # Guards against withdrawn keys that are accepted after the store returned
 # from a copy: its older route table passed for the newest.
 def test_older_copy_proves_no_older_table() -> None:
