--- /dev/null
+++ b/chestnutshift/edge/state_updater.py
@@ -0,0 +1,187 @@
+"""Apply views of the store's tables to the state of the VM."""
+
+import attrs
+
+from chestnutshift.edge import events
+from chestnutshift.edge.evacuations import Evacuations
+from chestnutshift.edge.state import LAPSE_GRACE_S, EdgeState
+from chestnutshift.edge.store_tables import Evacuation, View
+from chestnutshift.fleet.members import Member
+from chestnutshift.fleet.store_polling import StorePosition
+from chestnutshift.fleet.view import FleetView
+from chestnutshift.routes.model import RouteTable
+from chestnutshift.steering.upstreams import Registration
+
+
+@attrs.define
+class StateUpdater:
+    """Applies views of the store's tables to the VM's state."""
+
+    _state: EdgeState
+    _evacuations: Evacuations = attrs.field(factory=Evacuations)
+    # The newest position of the views of each table.
+    _positions: dict[str, StorePosition] = attrs.field(factory=dict)
+    # Malformed operator rows: their content is unknown, so no proof counts.
+    _malformed_keys: set[str] = attrs.field(factory=set)
+
+    def apply_operators(
+        self,
+        view: View[RouteTable | Evacuation],
+        now: float,
+    ) -> None:
+        """Apply the route table and evacuations."""
+        self._state.operators_changes.record_answer(
+            view.changed_position, view.position
+        )
+        self._prepare_for_copy(view, now)
+        if view.is_whole:
+            self._evacuations.clear_requested()
+            self._malformed_keys.clear()
+        for change in view.changes:
+            self._log_malformed_row('operators', change.key, change.problem)
+            self._malformed_keys.discard(change.key)
+            if change.problem:
+                self._malformed_keys.add(change.key)
+                continue
+            if isinstance(change.state, RouteTable):
+                self._adopt(change.state)
+            else:
+                self._evacuations.update(change.key, change.state)
+        if not self._malformed_keys and not self._state.is_in_doubt(now):
+            self._state.record_proof(self._sent_at_bound(view, now), now)
+        self._evacuate(now)
+
+    def end_held_evacuations(self, now: float) -> None:
+        """End those that the operator did not ask for again in time."""
+        self._evacuations.end_held(now)
+        self._evacuate(now)
+
+    def apply_upstreams(self, view: View[Registration], now: float) -> None:
+        """Apply the registrations of upstreams."""
+        directory = self._state.directory
+        self._state.upstreams_changes.record_answer(
+            view.changed_position, view.position
+        )
+        is_copy = self._is_copy('upstreams', view)
+        if view.is_whole:
+            listed = [change.key for change in view.changes if change.state]
+            grace_s = LAPSE_GRACE_S if is_copy else 0
+            directory.keep_only(listed, now, grace_s)
+        removed: list[str] = []
+        # A view may list a row several times, with its newest state last.
+        latest = {change.key: change for change in view.changes}
+        for change in latest.values():
+            self._log_malformed_row('upstreams', change.key, change.problem)
+            if change.state is None:
+                removed.append(change.key)
+            else:
+                upstream = directory.register(
+                    change.state, now, is_copy=is_copy
+                )
+                self._state.event_log.emit(
+                    events.UPSTREAM_LISTED,
+                    upstream=change.key,
+                    service=change.state.service,
+                    condition=upstream.condition.value if upstream else 'gone',
+                    sequence=change.state.sequence,
+                    cold_for_s=change.state.cold_for_s,
+                )
+        for name in directory.unregister(removed, now):
+            self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
+
+    def apply_members(self, view: View[Member], now: float) -> None:
+        """Apply the list of VMs."""
+        fleet = self._state.fleet
+        is_copy = self._is_copy('members', view)
+        if view.is_whole:
+            fleet.keep_only({change.key for change in view.changes}, now)
+        for change in view.changes:
+            self._log_malformed_row('members', change.key, change.problem)
+            if change.state is None:
+                fleet.remove_member(change.key)
+            elif not (is_copy and _is_earlier(fleet, change.state)):
+                fleet.add_member(change.state, now)
+        self._check_registration(view)
+
+    def _prepare_for_copy(self, view: View, now: float) -> None:
+        """Note what an older copy of the operators' table may lack."""
+        bounds = self._state.settings.bounds
+        is_first = 'operators' not in self._positions
+        is_copy = self._is_copy('operators', view)
+        if is_first or is_copy:
+            self._state.doubted_until = now + bounds.withdrawal_s
+        if is_copy:
+            self._evacuations.hold(now + bounds.evacuation_s)
+
+    def _check_registration(self, view: View[Member]) -> None:
+        """Have this VM register again if the store lacks its row."""
+        state = self._state
+        rows = [
+            change.state
+            for change in view.changes
+            if change.key == state.settings.vm
+        ]
+        is_registered = any(
+            row and row.incarnation == state.incarnation for row in rows
+        )
+        if not is_registered and (rows or view.is_whole):
+            state.registration_lost.set()
+
+    def _is_copy(self, source: str, view: View) -> bool:
+        """Return whether the view may lack rows that are known.
+
+        That is the first view of the table after the store returned from an
+        older copy, and a whole view from behind one that was applied before.
+        """
+        before = self._positions.get(source)
+        position = view.position
+        if before is None:
+            self._positions[source] = position
+            return False
+        self._positions[source] = max(position, before)
+        is_behind = view.is_whole and position < before
+        return is_behind or position.era > before.era
+
+    def _sent_at_bound(self, view: View, now: float) -> float:
+        """Return a time at or before the store's answer."""
+        if view.store_now is None:
+            return view.requested_at
+        clock = self._state.store_clock
+        return clock.sent_at_bound(view.store_now, view.requested_at, now)
+
+    def _adopt(self, table: RouteTable) -> None:
+        before = self._state.table
+        if self._state.adopt(table):
+            self._state.event_log.emit(
+                events.TABLE_IN_FORCE,
+                version=table.version,
+                before=before.version if before else 0,
+                routes=len(table.routes),
+                accounts=len(table.accounts),
+            )
+
+    def _evacuate(self, now: float) -> None:
+        state = self._state
+        domains = self._evacuations.domains
+        if domains == state.directory.evacuated:
+            return
+        state.directory.evacuate(domains, state.cold_s(), now)
+        self._state.event_log.emit(
+            events.EVACUATIONS_CHANGED,
+            domains=sorted(domains),
+        )
+
+    def _log_malformed_row(self, source: str, key: str, problem: str) -> None:
+        if problem:
+            self._state.event_log.emit(
+                events.ROW_MALFORMED,
+                source=source,
+                key=key,
+                detail=problem,
+            )
+
+
+def _is_earlier(fleet: FleetView, member: Member) -> bool:
+    """Return whether the row is of an earlier run of a known VM."""
+    known = fleet.find(member.vm)
+    return known is not None and member.incarnation < known.member.incarnation
--- a/chestnutshift/edge/store_polling.py
+++ b/chestnutshift/edge/store_polling.py
@@ -6,7 +6,8 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.edge.table_polling import StateUpdater, TablePoller
+from chestnutshift.edge.state_updater import StateUpdater
+from chestnutshift.edge.table_polling import TablePoller
 from chestnutshift.fleet.store_polling import (
     IDLE_SETTLE_RATIO,
     POLL_TIMEOUT_LONG_S,
--- a/tests/edge/fleet_world.py
+++ b/tests/edge/fleet_world.py
@@ -8,7 +8,7 @@
 from chestnutshift.edge.peers import PeerMessenger
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.store_tables import Change, View
-from chestnutshift.edge.table_polling import StateUpdater
+from chestnutshift.edge.state_updater import StateUpdater
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.members import Member
 from chestnutshift.platform.route_tables import decode_route_table
