Count no free slots at an upstream that names a limit

Cause: the utilization of a service, by which another upstream relieves a busy one and extra work is priced, counted the slots of upstreams that accept only a small rate as free.

Change: such an upstream counts as full.

Checked: tests.steering.test_directory.test_limited_upstreams_offer_no_free_slots failed before.

--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -58,13 +58,21 @@
         return self._by_name.get(name)
 
     def utilization(self, service: str, now: float) -> float:
-        """Return load per usable slot of a service; above 1 requests queue."""
+        """Return load per usable slot of a service; above 1 requests queue.
+
+        An upstream that names a limit has no slots left beside its load.
+        """
         usable = [
             upstream
             for upstream in self.of_service(service)
             if self.is_usable(upstream)
         ]
-        slots = sum(upstream.slots for upstream in usable)
+        slots = sum(
+            upstream.slots
+            if upstream.rate_limit is None
+            else upstream.load(now)
+            for upstream in usable
+        )
         return (
             sum(upstream.load(now) for upstream in usable) / slots
             if slots
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -144,3 +144,15 @@
     assert directory.expire(NOW + 1.9) == []
     assert directory.expire(NOW + 2) == ['u2']
     assert directory.find('u1')
+
+
+# Guards against relief and prices for a service that seems half idle while
+# most of its upstreams accept hardly any requests.
+def test_limited_upstreams_offer_no_free_slots() -> None:
+    """Only the slots of the others count as free."""
+    directory = make_directory()
+    limited, other = register(directory, 'u1'), register(directory, 'u2')
+    limited.in_flight, other.in_flight = 1, 3
+    assert directory.utilization(SERVICE, NOW) < 0.75
+    limited.record_rate_limit(1, NOW)
+    assert directory.utilization(SERVICE, NOW) == 1
