--- a/chestnutshift/fleet/shares.py
+++ b/chestnutshift/fleet/shares.py
@@ -12,7 +12,7 @@
 import attrs
 
 from chestnutshift.accounts.bucket import TokenBucket
-from chestnutshift.accounts.demand import DemandAverage
+from chestnutshift.accounts.demand_average import DemandAverage
 from chestnutshift.fleet.deciders import Deciders
 from chestnutshift.routes.model import Account
 
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -14,7 +14,7 @@
 import attrs
 
 from chestnutshift.accounts.bucket import TokenBucket
-from chestnutshift.accounts.demand import DemandAverage
+from chestnutshift.accounts.demand_average import DemandAverage
 from chestnutshift.rendezvous import score
 from chestnutshift.steering.upstreams import Upstream
 
