Log answers of an earlier era as one loss of the store

Cause: the poller counted such an answer as one before it looked at the era, so each poll logged that the store was regained and lost again.

Checked: tests.edge.test_table_polling.test_answers_of_an_earlier_era failed before (seven lines in a second).

--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -79,10 +79,10 @@
             return
         if not view.era:
             view = attrs.evolve(view, era=self._state.store_era)
+        self._check_era(view)
         now = boot_time()
         self._count('answered')
         self._log_recovery()
-        self._check_era(view)
         self._state.record_store_answer(now, now)
         self._apply(view, now)
         self._position = max(view.position, position or StorePosition())
--- a/tests/edge/test_table_polling.py
+++ b/tests/edge/test_table_polling.py
@@ -5,9 +5,11 @@
 from trio.testing import trio_test
 
 from chestnutshift.clocks import boot_time
+from chestnutshift.edge import events
 from chestnutshift.edge.store_tables import Change, Source, View
 from chestnutshift.edge.state_updater import StateUpdater
 from chestnutshift.edge.table_polling import TablePoller
+from chestnutshift.events.log import EventFilter
 from chestnutshift.fleet.store_polling import PollPace
 from chestnutshift.steering.upstreams import Registration
 from tests.edge.factories import make_state
@@ -23,6 +25,7 @@
 
     rows: tuple[Change[Registration], ...] = ()
     version: int = 1
+    era: int = 0
     waits_s: list[float] = attrs.field(factory=list)
 
     async def read(self) -> View[Registration]:
@@ -43,6 +46,7 @@
             boot_time(),
             is_whole,
             changed_at=self.version,
+            era=self.era,
         )
 
 
@@ -92,3 +96,23 @@
     for answered_at in (103, 106, 109):
         state.record_store_answer(answered_at, now=109)
     assert state.directory.unregister(['i-1'], now=109) == ['i-1']
+
+
+# Guards against older rows that replace newer ones, and against a log line for
+# each poll: a store may answer from before its return for a while.
+@trio_test
+async def test_answers_of_an_earlier_era() -> None:
+    """They are not applied; the loss of the store is logged once."""
+    state = make_state()
+    state.record_era(2)
+    listed = Registration('i-1', 1, 's1', '127.0.0.1', 80, 'a1', 8)
+    source = UnansweredSource((Change('i-1', listed),), era=1)
+    updater = StateUpdater(state)
+    poller = TablePoller(
+        state, source, 'upstreams', lambda: PACE, updater.apply_upstreams
+    )
+    with trio.move_on_after(1):
+        await poller.run()
+    assert state.directory.find('i-1') is None
+    number = events.STORE_LOST.number
+    assert len(state.event_log.select(EventFilter(number=number))) == 1
