--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -92,6 +92,8 @@
         limit = upstream.rate_limit
         if limit is None or limit >= ASKED_LIMIT_MAX:
             return False
+        if not self._state.directory.is_usable(upstream):
+            return False
         if now - upstream.rate_limit_at < LIMIT_AGE_MAX_S:
             return False
         return self._state.upstream_rates.is_first_sender(upstream)
