--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -95,9 +95,9 @@
     'upstream.proven',
     'A health check of an unproven upstream passed.',
 )
-UPSTREAM_COLD = define(
+UPSTREAM_COLD_TOLD = define(
     8026,
-    'upstream.cold',
+    'upstream.cold_told',
     "A peer's heartbeat told that an upstream is cold.",
 )
 HEADER_UNKNOWN = define(
--- a/chestnutshift/edge/upstream_news.py
+++ b/chestnutshift/edge/upstream_news.py
@@ -104,7 +104,7 @@
             if cold_until > upstream.cold_until + COLD_NEWS_MIN_S:
                 upstream.cold_until = cold_until
                 self._event_log.emit(
-                    events.UPSTREAM_COLD,
+                    events.UPSTREAM_COLD_TOLD,
                     upstream=upstream.name,
                     peer=heartbeat.vm,
                     cold_for_s=left_s,
