Read as a newcomer: reports instead of news, and plain names for an older copy

No change of behaviour. 'News' and 'doubt' are former names in the glossary, with other meanings: what heartbeats tell of upstreams are reports, like the load report; the doubt about the store's route table is named for what it asks.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -107,7 +107,7 @@
         limit = end.facts.rate_limit
         if limit is None and not _ends_limit(upstream, end, started_at):
             return
-        self._state.upstream_news.record_rate_limit(
+        self._state.upstream_reports.record_rate_limit(
             upstream, limit, now, source='answer'
         )
 
--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -146,7 +146,7 @@
         limit = facts.rate_limit
         if limit is None:
             limit = max(TRIED_LIMIT, upstream.rate_limit)
-        self._state.upstream_news.record_rate_limit(
+        self._state.upstream_reports.record_rate_limit(
             upstream, limit, now, source='check'
         )
 
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -101,12 +101,12 @@
             table_version=state.table.version if state.table else 0,
             proof_age_s=age_s if is_proven else None,
             demand=state.shares.reported_demand,
-            in_flight=state.upstream_news.in_flight(),
+            in_flight=state.upstream_reports.in_flight(),
             operators_changed_at=state.operators_changes.changed_at,
             upstreams_changed_at=state.upstreams_changes.changed_at,
             delay_s=state.delay_s,
-            cold_for_s=state.upstream_news.cold_for_s(now),
-            rate_limits=state.upstream_news.rate_limits(now),
+            cold_for_s=state.upstream_reports.cold_for_s(now),
+            rate_limits=state.upstream_reports.rate_limits(now),
         )
 
     def send(self, message: Message, peer: Peer) -> None:
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -8,7 +8,7 @@
 
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings
-from chestnutshift.edge.upstream_news import UpstreamNews
+from chestnutshift.edge.upstream_reports import UpstreamReports
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.bandwidth import without_slow_links
 from chestnutshift.fleet.deciders import Deciders
@@ -80,7 +80,7 @@
     # Set when the store is found to lack this VM's row.
     registration_lost: trio.Event = attrs.field(factory=trio.Event)
     # Until when the store may lack a route table that peers know (boot time).
-    doubted_until: float = -math.inf
+    older_copy_until: float = -math.inf
     # The newest era that the store named.
     store_era: int = 0
     # The settings as last read; some take effect only after a restart.
@@ -88,7 +88,7 @@
     # When the store last answered this VM or a peer (boot time).
     _store_answered_at: float | None = None
     directory: UpstreamDirectory = attrs.field(init=False)
-    upstream_news: UpstreamNews = attrs.field(init=False)
+    upstream_reports: UpstreamReports = attrs.field(init=False)
     policy: ChoicePolicy = attrs.field(init=False)
     fleet: FleetView = attrs.field(init=False)
     deciders: Deciders = attrs.field(init=False)
@@ -105,7 +105,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.directory = UpstreamDirectory(settings.regions)
-        self.upstream_news = UpstreamNews(self.directory, self.event_log)
+        self.upstream_reports = UpstreamReports(self.directory, self.event_log)
         self.policy = POLICIES.get(POLICY)(
             self.directory,
             settings.failure_domain,
@@ -147,15 +147,17 @@
         """Return whether keys may be accepted: proof is fresh or not needed."""
         if not self.settings.bounds.bounds_withdrawals:
             return True
-        return self.freshness.is_fresh(now) and not self.is_in_doubt(now)
+        return self.freshness.is_fresh(now) and not self.peers_know_newer_table(
+            now
+        )
 
-    def is_in_doubt(self, now: float) -> bool:
+    def peers_know_newer_table(self, now: float) -> bool:
         """Return whether peers know a newer route table than the store.
 
         A store that returned from an older copy lacks the newest table until
         the operator writes it again.
         """
-        if now >= self.doubted_until:
+        if now >= self.older_copy_until:
             return False
         table = self.table
         return table is None or any(
@@ -164,7 +166,7 @@
         )
 
     def is_isolated(self, now: float) -> bool:
-        """Return whether news of upstreams may not reach this VM.
+        """Return whether reports on upstreams may not reach this VM.
 
         If most VMs are connected, one of them notices what happens to an
         upstream and tells the others, even while the store is away.
@@ -244,12 +246,12 @@
             rates = {service.name: service.cold_rate for service in services}
             self.record_proof(fleet.proof(self.table.version), now)
         self.upstream_rates.update(fleet.names, rates, now)
-        self.upstream_news.apply_in_flight(fleet.heartbeats(now))
+        self.upstream_reports.apply_in_flight(fleet.heartbeats(now))
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
-        """Record a peer's heartbeat and apply its news of upstreams."""
+        """Record a peer's heartbeat and apply its reports on upstreams."""
         if self.fleet.record_heartbeat(heartbeat, now):
-            self.upstream_news.apply(heartbeat, now)
+            self.upstream_reports.apply(heartbeat, now)
 
     def update_known_changes(self, now: float) -> None:
         """Update the newest store changes that any peer reports."""
--- a/chestnutshift/edge/state_updater.py
+++ b/chestnutshift/edge/state_updater.py
@@ -47,7 +47,9 @@
                 self._adopt(change.state)
             else:
                 self._evacuations.update(change.key, change.state)
-        if not self._malformed_keys and not self._state.is_in_doubt(now):
+        if not self._malformed_keys and not self._state.peers_know_newer_table(
+            now
+        ):
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
@@ -109,7 +111,7 @@
         is_first = 'operators' not in self._positions
         is_copy = self._is_copy('operators', view)
         if is_first or is_copy:
-            self._state.doubted_until = now + bounds.withdrawal_s
+            self._state.older_copy_until = now + bounds.withdrawal_s
         if is_copy:
             self._evacuations.hold(now + bounds.evacuation_s)
 
--- a/chestnutshift/edge/upstream_news.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -11,25 +11,25 @@
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.heartbeats import (
     Heartbeat,
-    RateLimitNews,
+    RateLimitReport,
     hash_upstream,
     sum_in_flight,
 )
 from chestnutshift.steering.directory import UpstreamDirectory
 from chestnutshift.steering.upstreams import Upstream
 
-# A peer's news that an upstream stays cold for longer counts from this much
+# A peer's report that an upstream stays cold for longer counts from this much
 # on: the time that a heartbeat takes must not prolong it.
-COLD_NEWS_MIN_S = 0.3
+COLD_REPORT_MIN_S = 0.3
 # Likewise for the time at which an upstream named its limit.
-RATE_LIMIT_NEWS_MIN_S = 0.1
+RATE_LIMIT_REPORT_MIN_S = 0.1
 # How long VMs tell each other that an upstream no longer names a limit.
 RATE_LIMIT_END_TOLD_S = 10.0
 
 
 @attrs.define
-class UpstreamNews:
-    """News of the directory's upstreams, to and from the peers."""
+class UpstreamReports:
+    """Reports on the directory's upstreams, to and from the peers."""
 
     _directory: UpstreamDirectory
     _event_log: EventLog
@@ -53,10 +53,10 @@
             if upstream.is_cold(now)
         }
 
-    def rate_limits(self, now: float) -> dict[int, RateLimitNews]:
+    def rate_limits(self, now: float) -> dict[int, RateLimitReport]:
         """Return the limits that upstreams name, and which ended lately."""
         return {
-            name_hash: RateLimitNews(
+            name_hash: RateLimitReport(
                 upstream.rate_limit, now - upstream.rate_limit_at
             )
             for name_hash, upstream in self._by_hash().items()
@@ -91,7 +91,7 @@
             )
 
     def apply(self, heartbeat: Heartbeat, now: float) -> None:
-        """Apply the news in a heartbeat that just arrived."""
+        """Apply the reports in a heartbeat that just arrived."""
         self._apply_cold(heartbeat, now)
         self._apply_rate_limits(heartbeat, now)
 
@@ -101,7 +101,7 @@
             if upstream is None:
                 continue
             cold_until = now + left_s
-            if cold_until > upstream.cold_until + COLD_NEWS_MIN_S:
+            if cold_until > upstream.cold_until + COLD_REPORT_MIN_S:
                 upstream.cold_until = cold_until
                 self._event_log.emit(
                     events.UPSTREAM_COLD_TOLD,
@@ -111,16 +111,16 @@
                 )
 
     def _apply_rate_limits(self, heartbeat: Heartbeat, now: float) -> None:
-        for name_hash, news in heartbeat.rate_limits.items():
+        for name_hash, report in heartbeat.rate_limits.items():
             upstream = self._by_hash().get(name_hash)
-            named_at = now - news.age_s
+            named_at = now - report.age_s
             if (
                 upstream is None
-                or named_at <= upstream.rate_limit_at + RATE_LIMIT_NEWS_MIN_S
+                or named_at <= upstream.rate_limit_at + RATE_LIMIT_REPORT_MIN_S
             ):
                 continue
             self.record_rate_limit(
-                upstream, news.limit, named_at, source=heartbeat.vm
+                upstream, report.limit, named_at, source=heartbeat.vm
             )
 
     def _by_hash(self) -> Mapping[int, Upstream]:
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -6,7 +6,11 @@
 from thrift.Thrift import TException
 
 from chestnutshift.fleet.exceptions import BrokenDatagramError
-from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase, RateLimitNews
+from chestnutshift.fleet.heartbeats import (
+    Heartbeat,
+    MemberPhase,
+    RateLimitReport,
+)
 from chestnutshift.fleet.questions import LimitAnswer, LimitQuestion
 from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.wire.generated.fleet import ttypes
@@ -94,8 +98,8 @@
             for upstream, duration_s in heartbeat.cold_for_s.items()
         },
         rate_limits={
-            upstream: _rate_limit_struct(news)
-            for upstream, news in heartbeat.rate_limits.items()
+            upstream: _rate_limit_struct(report)
+            for upstream, report in heartbeat.rate_limits.items()
         },
         delay_us=_microseconds(heartbeat.delay_s),
     )
@@ -132,17 +136,17 @@
     )
 
 
-def _rate_limit_struct(news: RateLimitNews) -> ttypes.RateLimit:
-    limit = news.limit
+def _rate_limit_struct(report: RateLimitReport) -> ttypes.RateLimit:
+    limit = report.limit
     return ttypes.RateLimit(
         limit_milli=None if limit is None else round(limit * MILLI_PER_UNIT),
-        age_ms=round(news.age_s * MILLI_PER_UNIT),
+        age_ms=round(report.age_s * MILLI_PER_UNIT),
     )
 
 
-def _read_rate_limit(struct: ttypes.RateLimit) -> RateLimitNews:
+def _read_rate_limit(struct: ttypes.RateLimit) -> RateLimitReport:
     limit = struct.limit_milli
-    return RateLimitNews(
+    return RateLimitReport(
         None if limit is None else limit / MILLI_PER_UNIT,
         struct.age_ms / MILLI_PER_UNIT,
     )
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -22,7 +22,7 @@
 
 
 @attrs.frozen
-class RateLimitNews:
+class RateLimitReport:
     """A limit that an upstream named to any VM, age_s seconds ago.
 
     limit is requests per second from all VMs together, None if the upstream
@@ -63,7 +63,7 @@
     upstreams_changed_at: StorePosition = StorePosition()
     delay_s: float = 0
     cold_for_s: Mapping[int, float] = attrs.field(factory=dict)
-    rate_limits: Mapping[int, RateLimitNews] = attrs.field(factory=dict)
+    rate_limits: Mapping[int, RateLimitReport] = attrs.field(factory=dict)
 
     @property
     def is_busy(self) -> bool:
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -2,7 +2,7 @@
 
 Some upstreams accept only a certain rate from all VMs together: while they
 are cold, or while they name a limit in their answers; the lower rate applies.
-An upstream of which an isolated VM has no recent news may be cold as well.
+An upstream of which an isolated VM has no recent report may be cold as well.
 Only some VMs, which all VMs determine alike by rendezvous hashing of the VM
 names, may send to such an upstream. Each of them has an equal share of the
 rate, in a token bucket.
@@ -48,7 +48,7 @@
     """Rate limiters for this VM's requests to upstreams that need one."""
 
     _vm: str
-    # Tells whether news of upstreams may not reach this VM.
+    # Tells whether reports on upstreams may not reach this VM.
     _is_isolated: Callable[[float], bool] = _never
     _vms: Sequence[str] = ()
     _cold_rates: Mapping[str, float] = attrs.field(factory=dict)
