Choose senders to limited upstreams among VMs that are still there

Found by reading the change: rows of VMs stay in the store when their machines are gone, and senders were chosen among all rows. A named limit lasts, unlike a cold time, so an upstream whose senders are gone would get no requests; and one with a limit of 0 would never be asked whether it still has it.

Change: VMs that were silent for 30 s, as for shares of accounts, are left out, unless this VM hears from at most half of the others: it may be the silent one.

Checked: tests.edge.test_limit_floods.test_senders_that_are_gone_are_replaced failed before; the tests of floods hold.

--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -16,7 +16,7 @@
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.shares import AccountShares, Tolerance
 from chestnutshift.fleet.store_polling import ChangeTracker, StorePosition
-from chestnutshift.fleet.view import FleetView
+from chestnutshift.fleet.view import FleetView, sender_names
 from chestnutshift.routes.matching import RouteIndex
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.routes.splitting import Splitter
@@ -245,7 +245,7 @@
             services = self.table.services.values()
             rates = {service.name: service.cold_rate for service in services}
             self.record_proof(fleet.proof(self.table.version), now)
-        self.upstream_rates.update(fleet.names, rates, now)
+        self.upstream_rates.update(sender_names(fleet, now), rates, now)
         self.upstream_reports.apply_in_flight(fleet.heartbeats(now))
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -168,5 +168,23 @@
         )
 
 
+def sender_names(fleet: FleetView, now: float) -> Sequence[str]:
+    """Return the VMs among which senders to limited upstreams are chosen.
+
+    VMs that were silent for long are left out, as their rows stay in the
+    store. A VM that does not hear from most of the others may be the silent
+    one itself, and leaves out none.
+    """
+    live = len(fleet.live_peers(now)) + 1
+    if 2 * live <= len(fleet.names):
+        return fleet.names
+    silent = {
+        peer.member.vm
+        for peer in fleet
+        if now - max(peer.last_heartbeat_at, peer.listed_at) > SHARE_EXPIRY_S
+    }
+    return [vm for vm in fleet.names if vm not in silent]
+
+
 def _sequence(heartbeat: Heartbeat) -> tuple[int, int]:
     return heartbeat.incarnation, heartbeat.number
--- a/chestnutshift/steering/upstream_rates.py
+++ b/chestnutshift/steering/upstream_rates.py
@@ -59,7 +59,7 @@
     def update(
         self, vms: Sequence[str], cold_rates: dict[str, float], now: float
     ) -> None:
-        """Set the names of all VMs and the cold rate of each service.
+        """Set the VMs that may be senders and the cold rate of each service.
 
         Rates are requests per second of all VMs together.
         """
--- a/tests/edge/test_limit_floods.py
+++ b/tests/edge/test_limit_floods.py
@@ -3,7 +3,9 @@
 from nose2.tools import params
 
 from chestnutshift.platform.heads import PlatformDialect
+from chestnutshift.fleet.view import SHARE_EXPIRY_S
 from tests.edge.fleet_world import (
+    FleetVm,
     FleetWorld,
     make_fleet_world,
     make_registration,
@@ -29,6 +31,12 @@
     return world
 
 
+def may_send(vm: FleetVm, now: float) -> bool:
+    """Return whether the VM may send the upstream a request."""
+    upstream = vm.state.directory.find('i-1')
+    return vm.state.upstream_rates.may_send(upstream, now)
+
+
 # Guards against a fleet in which each VM keeps to the limit for itself, or in
 # which only those VMs keep to it that got such an answer.
 @params(2.8, 4.8, 12)
@@ -106,3 +114,22 @@
     for upstream in upstreams:
         upstream.record_rate_limit(None, world.now + 1)
     assert state.upstream_rates.room_s('s1', upstreams, world.now) == 0
+
+
+# Guards against a limited upstream that gets no requests because the VMs that
+# were chosen to send to it are gone: their rows stay in the store.
+def test_senders_that_are_gone_are_replaced() -> None:
+    """Half a minute after their last heartbeat others send."""
+    world = make_limited_world(4.8)
+    gone = [vm for vm in world.vms if may_send(vm, world.now + 5)]
+    assert 0 < len(gone) <= 4
+    for vm in gone:
+        world.vms.remove(vm)
+    world.now += SHARE_EXPIRY_S
+    world.exchange_heartbeats()
+    world.exchange_heartbeats()
+    world.send_for(1, 'i-1')
+    world.sent_at.clear()
+    world.send_for(8, 'i-1')
+    assert world.most_within(WINDOW_S) <= allowed(4.8)
+    assert len(world.sent_at) >= 4.8 * 8 * 0.6
