Keep the limit that a health check is the first to name

Found by reading the change: a check's limit was recorded only for an upstream that had named one before. An upstream that fails in need, and then names its limit in the check, got full rate until its first answer.

Checked: tests.edge.test_edge.test_health_check_names_a_limit failed before.

--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -141,10 +141,10 @@
         A check without one doesn't prove that requests may come at full rate:
         a few are tried first, whose answers tell.
         """
-        if upstream.rate_limit is None or facts.is_rate_limit_malformed:
-            return
         limit = facts.rate_limit
         if limit is None:
+            if upstream.rate_limit is None or facts.is_rate_limit_malformed:
+                return
             limit = max(TRIED_LIMIT, upstream.rate_limit)
         self._state.upstream_reports.record_rate_limit(
             upstream, limit, now, source='check'
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -274,3 +274,18 @@
         assert (
             len(world.state.event_log.select(EventFilter(number=number))) == 1
         )
+
+
+# Guards against an upstream in need that is flooded after a failure: the limit
+# that it named in the health check was not kept.
+@trio_test
+async def test_health_check_names_a_limit() -> None:
+    """The first limit may come with a health check."""
+    async with running_edge('broken') as world:
+        upstream = world.upstreams[0]
+        upstream.headers = ((b'server-limit', b'2.5'),)
+        assert (await world.ask()).status_code == 502
+        known = world.state.directory.find('i-0')
+        await until(lambda: upstream.checks > 0)
+        await until(lambda: known.rate_limit is not None)
+        assert int(known.rate_limit * 10) == 25
