--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -174,7 +174,8 @@
         missing = sorted(self._by_name.keys() - set(names))
         if not grace_s:
             self.unregister(missing, now)
-        for name in missing if grace_s else ():
+            return
+        for name in missing:
             self._deferred.setdefault(name, now + grace_s)
 
     def evacuate(
--- a/tests/edge/fleet_world.py
+++ b/tests/edge/fleet_world.py
@@ -16,6 +16,7 @@
 from tests.edge.world import make_settings
 from tests.fleet.factories import make_member
 from tests.platform.samples import route_table
+from tests.steering import factories
 
 COLD_RATE = 6.1
 # Requests that a cold upstream may get in one second, by the sample bounds.
@@ -143,18 +144,9 @@
 
 
 def make_registration(**changes: object) -> Registration:
-    """Return the registration of a warm upstream."""
-    registration = Registration(
-        upstream='i-1',
-        started_at_ms=100,
-        service=SERVICE,
-        address='127.0.0.1',
-        port=80,
-        failure_domain='a1',
-        slots=9,
-        sequence=5,
-    )
-    return attrs.evolve(registration, **changes)
+    """Return a row of the upstream, which is warm; changes override fields."""
+    row = {'service': SERVICE, 'started_at_ms': 100, 'sequence': 5}
+    return factories.make_registration('i-1', **(row | changes))
 
 
 def make_members() -> list[Member]:
--- a/tests/steering/factories.py
+++ b/tests/steering/factories.py
@@ -10,12 +10,8 @@
 NOW = 1000.0
 
 
-def register(
-    directory: UpstreamDirectory,
-    name: str,
-    **changes: object,
-) -> Upstream | None:
-    """Register an upstream with three slots in a1; changes override fields."""
+def make_registration(name: str, **changes: object) -> Registration:
+    """Return a registration in a1 with three slots; changes override fields."""
     registration = Registration(
         upstream=name,
         started_at_ms=1,
@@ -26,8 +22,16 @@
         slots=3,
         sequence=1,
     )
-    changed = attrs.evolve(registration, **changes)
-    return directory.register(changed, NOW)
+    return attrs.evolve(registration, **changes)
+
+
+def register(
+    directory: UpstreamDirectory,
+    name: str,
+    **changes: object,
+) -> Upstream | None:
+    """Register an upstream; changes override the fields of its row."""
+    return directory.register(make_registration(name, **changes), NOW)
 
 
 def make_directory() -> UpstreamDirectory:
