--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,7 +11,7 @@
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.platform.exceptions import StoreUnavailableError
 from chestnutshift.platform.store import ANSWER_TIMEOUT_S, StoreClient
-from tests.edge.stand_ins import served
+from tests.edge.stand_ins import answer, served
 
 PIECE_INTERVAL_S = ANSWER_TIMEOUT_S * 0.4
 PIECES = 5
@@ -52,6 +52,19 @@
             await trio.sleep_forever()
 
 
+@attrs.define
+class PagedStore:
+    """An ASGI store of two pages, which returns from a copy between them."""
+
+    eras: list[bytes]
+
+    async def __call__(self, _scope: Any, _receive: Any, send: Any) -> None:
+        """Answer with the next page."""
+        era = (b'store-era', self.eras.pop(0))
+        page = {'rows': [ROW], 'ver': 7, 'truncated': bool(self.eras)}
+        await answer(send, 200, json.dumps(page).encode(), era)
+
+
 async def read_slow_store(pieces: int) -> str:
     """Read from a store that sends so many pieces; return keys or error."""
     async with served(SlowStore(pieces)) as port:
@@ -79,3 +92,19 @@
 async def test_answer_that_stops() -> None:
     """A read times out when no further part of the answer arrives."""
     assert await read_slow_store(PIECES - 2) == 'no answer in time'
+
+
+# Guards against a table that is put together from before and after a return.
+@trio_test
+async def test_pages_of_two_eras() -> None:
+    """The read fails, so that the table is read again."""
+    for eras, era in (([b'3', b'3'], 3), ([b'3', b'4'], None)):
+        async with served(PagedStore(eras)) as port:
+            store = StoreClient(Endpoint('127.0.0.1', port))
+            try:
+                view = await store.read('op')
+            except StoreUnavailableError:
+                assert era is None
+            else:
+                assert view.era == era
+            await store.aclose()
