--- a/chestnutshift/keys/events.py
+++ b/chestnutshift/keys/events.py
@@ -36,3 +36,9 @@
     'key.withdrawal_written',
     'Withdrawals made in an outage were written to the store; field: count.',
 )
+KEY_WITHDRAWAL_UNWRITTEN = define(
+    2506,
+    'key.withdrawal_unwritten',
+    'Withdrawals could not be written and will be; fields: code, detail.',
+    logging.WARNING,
+)
--- a/chestnutshift/vms/withdrawals.py
+++ b/chestnutshift/vms/withdrawals.py
@@ -1,7 +1,5 @@
 """Withdrawal of keys during an outage of the platform."""
 
-import contextlib
-
 import trio
 
 from chestnutshift.configuration import changes, store
@@ -43,9 +41,15 @@
         await trio.sleep(WRITE_PERIOD_S)
         if not state.platform_poller.reachable:
             continue
-        # Retried in the next period after a conflict or an outage.
-        with contextlib.suppress(CodedError):
+        try:
             await write_unwritten(state)
+        except CodedError as error:
+            # Retried in the next period after a conflict or an outage.
+            state.event_log.emit(
+                events.KEY_WITHDRAWAL_UNWRITTEN,
+                code=error.code,
+                detail=error.detail,
+            )
 
 
 async def write_unwritten(state: VmState) -> int:
