--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -3,7 +3,7 @@
 import base64
 import json
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
 from urllib.parse import parse_qs
@@ -85,6 +85,16 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one call; 503 while the store is down."""
+        await self.answer_call(scope, receive, send)
+
+    async def answer_call(
+        self,
+        scope: Any,
+        receive: Any,
+        send: Any,
+        translate: Callable[[Row], Row] | None = None,
+    ) -> None:
+        """Answer one call with translated rows; 503 while it is down."""
         query = parse_qs(scope['query_string'].decode())
         body = await read_body(receive)
         if self.is_down:
@@ -101,6 +111,9 @@
             await answer(send, 410, b'{}', era)
             return
         document |= {'ver': self.version, 'now': f'{trio.current_time():.3f}s'}
+        if translate is not None:
+            rows = document.get('rows', ())
+            document |= {'rows': [translate(row) for row in rows]}
         await answer(send, 200, json.dumps(document).encode(), era)
 
     def write(self, table: str, key: str, content: bytes) -> None:
@@ -170,6 +183,30 @@
         return {}
 
 
+@attrs.frozen
+class StoreView:
+    """ASGI application of the store as one VM sees it.
+
+    addresses are those at which this VM reaches the upstreams, by id.
+    """
+
+    _store: StoreStandIn
+    addresses: Mapping[str, str]
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one call of the VM."""
+        await self._store.answer_call(scope, receive, send, self._translate)
+
+    def _translate(self, row: Row) -> Row:
+        address = self.addresses.get(row['key'])
+        if row['table'] != 'servers' or row.get('removed') or not address:
+            return row
+        document = json.loads(base64.b64decode(row['value']))
+        document['addr'] = address
+        content = json.dumps(document).encode()
+        return row | {'value': base64.b64encode(content).decode()}
+
+
 @attrs.define
 class UpstreamStandIn:
     """ASGI stand-in for an upstream with one of several behaviours.
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -117,7 +117,8 @@
             port = await stack.enter_async_context(served(upstream))
             world.register(upstream, port)
         nursery = await stack.enter_async_context(trio.open_nursery())
-        nursery.start_soon(_process(world).run)
+        process = make_process(state, lambda: world.settings_file)
+        nursery.start_soon(process.run)
         await until(
             lambda: state.is_ready(trio.current_time()) or _is_serving(state)
         )
@@ -157,8 +158,10 @@
         return sock.getsockname()[1]
 
 
-def _process(world: World) -> EdgeProcess:
-    state = world.state
+def make_process(
+    state: EdgeState, read_settings: Callable[[], EdgeSettings]
+) -> EdgeProcess:
+    """Return the process of a VM whose log nobody reads."""
     store = StoreClient(state.settings.store.endpoint)
     backend = Backend(
         dialect=PlatformDialect(),
@@ -166,7 +169,7 @@
         upstreams=upstream_source(store),
         members=member_source(store),
         registrar=Registrar(StoreRegister(store)),
-        read_settings=lambda: world.settings_file,
+        read_settings=read_settings,
     )
     sink = os.open(os.devnull, os.O_WRONLY)
     lines = BoundedLines(sink, 0)
--- a/tests/soak_edge/links.py
+++ b/tests/links.py
@@ -1,6 +1,7 @@
 """Loopback TCP proxy that can delay, reset, refuse or stall connections."""
 
 import enum
+import socket
 from collections.abc import Callable
 
 import attrs
@@ -23,9 +24,16 @@
     ONE_WAY = 'one_way'
     # Nothing is forwarded, and connections stay open.
     SILENT = 'silent'
+    # The port refuses new connections, and open ones are reset.
+    REFUSED = 'refused'
+    # The port refuses new connections, and open ones live on.
+    CLOSED_TO_NEW = 'closed_to_new'
 
 
 DELAY_S = 0.4
+ADDRESS = '127.0.0.1'
+_REFUSING = frozenset((LinkFault.REFUSED, LinkFault.CLOSED_TO_NEW))
+_RESETTING = frozenset((LinkFault.RESET, LinkFault.DOWN, LinkFault.REFUSED))
 
 
 @attrs.define
@@ -40,22 +48,44 @@
 
     async def run(self, task_status: trio.TaskStatus) -> None:
         """Forward connections until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        self.port = listeners[0].socket.getsockname()[1]
-        async with trio.open_nursery() as nursery:
-            task_status.started()
-            await trio.serve_listeners(
-                self._serve_connection, listeners, handler_nursery=nursery
-            )
+        # Holds the port while no socket listens on it.
+        with _bound_socket(0) as holder:
+            self.port = holder.getsockname()[1]
+            async with trio.open_nursery() as nursery:
+                task_status.started()
+                await self._run_listener(nursery)
 
     def set_fault(self, fault: LinkFault) -> None:
         """Apply the fault to new and open connections."""
         self.fault = fault
         self._changed.set()
         self._changed = trio.Event()
-        if fault in {LinkFault.RESET, LinkFault.DOWN}:
+        if fault in _RESETTING:
             self._reset_all()
 
+    async def _run_listener(self, connections: trio.Nursery) -> None:
+        """Listen except while new connections are refused."""
+        while True:
+            await self._listen_until_refusing(connections)
+            while self.fault in _REFUSING:
+                await self._changed.wait()
+
+    async def _listen_until_refusing(self, connections: trio.Nursery) -> None:
+        sock = _bound_socket(self.port)
+        sock.listen()
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: trio.serve_listeners(
+                    self._serve_connection,
+                    [listener],
+                    handler_nursery=connections,
+                )
+            )
+            while self.fault not in _REFUSING:
+                await self._changed.wait()
+            nursery.cancel_scope.cancel()
+
     def _reset_all(self) -> None:
         for stream in tuple(self._open_streams):
             _reset(stream)
@@ -65,7 +95,7 @@
             _reset(client)
             return
         try:
-            server = await trio.open_tcp_stream('127.0.0.1', self.server_port)
+            server = await trio.open_tcp_stream(ADDRESS, self.server_port)
         except OSError:
             _reset(client)
             return
@@ -112,6 +142,13 @@
             _reset(target)
 
 
+def _bound_socket(port: int) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind((ADDRESS, port))
+    return sock
+
+
 def _reset(stream: trio.SocketStream) -> None:
     try:
         stream.setsockopt(
--- a/tests/soak_edge/deployment.py
+++ b/tests/soak_edge/deployment.py
@@ -13,7 +13,7 @@
 from tests.edge.stand_ins import StoreStandIn, served
 from tests.platform.samples import ROUTE_TABLE
 from tests.soak_edge.guarantees import IssuedKey, NamedLimit, SentRequest
-from tests.soak_edge.links import Link, LinkFault
+from tests.links import Link, LinkFault
 from tests.soak_edge.upstreams import Run, SoakUpstream
 from tests.soak_edge.vms import SoakVm, make_vm
 
--- a/tests/soak_edge/faults.py
+++ b/tests/soak_edge/faults.py
@@ -7,7 +7,7 @@
 
 from chestnutshift.registry import Registry
 from tests.soak_edge.deployment import SoakDeployment
-from tests.soak_edge.links import LinkFault
+from tests.links import LinkFault
 from tests.soak_edge.vms import SoakVm
 
 Fault = Callable[[SoakDeployment], Awaitable[None]]
