--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -1,5 +1,7 @@
 """Admission of requests: route lookup and client account authentication."""
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from chestnutshift.edge import reasons
@@ -8,6 +10,9 @@
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.routes.model import Account, Route
 
+if TYPE_CHECKING:
+    from chestnutshift.edge.crossings import Progress
+
 NO_TABLE = Problem(
     503,
     'table.none',
@@ -33,13 +38,17 @@
 
 @attrs.frozen
 class Admitted:
-    """An admitted request; account is None on open routes."""
+    """An admitted request; account is None on open routes.
+
+    progress tells what a peer that passed it on has done, None for a caller's.
+    """
 
     request: InboundRequest
     route: Route
     service: str
     account: Account | None
     table_version: int
+    progress: 'Progress | None' = None
 
     @property
     def account_name(self) -> str:
@@ -87,17 +96,23 @@
     )
 
 
+def check_trust(state: EdgeState, now: float) -> None:
+    """Raise RefusalError if this VM cannot tell which keys are valid."""
+    if state.is_trusted(now):
+        return
+    # With a stale route table a key that it lists may have been withdrawn,
+    # and one that it lacks may have been added.
+    detail = reasons.stale_keys(state, now)
+    raise RefusalError(attrs.evolve(KEYS_STALE, detail=detail))
+
+
 def authenticate(
     state: EdgeState,
     request: InboundRequest,
     now: float,
 ) -> Account:
     """Return the account of the request's key; raises RefusalError."""
-    if not state.is_trusted(now):
-        # With a stale route table a key that it lists may have been withdrawn,
-        # and one that it lacks may have been added.
-        detail = reasons.stale_keys(state, now)
-        raise RefusalError(attrs.evolve(KEYS_STALE, detail=detail))
+    check_trust(state, now)
     if request.key is None:
         raise RefusalError(KEY_MISSING)
     account = state.table.account_by_key.get(request.key)
--- a/chestnutshift/edge/answer_writer.py
+++ b/chestnutshift/edge/answer_writer.py
@@ -6,7 +6,8 @@
 
 from chestnutshift.edge.attempts import Reply
 from chestnutshift.edge.dialect import Dialect
-from chestnutshift.forwarding.problems import Problem
+from chestnutshift.forwarding.crossing import REFUSAL_HEADER
+from chestnutshift.forwarding.problems import RAN_HEADER, Problem
 from chestnutshift.forwarding.requests import Headers, Send
 
 
@@ -16,7 +17,7 @@
 
     request_id, account and route identify the request once they are known,
     upstream where it is at work; is_started tells whether the head of the
-    answer was sent.
+    answer was sent, is_for_peer whether a peer passed the request on.
     """
 
     _send: Send
@@ -26,6 +27,7 @@
     route: str = ''
     upstream: str = ''
     is_started: bool = False
+    is_for_peer: bool = False
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
@@ -70,6 +72,9 @@
             self.request_id,
             problem.retry_after_s,
         )
+        if self.is_for_peer:
+            headers.append((RAN_HEADER, problem.ran.value.encode()))
+            headers.append((REFUSAL_HEADER, problem.code.encode()))
         headers.append((b'content-length', b'%d' % len(body)))
         await self.start(problem.status, headers)
         await self.write_part(body, is_last=True)
--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -10,6 +10,7 @@
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempts import AttemptEnd, EndKind
 from chestnutshift.edge.dialect import AnswerFacts
+from chestnutshift.edge.reach_monitor import ReachMonitor, WatchedAttempt
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.steering.choice import Choice
 from chestnutshift.steering.service_time import ServiceTimeEstimate
@@ -25,8 +26,12 @@
 
 @attrs.define
 class Observation:
-    """A running attempt; end is set when it ends and None if cancelled."""
+    """A running attempt; end is set when it ends and None if cancelled.
 
+    watched cancels it once this VM is found to reach no upstream.
+    """
+
+    watched: WatchedAttempt
     end: AttemptEnd | None = None
 
 
@@ -35,6 +40,7 @@
     """Passive health checks: upstream state from the results of attempts."""
 
     _state: EdgeState
+    _monitor: ReachMonitor
     # Names that were logged already.
     _unknown_headers: set[bytes] = attrs.field(factory=set)
 
@@ -51,7 +57,46 @@
         upstream = choice.upstream
         upstream.in_flight += 1
         upstream.record_object(object_key, started_at)
-        observation = Observation()
+        with self._monitor.watching(
+            upstream, choice.expected_s, started_at
+        ) as watched:
+            yield from self._observe(
+                admitted, choice, estimate, Observation(watched), started_at
+            )
+
+    def record_head(
+        self,
+        upstream: Upstream,
+        watched: WatchedAttempt,
+        status: int,
+        facts: AnswerFacts,
+    ) -> None:
+        """Record what counts from the head of an answer on."""
+        self._monitor.record_head(watched, boot_time())
+        self._state.upstream_reports.record_head(
+            upstream, status, facts, boot_time(), source='answer'
+        )
+
+    def mark_unproven(self, upstream: Upstream, reason: str) -> None:
+        """Stop sending to the upstream until a health check succeeds."""
+        if upstream.condition is not Condition.READY:
+            return
+        upstream.condition = Condition.UNPROVEN
+        self._state.event_log.emit(
+            events.UPSTREAM_UNPROVEN,
+            upstream=upstream.name,
+            reason=reason,
+        )
+
+    def _observe(
+        self,
+        admitted: Admitted,
+        choice: Choice,
+        estimate: ServiceTimeEstimate,
+        observation: Observation,
+        started_at: float,
+    ) -> Iterator[Observation]:
+        upstream = choice.upstream
         try:
             yield observation
         finally:
@@ -72,25 +117,6 @@
                     admitted, upstream, observation.end, started_at, now
                 )
 
-    def record_head(
-        self, upstream: Upstream, status: int, facts: AnswerFacts
-    ) -> None:
-        """Record what counts from the head of an answer on."""
-        self._state.upstream_reports.record_head(
-            upstream, status, facts, boot_time(), source='answer'
-        )
-
-    def mark_unproven(self, upstream: Upstream, reason: str) -> None:
-        """Stop sending to the upstream until a health check succeeds."""
-        if upstream.condition is not Condition.READY:
-            return
-        upstream.condition = Condition.UNPROVEN
-        self._state.event_log.emit(
-            events.UPSTREAM_UNPROVEN,
-            upstream=upstream.name,
-            reason=reason,
-        )
-
     def _record_rate_limit(
         self,
         upstream: Upstream,
@@ -146,6 +172,8 @@
         self._state.metrics.attempts.labels(
             admitted.service, end.kind.value
         ).inc()
+        if end.is_unanswered:
+            self._monitor.record_failure(upstream, started_at)
         if end.kind is EndKind.ANSWERED:
             return
         self._state.event_log.emit(
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -82,7 +82,8 @@
 
     is_lost tells that the upstream's side closed or reset the connection
     before the answer was complete, is_refused that nothing listens at its
-    address.
+    address, is_unconnected that no connection could be made. peer is the VM
+    that the request was passed on to, empty for none, and code why it refused.
     """
 
     kind: EndKind
@@ -91,6 +92,16 @@
     facts: AnswerFacts | None = None
     is_lost: bool = False
     is_refused: bool = False
+    is_unconnected: bool = False
+    peer: str = ''
+    code: str = ''
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the upstream gave no sign of life."""
+        if self.kind is EndKind.NOT_SENT:
+            return self.is_unconnected
+        return self.kind is EndKind.BROKEN and self.facts is None
 
     @property
     def is_partial_refusal(self) -> bool:
@@ -266,7 +277,10 @@
         connection = await connections.acquire(idle_s)
     except NotConnectedError as error:
         return AttemptEnd(
-            EndKind.NOT_SENT, error.detail, is_refused=error.is_refused
+            EndKind.NOT_SENT,
+            error.detail,
+            is_refused=error.is_refused,
+            is_unconnected=True,
         )
     except ConnectionsExhaustedError as error:
         return AttemptEnd(EndKind.NOT_SENT, error.detail)
--- a/chestnutshift/edge/crash_guard.py
+++ b/chestnutshift/edge/crash_guard.py
@@ -80,6 +80,9 @@
     ) -> None:
         """Record what the end of an attempt tells of request and upstream."""
         evidence = self._state.crash_evidence
+        if self._state.directory.reach.is_cut_off:
+            # The links of this VM have failed, not the upstreams.
+            return
         if end.is_lost and pending.fingerprint is not None:
             pending.lost_count += 1
             evidence.record_lost(
@@ -106,7 +109,7 @@
         evidence = self._state.crash_evidence
         if is_alive:
             evidence.record_alive(upstream, started_at)
-        elif proof:
+        elif proof and not self._state.directory.reach.is_cut_off:
             self._log_proven(evidence.record_refused(upstream, proof))
 
     def review(self, now: float) -> None:
--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -86,6 +86,16 @@
     ) -> OutboundRequest:
         """Return the request for one upstream; body_b is None for a stream."""
 
+    @abc.abstractmethod
+    def write_crossing(
+        self,
+        request: InboundRequest,
+        headers: Headers,
+        remaining_s: float | None,
+        body_b: int | None,
+    ) -> OutboundRequest:
+        """Return the request for a peer, with the headers of the crossing."""
+
     @abc.abstractmethod
     def write_health_check(self, path: str, host: str) -> OutboundRequest:
         """Return a health check of an upstream."""
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -200,6 +200,34 @@
     'request.abandoned',
     'The caller disconnected before its answer was complete.',
 )
+REQUEST_PASSED_ON = define(
+    8110,
+    'request.passed_on',
+    'A request was passed on to a peer that reaches upstreams.',
+    logging.DEBUG,
+)
+REQUEST_PASS_FAILED = define(
+    8111,
+    'request.pass_failed',
+    'A request that was passed on to a peer got no answer of an upstream.',
+)
+REQUEST_TAKEN_OVER = define(
+    8112,
+    'request.taken_over',
+    'A peer passed a request on to this VM.',
+    logging.DEBUG,
+)
+CUT_OFF = define(
+    8043,
+    'upstreams.cut_off',
+    'No upstream answers this VM; requests are passed on to peers.',
+    logging.WARNING,
+)
+REACHED_AGAIN = define(
+    8044,
+    'upstreams.reached_again',
+    'An upstream answers this VM again.',
+)
 CRASH_PROVEN = define(
     8106,
     'request.crash_proven',
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -9,11 +9,10 @@
 )
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
-from chestnutshift.edge.admission import admit
 from chestnutshift.edge.answer_writer import AnswerWriter
 from chestnutshift.edge.attempts import StreamCutError
 from chestnutshift.edge.dialect import Dialect
-from chestnutshift.edge.limits import LimitChecker
+from chestnutshift.edge.gates import Gate
 from chestnutshift.edge.pending_requests import (
     BODY_BUFFER_MAX_B,
     PendingRequest,
@@ -38,17 +37,20 @@
 
 @attrs.define
 class EdgeForwarder:
-    """The ASGI application that serves callers."""
+    """The ASGI application that serves callers, or peers for theirs."""
 
     _state: EdgeState
     _dialect: Dialect
     _request_runner: RequestRunner
-    _limits: LimitChecker
+    _gate: Gate
+    _is_for_peers: bool = False
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request: send a complete answer or abort the connection."""
         now = boot_time()
-        writer = AnswerWriter(send, self._dialect)
+        writer = AnswerWriter(
+            send, self._dialect, is_for_peer=self._is_for_peers
+        )
         try:
             await self._serve(writer, scope, receive, now)
         except (CallerDisconnectedError, trio.Cancelled):
@@ -103,7 +105,7 @@
     ) -> None:
         request = self._dialect.read_request(scope)
         writer.request_id = request.request_id
-        admitted = admit(self._state, request, now)
+        admitted = self._gate.admit(request, scope['headers'], now)
         self._state.admitted_at = now
         writer.route = admitted.route.name
         writer.account = admitted.account_name
@@ -123,7 +125,7 @@
             if not admitted.route.is_idempotent:
                 await scope['extensions'][TURN_EXTENSION]()
             await body.buffer(BODY_BUFFER_MAX_B)
-            await self._limits.charge(admitted)
+            await self._gate.prepare(pending)
             await self._request_runner.run(pending)
         if deadline_scope.cancelled_caught:
             if writer.is_started:
--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -8,15 +8,13 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
-from chestnutshift.edge.attempts import UpstreamPool, discard_body
+from chestnutshift.edge.check_sender import CheckSender
 from chestnutshift.edge.crash_guard import CrashGuard
-from chestnutshift.edge.dialect import AnswerFacts, Dialect
+from chestnutshift.edge.dialect import AnswerFacts
+from chestnutshift.edge.reach_monitor import ReachMonitor
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.steering.upstreams import Condition, Upstream
-from chestnutshift.upstreams.connection import (
-    UpstreamAnswer,
-    UpstreamError,
-)
+from chestnutshift.upstreams.connection import UpstreamError
 from chestnutshift.upstreams.connections import NotConnectedError
 
 SCHEDULE_TICK_S = 0.05
@@ -37,7 +35,6 @@
 LIMIT_AGE_MAX_S = 2.0
 TRIED_LIMIT = 1.0
 HTTP_OK = 200
-CONNECTIONS_MAX = 8
 
 
 @attrs.define
@@ -57,8 +54,8 @@
     """
 
     _state: EdgeState
-    _dialect: Dialect
-    _pool: UpstreamPool
+    _sender: CheckSender
+    _monitor: ReachMonitor
     _crash_guard: CrashGuard
     _rng: random.Random = attrs.field(factory=random.Random)
     _schedules: dict[Upstream, _CheckSchedule] = attrs.field(factory=dict)
@@ -73,7 +70,12 @@
                 await trio.sleep(SCHEDULE_TICK_S)
 
     def _due_upstreams(self, now: float) -> list[Upstream]:
-        """Return the upstreams whose check is due; drop stale schedules."""
+        """Return the upstreams whose check is due; drop stale schedules.
+
+        None is due while this VM reaches none: others are checked then.
+        """
+        if self._state.directory.reach.is_cut_off:
+            return []
         is_isolated = self._state.is_isolated(now + CHECK_LEAD_S)
         unchecked = [
             upstream
@@ -109,7 +111,8 @@
         status, facts, proof = 0, None, ''
         with trio.move_on_after(CHECK_TIMEOUT_S):
             try:
-                status, facts = await self._send_check(upstream)
+                answer = await self._sender.send(upstream)
+                status, facts = answer.status, answer.facts
             except NotConnectedError as error:
                 proof = 'no listener' if error.is_refused else ''
             except UpstreamError:
@@ -117,6 +120,7 @@
                 facts = None
         schedule.is_running = False
         now = boot_time()
+        self._monitor.record_check(upstream, started_at, now, facts)
         is_alive = facts is not None and (facts.is_not_run or status == HTTP_OK)
         if facts is not None and facts.upstream not in {'', upstream.name}:
             is_alive = False
@@ -164,29 +168,6 @@
             upstream, limit, now, source='check'
         )
 
-    async def _send_check(self, upstream: Upstream) -> tuple[int, AnswerFacts]:
-        """Return status and facts of the answer; raises UpstreamError."""
-        registration = upstream.registration
-        table = self._state.table
-        service = table.services.get(registration.service) if table else None
-        path = service.health_path if service else '/'
-        host = f'{registration.address}:{registration.port}'
-        request = self._dialect.write_health_check(path, host)
-        answers: list[tuple[int, AnswerFacts]] = []
-
-        async def read_all(answer: UpstreamAnswer) -> None:
-            facts = self._dialect.read_answer(answer.headers)
-            self._state.upstream_reports.record_head(
-                upstream, answer.status, facts, boot_time(), source='check'
-            )
-            answers.append((answer.status, facts))
-            await discard_body(answer)
-
-        connections = self._pool.connections(upstream, CONNECTIONS_MAX)
-        connection = await connections.acquire()
-        await connections.exchange(connection, request, b'', read_all)
-        return answers[0]
-
 
 def _may_be_cold(upstream: Upstream, now: float) -> bool:
     """Return whether an isolated VM must check the upstream now."""
--- a/chestnutshift/edge/lookups.py
+++ b/chestnutshift/edge/lookups.py
@@ -4,7 +4,7 @@
 
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.bandwidth import without_slow_links
-from chestnutshift.fleet.heartbeats import MemberPhase
+from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 
 ADDRESSES_MAX = 64
 LIFETIME_S = 2.0
@@ -31,6 +31,7 @@
     region: str
     link_mbps: float
     delay_s: float
+    is_cut_off: bool
 
 
 def answer_lookup(
@@ -47,7 +48,8 @@
     nearby = [
         candidate for candidate in candidates if candidate.region == region
     ]
-    nearby = _prefer_fast_links(nearby or candidates)
+    nearby = _prefer_reaching(nearby or candidates)
+    nearby = _prefer_fast_links(nearby)
     in_domain = [
         candidate
         for candidate in nearby
@@ -58,6 +60,15 @@
     return LookupAnswer(addresses, lifetime_s)
 
 
+def _prefer_reaching(candidates: list[_Candidate]) -> list[_Candidate]:
+    """Return the VMs that reach upstreams; all VMs if these are too few.
+
+    The others pass requests on, so they can still serve callers.
+    """
+    reaching = [vm for vm in candidates if not vm.is_cut_off]
+    return reaching if len(reaching) >= DOMAIN_VMS_MIN else candidates
+
+
 def _prefer_fast_links(candidates: list[_Candidate]) -> list[_Candidate]:
     """Return the VMs with fast links; all VMs if too few or overloaded."""
     fast = without_slow_links(candidates)
@@ -75,6 +86,7 @@
             peer.member.region,
             peer.member.link_mbps,
             peer.heartbeat.delay_s,
+            is_cut_off=_is_cut_off(state, peer.heartbeat),
         )
         for peer in state.fleet.serving(now)
     ]
@@ -87,7 +99,14 @@
             settings.region,
             settings.link_mbps,
             state.delay_s,
+            is_cut_off=state.directory.reach.is_cut_off,
         )
         if state.phase is not MemberPhase.STOPPING:
             candidates.append(this_vm)
     return candidates
+
+
+def _is_cut_off(state: EdgeState, heartbeat: Heartbeat) -> bool:
+    """Return whether the VM reaches no upstream of any service."""
+    services = state.table.services if state.table else ()
+    return bool(services) and len(heartbeat.unreached) >= len(services)
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -35,6 +35,30 @@
         )
 
 
+class CrossingMetrics:
+    """Metrics of requests that VMs pass on to each other."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Create the metrics in the registry."""
+        counter = functools.partial(
+            Counter, namespace=PREFIX, registry=registry
+        )
+        self.cut_off = Gauge(
+            'cut_off',
+            'Whether no upstream answers this VM.',
+            namespace=PREFIX,
+            registry=registry,
+        )
+        self.passed_on = counter(
+            'requests_passed_on_total',
+            'Requests that were passed on to peers, by how that ended.',
+            ('outcome',),
+        )
+        self.received = counter(
+            'requests_taken_over_total', 'Requests that peers passed on.'
+        )
+
+
 class StateGauges:
     """Gauges that are set when the metrics are asked for."""
 
@@ -107,6 +131,7 @@
             'Answers of upstreams that named a limit that is no number.',
         )
         self.crashes = CrashMetrics(self.registry)
+        self.crossings = CrossingMetrics(self.registry)
         self.log_lines_dropped = self._gauge(
             'log_lines_left_out',
             'Log lines left out since the start.',
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -13,13 +13,14 @@
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.datagrams import Message, decode, encode
 from chestnutshift.fleet.exceptions import BrokenDatagramError
-from chestnutshift.fleet.heartbeats import Heartbeat
+from chestnutshift.fleet.heartbeats import Heartbeat, hash_name
 from chestnutshift.fleet.view import (
     HEARTBEAT_INTERVAL_MIN_S,
     HEARTBEAT_RATE_MAX,
     FleetView,
     Peer,
 )
+from chestnutshift.steering.reached import reached_ratio
 
 # Heartbeats sent before other tasks run.
 SENDS_PER_CHECKPOINT = 16
@@ -109,6 +110,7 @@
             rate_limits=state.upstream_reports.rate_limits(now),
             suspects=state.crashes.reports(now),
             leaving=state.upstream_reports.leaving(),
+            unreached=_unreached(state),
         )
 
     def send(self, message: Message, peer: Peer) -> None:
@@ -201,3 +203,14 @@
         for peer in fleet.live_peers(now)
         if peer.heartbeat and peer.heartbeat.is_busy
     ]
+
+
+def _unreached(state: EdgeState) -> frozenset[int]:
+    """Return the services of which this VM reaches no upstream, hashed."""
+    services = state.table.services if state.table else ()
+    return frozenset(
+        hash_name(name)
+        for name in services
+        if state.directory.reach.is_cut_off
+        or not reached_ratio(state.directory, name)
+    )
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -26,6 +26,7 @@
     attempts count in neither. avoided are the upstreams tried already.
     fingerprint tells whether it is the same as another request, None if that
     is not known; lost_count counts the attempts whose upstream broke off.
+    peers_tried are the VMs that it was passed on to.
     """
 
     admitted: Admitted
@@ -40,12 +41,20 @@
     avoided: set[Upstream] = attrs.field(factory=set)
     fingerprint: int | None = None
     lost_count: int = 0
+    peers_tried: set[str] = attrs.field(factory=set)
+
+    @property
+    def body_b(self) -> int | None:
+        """Bytes of the body, None if it is not buffered."""
+        if self.body.buffered is None:
+            return None
+        return len(self.body.buffered)
 
     @property
     def size_b(self) -> int:
         """Bytes of the body; the buffer limit if the length is unknown."""
-        if self.body.buffered is not None:
-            return len(self.body.buffered)
+        if self.body_b is not None:
+            return self.body_b
         return self.admitted.request.length_b or BODY_BUFFER_MAX_B
 
     @property
--- /dev/null
+++ b/chestnutshift/edge/ports.py
@@ -0,0 +1,111 @@
+"""The ports of an edge VM, and the graceful stop of those that forward."""
+
+from collections.abc import Collection
+
+import attrs
+import trio
+
+from chestnutshift.callers.connection import Application
+from chestnutshift.callers.limits import CallerLimits
+from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.edge.forwarders import Forwarders
+from chestnutshift.edge.metrics_page import MetricsApplication
+from chestnutshift.edge.settings import EdgeSettings, Endpoint
+from chestnutshift.edge.state import EdgeState
+
+# Fractions of the stop's grace period after which new connections are no longer
+# accepted, and after which requests still in flight are aborted.
+ACCEPT_GRACE_RATIO = 0.5
+REQUESTS_GRACE_RATIO = 0.95
+# An idle connection of a caller is closed after this long.
+IDLE_S = 60.0
+# Idle connections stay open for requests this long after the stop began.
+STOP_IDLE_S = 1.0
+# File descriptors that callers' connections must leave free.
+DESCRIPTORS_RESERVED = 300
+
+# Connections of peers that pass requests on.
+PEER_CONNECTIONS_MAX = 600
+# Requests of one caller's connection that are served at the same time.
+PIPELINED_MAX = 8
+
+
+@attrs.frozen
+class Ports:
+    """Serves callers, peers, look-ups, readiness and metrics."""
+
+    _state: EdgeState
+    _entry: Application
+    _forwarders: Forwarders
+    _stopping: trio.Event
+
+    async def serve(self, nursery: trio.Nursery) -> None:
+        """Serve until the graceful stop of callers and peers is complete.
+
+        The other ports are served in the nursery until it is cancelled.
+        """
+        settings = self._state.settings
+        limits = _make_limits(settings)
+        callers = CallersListener(
+            self._forwarders.callers,
+            attrs.evolve(limits, pipelined_max=PIPELINED_MAX),
+        )
+        peers = CallersListener(
+            self._forwarders.peers,
+            attrs.evolve(limits, connections_max=PEER_CONNECTIONS_MAX),
+        )
+        self._serve_others(nursery, limits)
+        stop_serving = trio.Event()
+        nursery.start_soon(
+            self._stop_after_grace, (callers, peers), stop_serving
+        )
+        async with trio.open_nursery() as serving:
+            sockets = await _listen(settings.crossings)
+            serving.start_soon(peers.serve, sockets, stop_serving)
+            await callers.serve(await _listen(settings.callers), stop_serving)
+
+    def _serve_others(
+        self, nursery: trio.Nursery, limits: CallerLimits
+    ) -> None:
+        settings = self._state.settings
+        metrics = attrs.evolve(settings.callers, port=settings.metrics_port)
+        nursery.start_soon(
+            _serve_port, metrics, MetricsApplication(self._state), limits
+        )
+        entries = dict.fromkeys((settings.readiness, settings.lookups))
+        for endpoint in entries:
+            nursery.start_soon(_serve_port, endpoint, self._entry, limits)
+
+    async def _stop_after_grace(
+        self,
+        listeners: Collection[CallersListener],
+        stop_serving: trio.Event,
+    ) -> None:
+        await self._stopping.wait()
+        for listener in listeners:
+            listener.begin_stop(trio.current_time())
+        grace_s = self._state.settings.bounds.grace_s
+        await trio.sleep(grace_s * ACCEPT_GRACE_RATIO)
+        stop_serving.set()
+
+
+def _make_limits(settings: EdgeSettings) -> CallerLimits:
+    return CallerLimits(
+        connections_max=settings.descriptors_max - DESCRIPTORS_RESERVED,
+        grace_s=settings.bounds.grace_s
+        * (REQUESTS_GRACE_RATIO - ACCEPT_GRACE_RATIO),
+        idle_s=IDLE_S,
+        stop_idle_s=STOP_IDLE_S,
+        half_close_is_disconnect=True,
+    )
+
+
+async def _serve_port(
+    endpoint: Endpoint, application: Application, limits: CallerLimits
+) -> None:
+    listener = CallersListener(application, limits)
+    await listener.serve(await _listen(endpoint), trio.Event())
+
+
+async def _listen(endpoint: Endpoint) -> list[trio.SocketListener]:
+    return await open_listeners(endpoint.address, endpoint.port)
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -6,22 +6,24 @@
 import trio
 
 from chestnutshift.callers.connection import Application
-from chestnutshift.callers.limits import CallerLimits
-from chestnutshift.callers.listener import CallersListener, open_listeners
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
-from chestnutshift.edge.attempt_observer import AttemptObserver
 from chestnutshift.edge.attempts import UpstreamPool
 from chestnutshift.edge.backend import Backend
+from chestnutshift.edge.check_sender import CheckSender
 from chestnutshift.edge.crash_guard import CrashGuard
-from chestnutshift.edge.forwarder import EdgeForwarder
+from chestnutshift.edge.forwarders import (
+    Forwarders,
+    ForwardingParts,
+    make_forwarders,
+)
 from chestnutshift.edge.health_checks import HealthChecker
-from chestnutshift.edge.limits import LimitCalls, LimitChecker
 from chestnutshift.edge.log_writer import write_log
-from chestnutshift.edge.metrics_page import MetricsApplication
+from chestnutshift.edge.passing_on import PeerPool
 from chestnutshift.edge.peers import PeerMessenger
-from chestnutshift.edge.request_runner import RequestRunner
-from chestnutshift.edge.settings import Endpoint
+from chestnutshift.edge.ports import Ports
+from chestnutshift.edge.reach_checks import ReachChecker
+from chestnutshift.edge.reach_monitor import ReachMonitor
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.store_polling import StorePoller
 from chestnutshift.exceptions import CodedError
@@ -30,17 +32,6 @@
 
 UPKEEP_PERIOD_S = 0.25
 SETTINGS_RELOAD_PERIOD_S = 3.0
-# Fractions of the stop's grace period after which new connections are no longer
-# accepted, and after which requests still in flight are aborted.
-ACCEPT_GRACE_RATIO = 0.5
-REQUESTS_GRACE_RATIO = 0.95
-# Idle connections stay open for requests this long after the stop began.
-STOP_IDLE_S = 1.0
-# File descriptors that callers' connections must leave free.
-DESCRIPTORS_RESERVED = 300
-
-# Requests of one caller's connection that are served at the same time.
-PIPELINED_MAX = 8
 
 
 @attrs.define
@@ -55,12 +46,15 @@
     _messenger: PeerMessenger = attrs.field(init=False)
     _store_poller: StorePoller = attrs.field(init=False)
     _crash_guard: CrashGuard = attrs.field(init=False)
+    _monitor: ReachMonitor = attrs.field(init=False)
+    _peer_pool: PeerPool = attrs.field(factory=PeerPool)
 
     def __attrs_post_init__(self) -> None:
         """Create the objects that several tasks share."""
         self._messenger = PeerMessenger(self._state)
         self._store_poller = StorePoller(self._state, self._backend)
         self._crash_guard = CrashGuard(self._state)
+        self._monitor = ReachMonitor(self._state)
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish the requests in flight."""
@@ -73,18 +67,33 @@
         pool = UpstreamPool(self._backend.dialect)
         async with trio.open_nursery() as nursery:
             self._start_tasks(nursery, pool)
-            await self._serve(nursery, pool)
+            ports = Ports(
+                state, self._entry, self._make_forwarders(pool), self._stopping
+            )
+            await ports.serve(nursery)
             nursery.cancel_scope.cancel()
         self._state.event_log.emit(events.STOPPED)
         self._lines.flush()
 
+    def _make_forwarders(self, pool: UpstreamPool) -> Forwarders:
+        parts = ForwardingParts(
+            pool,
+            self._peer_pool,
+            self._crash_guard,
+            self._monitor,
+            self._messenger,
+        )
+        return make_forwarders(self._state, self._backend.dialect, parts)
+
     def _start_tasks(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
         state, backend = self._state, self._backend
         self._store_poller.start(nursery)
+        sender = CheckSender(state, backend.dialect, pool)
         health_checker = HealthChecker(
-            state, backend.dialect, pool, self._crash_guard
+            state, sender, self._monitor, self._crash_guard
         )
         nursery.start_soon(health_checker.run)
+        nursery.start_soon(ReachChecker(state, self._monitor, sender).run)
         nursery.start_soon(self._messenger.run)
         nursery.start_soon(backend.registrar.run, state)
         nursery.start_soon(self._run_upkeep, pool)
@@ -92,64 +101,6 @@
         nursery.start_soon(self._watch_settings)
         nursery.start_soon(self._watch_signals)
 
-    async def _serve(self, nursery: trio.Nursery, pool: UpstreamPool) -> None:
-        """Accept callers until the graceful stop is complete."""
-        settings = self._state.settings
-        state, dialect = self._state, self._backend.dialect
-        request_runner = RequestRunner(
-            state,
-            dialect,
-            pool,
-            AttemptObserver(state),
-            self._crash_guard,
-        )
-        checker = LimitChecker(state, LimitCalls(state, self._messenger))
-        forwarder = EdgeForwarder(state, dialect, request_runner, checker)
-        limits = CallerLimits(
-            connections_max=settings.descriptors_max - DESCRIPTORS_RESERVED,
-            grace_s=settings.bounds.grace_s
-            * (REQUESTS_GRACE_RATIO - ACCEPT_GRACE_RATIO),
-            idle_s=60,
-            stop_idle_s=STOP_IDLE_S,
-            half_close_is_disconnect=True,
-        )
-        callers = CallersListener(
-            forwarder, attrs.evolve(limits, pipelined_max=PIPELINED_MAX)
-        )
-        stop_serving = trio.Event()
-        endpoints = dict.fromkeys((settings.readiness, settings.lookups))
-        for endpoint in endpoints:
-            nursery.start_soon(self._serve_port, endpoint, self._entry, limits)
-        nursery.start_soon(
-            self._serve_port,
-            attrs.evolve(settings.callers, port=settings.metrics_port),
-            MetricsApplication(self._state),
-            limits,
-        )
-        nursery.start_soon(self._stop_after_grace, callers, stop_serving)
-        listeners = await _listen(settings.callers)
-        await callers.serve(listeners, stop_serving)
-
-    async def _serve_port(
-        self,
-        endpoint: Endpoint,
-        application: Application,
-        limits: CallerLimits,
-    ) -> None:
-        listener = CallersListener(application, limits)
-        await listener.serve(await _listen(endpoint), trio.Event())
-
-    async def _stop_after_grace(
-        self,
-        callers: CallersListener,
-        stop_serving: trio.Event,
-    ) -> None:
-        await self._stopping.wait()
-        callers.begin_stop(trio.current_time())
-        grace_s = self._state.settings.bounds.grace_s
-        await trio.sleep(grace_s * ACCEPT_GRACE_RATIO)
-        stop_serving.set()
-
     async def _run_upkeep(self, pool: UpstreamPool) -> None:
         """Run periodic upkeep: polls, expiry, pools, phase and readiness."""
         state = self._state
@@ -161,6 +112,9 @@
                 self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
             self._crash_guard.review(now)
             await pool.close_unlisted(set(state.directory))
+            await self._peer_pool.close_unlisted(
+                [peer.member for peer in state.fleet]
+            )
             if state.phase is MemberPhase.STARTING and state.table:
                 state.phase = MemberPhase.SERVING
             is_ready = state.is_ready(now)
@@ -205,7 +159,3 @@
                 self._state.phase = MemberPhase.STOPPING
                 self._state.event_log.emit(events.STOPPING, signal=int(number))
                 self._stopping.set()
-
-
-async def _listen(endpoint: Endpoint) -> list[trio.SocketListener]:
-    return await open_listeners(endpoint.address, endpoint.port)
--- /dev/null
+++ b/chestnutshift/edge/reach_monitor.py
@@ -0,0 +1,100 @@
+"""Follow whether this VM reaches upstreams, and act on changes."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+import trio
+
+from chestnutshift.edge import events
+from chestnutshift.edge.dialect import AnswerFacts
+from chestnutshift.edge.state import EdgeState
+from chestnutshift.steering.reachability import OpenAttempt, Reach
+from chestnutshift.steering.upstreams import Condition, Upstream
+
+
+@attrs.frozen(eq=False)
+class WatchedAttempt:
+    """An attempt, and the scope that cancels it once the VM is cut off."""
+
+    open_attempt: OpenAttempt
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+
+@attrs.define
+class ReachMonitor:
+    """Records evidence of the links to upstreams, and logs what it shows."""
+
+    _state: EdgeState
+    _watched: set[WatchedAttempt] = attrs.field(factory=set)
+    _cut_off_at: float = 0
+
+    @contextmanager
+    def watching(
+        self, upstream: Upstream, expected_s: float, now: float
+    ) -> Iterator[WatchedAttempt]:
+        """Watch an attempt, until its answer begins or it ends."""
+        open_attempt = self._state.directory.reach.begin_attempt(
+            upstream, expected_s, now
+        )
+        watched = WatchedAttempt(open_attempt)
+        self._watched.add(watched)
+        try:
+            yield watched
+        finally:
+            self._end(watched)
+
+    def record_head(self, watched: WatchedAttempt, now: float) -> None:
+        """Record that the answer to an attempt begins."""
+        self._end(watched)
+        self.record_answer(now)
+
+    def record_answer(self, now: float) -> None:
+        """Record that an upstream answered; end what a cut brought about."""
+        reach = self._state.directory.reach
+        was_cut_off = reach.is_cut_off
+        for upstream in reach.record_answer(now):
+            if upstream.condition is Condition.UNPROVEN:
+                upstream.condition = Condition.READY
+        if was_cut_off:
+            self._state.event_log.emit(
+                events.REACHED_AGAIN,
+                after_s=round(now - self._cut_off_at, 3),
+            )
+            self._state.metrics.crossings.cut_off.set(0)
+
+    def record_failure(self, upstream: Upstream, started_at: float) -> None:
+        """Record that an attempt or check, begun then, got no answer."""
+        self._state.directory.reach.record_failure(upstream, started_at)
+
+    def record_check(
+        self,
+        upstream: Upstream,
+        started_at: float,
+        now: float,
+        facts: AnswerFacts | None,
+    ) -> None:
+        """Record a health check; facts is None if it got no answer."""
+        if facts is None:
+            self.record_failure(upstream, started_at)
+        else:
+            self.record_answer(now)
+
+    def review(self, now: float) -> Reach:
+        """Return what is known; on a new cut, cancel the silent attempts."""
+        state = self._state
+        if state.directory.reach.confirm(state.directory):
+            self._cut_off_at = now
+            state.event_log.emit(
+                events.CUT_OFF,
+                unanswered=len(state.directory.reach.unanswered(now)),
+                listed=len(list(state.directory)),
+            )
+            state.metrics.crossings.cut_off.set(1)
+            for watched in self._watched:
+                watched.scope.cancel()
+        return state.directory.reach.reach(now)
+
+    def _end(self, watched: WatchedAttempt) -> None:
+        self._watched.discard(watched)
+        self._state.directory.reach.end_attempt(watched.open_attempt)
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+from contextlib import nullcontext
 
 import attrs
 
@@ -10,7 +11,6 @@
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempt_observer import AttemptObserver
 from chestnutshift.edge.attempts import (
-    SERVER_ERROR,
     AnswerCollector,
     AttemptEnd,
     EndKind,
@@ -19,22 +19,35 @@
 )
 from chestnutshift.edge.crash_guard import CrashGuard
 from chestnutshift.edge.dialect import Dialect
+from chestnutshift.edge.passing_on import PeerForwarder
 from chestnutshift.edge.pending_requests import PendingRequest
+from chestnutshift.edge.reach_monitor import WatchedAttempt
+from chestnutshift.edge.retry_decider import CUT_OFF_CODE, RetryDecider
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.fleet.view import Peer
 from chestnutshift.forwarding.problems import Problem, Ran, RefusalError
 from chestnutshift.forwarding.requests import CallerDisconnectedError
 from chestnutshift.steering.choice import Choice
+from chestnutshift.steering.reachability import Reach
+from chestnutshift.steering.reached import reached_ratio
 from chestnutshift.steering.service_time import ServiceTimeEstimate
+from chestnutshift.steering.upstreams import Upstream
+from chestnutshift.upstreams.connection import OutboundRequest
 
-# Attempts of a request, sent or not, after which one that was not sent is not
-# retried.
-ATTEMPTS_TOTAL_MAX = 3
 RETRY_AFTER_MIN_S = 0.3
 # Longest estimate; upstreams may ask for more.
 RETRY_AFTER_MAX_S = 3.0
 # Largest fraction that is added to a Retry-After at random, so that refused
 # callers do not retry simultaneously.
 RETRY_AFTER_JITTER = 0.5
+# Upstreams that a request did not reach before a peer is asked instead.
+UNREACHED_MAX = 2
+# With a smaller fraction of a service's upstreams in reach, a request that
+# these can't take is passed on to a peer.
+REACHED_RATIO_MIN = 0.5
+CUT_OFF_DETAIL = 'no upstream answers this VM, and no peer can send the request'
+# When to come back to a VM that is cut off.
+CUT_OFF_WAIT_S = 1.0
 # A request may still be sent if its expected duration is within this
 # multiple of the time left, as estimates are inexact.
 DEADLINE_TOLERANCE_RATIO = 1.3
@@ -52,27 +65,65 @@
     _pool: UpstreamPool
     _observer: AttemptObserver
     _crash_guard: CrashGuard
+    _peers: PeerForwarder
+    _retries: RetryDecider
     _rng: random.Random = attrs.field(factory=random.Random)
 
     async def run(self, pending: PendingRequest) -> None:
         """Try upstreams until one answers; raises RefusalError if none does."""
         now = boot_time()
         with self._crash_guard.admitting(pending, now):
-            service = pending.admitted.service
-            self._state.retries.count_request(service, now)
+            if pending.admitted.progress is None:
+                service = pending.admitted.service
+                self._state.retries.count_request(service, now)
             await self._try_upstreams(pending)
 
     async def _try_upstreams(self, pending: PendingRequest) -> None:
         estimate = self._service_time_estimate(pending.admitted)
         while True:
-            choice = self._choose(pending, estimate)
-            end = await self._attempt(pending, choice, estimate)
-            if not self._may_retry(pending, end):
+            end = await self._try_once(pending, estimate)
+            if not self._retries.may_retry(pending, end, boot_time()):
                 break
-            if not end.is_partial_refusal:
-                pending.avoided.add(choice.upstream)
         await self._finish(pending, end)
 
+    async def _try_once(
+        self, pending: PendingRequest, estimate: ServiceTimeEstimate
+    ) -> AttemptEnd:
+        """Send the request to an upstream, or to a peer that reaches more.
+
+        Raises RefusalError if neither can take it.
+        """
+        peer = self._peer_instead(pending, boot_time())
+        if peer is not None:
+            return await self._peers.send(pending, peer)
+        try:
+            choice = self._choose(pending, estimate)
+        except RefusalError:
+            peer = self._peer_if_short(pending, boot_time())
+            if peer is None:
+                raise
+            return await self._peers.send(pending, peer)
+        end = await self._attempt(pending, choice, estimate)
+        if not end.is_partial_refusal:
+            pending.avoided.add(choice.upstream)
+        return end
+
+    def _peer_instead(self, pending: PendingRequest, now: float) -> Peer | None:
+        """Return a peer if upstreams seem to be out of this VM's reach."""
+        is_connected = self._state.directory.reach.reach(now) is Reach.CONNECTED
+        if is_connected and pending.unreached_count < UNREACHED_MAX:
+            return None
+        return self._peers.choose(pending, now)
+
+    def _peer_if_short(
+        self, pending: PendingRequest, now: float
+    ) -> Peer | None:
+        """Return a peer if few upstreams of the service answer this VM."""
+        ratio = reached_ratio(self._state.directory, pending.admitted.service)
+        if ratio >= REACHED_RATIO_MIN:
+            return None
+        return self._peers.choose(pending, now)
+
     def _service_time_estimate(self, admitted: Admitted) -> ServiceTimeEstimate:
         key = (admitted.route.name, admitted.service)
         estimate = self._state.service_time_estimates.get(key)
@@ -92,6 +143,12 @@
             admitted.route.objective_s * QUEUE_OBJECTIVE_RATIO,
         )
         choice = None
+        if self._state.directory.reach.is_cut_off:
+            raise RefusalError(
+                self._unserved_problem(
+                    pending, CUT_OFF_CODE, CUT_OFF_DETAIL, CUT_OFF_WAIT_S
+                ),
+            )
         if not admitted.has_no_home:
             choice = state.policy.choose(
                 pending.profile(estimate.answer_b),
@@ -162,16 +219,7 @@
             upstream.name,
             admitted.account_name,
             pending.deadline - now,
-            None
-            if pending.body.buffered is None
-            else len(pending.body.buffered),
-        )
-        collector = AnswerCollector(
-            self._dialect,
-            admitted.request,
-            pending.writer.start,
-            pending.writer.write_part,
-            functools.partial(self._observer.record_head, upstream),
+            pending.body_b,
         )
         self._state.event_log.emit(
             events.REQUEST_SENT,
@@ -190,14 +238,8 @@
         with self._observer.observe(
             admitted, choice, estimate, pending.object_key, now
         ) as observation:
-            observation.end = await attempt(
-                self._pool.connections(
-                    upstream, self._connections_max(pending)
-                ),
-                outbound,
-                pending.body,
-                collector,
-                is_idempotent=admitted.route.is_idempotent,
+            observation.end = await self._exchange(
+                pending, upstream, outbound, observation.watched
             )
         end = observation.end
         pending.writer.upstream = ''
@@ -212,38 +254,44 @@
             pending.sent_count += 1
         return end
 
+    async def _exchange(
+        self,
+        pending: PendingRequest,
+        upstream: Upstream,
+        outbound: OutboundRequest,
+        watched: WatchedAttempt,
+    ) -> AttemptEnd:
+        """Send the request; give up a silent one once this VM is cut off.
+
+        One that is not idempotent may still be answered, and is not sent
+        elsewhere, so it waits.
+        """
+        collector = AnswerCollector(
+            self._dialect,
+            pending.admitted.request,
+            pending.writer.start,
+            pending.writer.write_part,
+            functools.partial(self._observer.record_head, upstream, watched),
+        )
+        is_idempotent = pending.admitted.route.is_idempotent
+        with watched.scope if is_idempotent else nullcontext():
+            return await attempt(
+                self._pool.connections(
+                    upstream, self._connections_max(pending)
+                ),
+                outbound,
+                pending.body,
+                collector,
+                is_idempotent=is_idempotent,
+            )
+        return AttemptEnd(EndKind.BROKEN, 'this VM reaches no upstream')
+
     def _connections_max(self, pending: PendingRequest) -> int:
         """Return this VM's share of an upstream's permitted connections."""
         service = self._state.table.services.get(pending.admitted.service)
         total = service.connections_max if service else 1
         return max(2, total // len(self._state.fleet.names))
 
-    def _may_retry(self, pending: PendingRequest, end: AttemptEnd) -> bool:
-        if not pending.can_resend or pending.writer.is_started:
-            return False
-        if boot_time() >= pending.deadline:
-            return False
-        if end.kind in {EndKind.NOT_SENT, EndKind.MISDIRECTED}:
-            return (
-                pending.unreached_count + pending.sent_count
-                < ATTEMPTS_TOTAL_MAX
-            )
-        route = pending.admitted.route
-        if end.kind is EndKind.ANSWERED:
-            if end.reply.status < SERVER_ERROR or not route.is_idempotent:
-                return False
-        if end.kind is EndKind.BROKEN and not (
-            route.is_idempotent
-            and self._crash_guard.may_resend(pending, boot_time())
-        ):
-            return False
-        if pending.sent_count >= route.attempts_max:
-            return False
-        vms = self._state.fleet.share_holders(boot_time())
-        return self._state.retries.take(
-            pending.admitted.service, vms, boot_time()
-        )
-
     async def _finish(self, pending: PendingRequest, end: AttemptEnd) -> None:
         if end.kind is EndKind.ANSWERED:
             await pending.writer.write_reply(end.reply)
@@ -258,8 +306,14 @@
             )
             return
         if pending.ran is Ran.NOT_RUN:
+            wait_s = end.facts.retry_after_s if end.peer and end.facts else 0
             raise RefusalError(
-                self._unserved_problem(pending, 'upstreams.full', end.detail),
+                self._unserved_problem(
+                    pending,
+                    end.code or 'upstreams.full',
+                    end.detail,
+                    wait_s or 0,
+                ),
             )
         raise RefusalError(
             Problem(502, 'upstreams.broken', end.detail, Ran.UNKNOWN),
--- /dev/null
+++ b/chestnutshift/edge/retry_decider.py
@@ -0,0 +1,76 @@
+"""Decide whether a request is sent again after an attempt."""
+
+import attrs
+
+from chestnutshift.edge.attempts import SERVER_ERROR, AttemptEnd, EndKind
+from chestnutshift.edge.crash_guard import CrashGuard
+from chestnutshift.edge.pending_requests import PendingRequest
+from chestnutshift.edge.state import EdgeState
+
+# Attempts of a request, sent or not, after which one that was not sent is not
+# retried.
+ATTEMPTS_TOTAL_MAX = 3
+CUT_OFF_CODE = 'upstreams.cut_off'
+# Refusals of a peer that another peer may not share.
+PEER_REFUSALS_RETRIED = frozenset(
+    (
+        CUT_OFF_CODE,
+        'upstreams.none',
+        'table.none',
+        'table.older',
+        'keys.stale',
+        'crossing.refused',
+    )
+)
+_NOT_RUN = frozenset((EndKind.NOT_SENT, EndKind.NOT_RUN))
+_UNREACHED = frozenset((EndKind.NOT_SENT, EndKind.MISDIRECTED))
+
+
+@attrs.frozen
+class RetryDecider:
+    """Decides on retries, within the fleet's budget."""
+
+    _state: EdgeState
+    _crash_guard: CrashGuard
+
+    def may_retry(
+        self, pending: PendingRequest, end: AttemptEnd, now: float
+    ) -> bool:
+        """Return whether another attempt follows; count it if it is sent."""
+        if not _can_resend(pending, now):
+            return False
+        if end.peer and end.kind in _NOT_RUN:
+            return not end.code or end.code in PEER_REFUSALS_RETRIED
+        if end.kind in _UNREACHED:
+            tried = pending.unreached_count + pending.sent_count
+            return tried < ATTEMPTS_TOTAL_MAX
+        return self._may_repeat(pending, end, now)
+
+    def _may_repeat(
+        self, pending: PendingRequest, end: AttemptEnd, now: float
+    ) -> bool:
+        """Decide after an attempt that was sent; take from the budget."""
+        route = pending.admitted.route
+        if end.kind is not EndKind.NOT_RUN and not route.is_idempotent:
+            return False
+        if end.kind is EndKind.ANSWERED and _is_final(end):
+            return False
+        if end.kind is EndKind.BROKEN and not self._crash_guard.may_resend(
+            pending, now
+        ):
+            return False
+        if pending.sent_count >= route.attempts_max:
+            return False
+        vms = self._state.fleet.share_holders(now)
+        return self._state.retries.take(pending.admitted.service, vms, now)
+
+
+def _can_resend(pending: PendingRequest, now: float) -> bool:
+    if not pending.can_resend or pending.writer.is_started:
+        return False
+    return now < pending.deadline
+
+
+def _is_final(end: AttemptEnd) -> bool:
+    """Return whether an answer goes to the caller; a peer has retried."""
+    return end.reply.status < SERVER_ERROR or bool(end.peer)
--- a/chestnutshift/edge/settings.py
+++ b/chestnutshift/edge/settings.py
@@ -67,6 +67,7 @@
 
     regions maps each failure domain to its region. link_mbps is the bandwidth
     of the VM's network link in megabits per second, 0 if unknown.
+    crossings_port is for requests that peers pass on.
     """
 
     vm: str
@@ -78,8 +79,14 @@
     lookups: Endpoint
     peer_port: int
     metrics_port: int
+    crossings_port: int
     regions: Mapping[str, str]
     descriptors_max: int
     store: StoreSettings
     bounds: Bounds
     link_mbps: float = 0
+
+    @property
+    def crossings(self) -> Endpoint:
+        """The endpoint for requests that peers pass on."""
+        return attrs.evolve(self.callers, port=self.crossings_port)
--- a/chestnutshift/edge/vm_registration.py
+++ b/chestnutshift/edge/vm_registration.py
@@ -48,6 +48,8 @@
             region=settings.region,
             incarnation=state.incarnation,
             link_mbps=settings.link_mbps,
+            crossings=str(settings.crossings),
+            token=state.fleet.token,
         )
         failures = 0
         while True:
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -107,6 +107,7 @@
             for fingerprint, report in heartbeat.suspects.items()
         },
         leaving=set(heartbeat.leaving),
+        unreached=set(heartbeat.unreached),
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
@@ -144,6 +145,7 @@
             for fingerprint, suspect in (struct.suspects or {}).items()
         },
         leaving=frozenset(struct.leaving or ()),
+        unreached=frozenset(struct.unreached or ()),
     )
 
 
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -50,7 +50,8 @@
     are requests under which upstreams have ended, by fingerprint. leaving are
     the upstreams that said that they leave, by hash of the run. delay_s is
     how late the sender's timers fire, which grows as its processor is fully
-    used.
+    used. unreached are the services of which the sender reaches no upstream,
+    by hash of the name.
     """
 
     vm: str
@@ -70,6 +71,7 @@
     rate_limits: Mapping[int, RateLimitReport] = attrs.field(factory=dict)
     suspects: Mapping[int, SuspectReport] = attrs.field(factory=dict)
     leaving: Set[int] = frozenset()
+    unreached: Set[int] = frozenset()
 
     @property
     def is_busy(self) -> bool:
@@ -87,6 +89,11 @@
 
 def hash_upstream(name: str) -> int:
     """Return the hash of an upstream's id as a signed 32-bit number."""
+    return hash_name(name)
+
+
+def hash_name(name: str) -> int:
+    """Return the hash of a name as a signed 32-bit number."""
     unsigned = crc32(name.encode())
     return unsigned - _UINT32_END if unsigned & _SIGN_BIT else unsigned
 
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -7,6 +7,7 @@
 
 from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 from chestnutshift.fleet.members import Member
+from chestnutshift.links.handshake import new_nonce
 
 # A listed VM that was silent for this long no longer counts as holding a
 # share.
@@ -47,6 +48,8 @@
     def __init__(self, vm: str) -> None:
         """Create a view of the named VM without peers."""
         self._vm = vm
+        # The secret by which peers prove themselves to this incarnation.
+        self.token = new_nonce()
         self._peers: dict[str, Peer] = {}
 
     def __iter__(self) -> Iterator[Peer]:
--- a/chestnutshift/forwarding/acceptance.py
+++ b/chestnutshift/forwarding/acceptance.py
@@ -10,7 +10,11 @@
 from chestnutshift.configuration.holder import ConfigurationHolder
 from chestnutshift.configuration.model import Preset, Service
 from chestnutshift.exceptions import CodedError
-from chestnutshift.forwarding.crossing import Crossing, CrossingVerifier
+from chestnutshift.forwarding.crossing import (
+    Crossing,
+    CrossingVerifier,
+    RequestLine,
+)
 from chestnutshift.forwarding.heads import RedactedRequest, redact_request
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import (
@@ -91,7 +95,8 @@
         preset = configuration.preset
         timeout_s = request.timeout_s(preset.deadline_s)
         _check_content_length(request, preset.body_limit_b)
-        crossing = self._crossing_verifier.read(request)
+        line = RequestLine(request.request_id, request.method, request.target)
+        crossing = self._crossing_verifier.read(request.headers, line)
         if crossing is None:
             identity = self._identify(request, service, now)
         else:
--- a/chestnutshift/forwarding/targets.py
+++ b/chestnutshift/forwarding/targets.py
@@ -7,7 +7,11 @@
 
 from chestnutshift.forwarding.acceptance import Accepted
 from chestnutshift.forwarding.claims import ClaimTracker
-from chestnutshift.forwarding.crossing import Crossing, crossing_headers
+from chestnutshift.forwarding.crossing import (
+    Crossing,
+    RequestLine,
+    crossing_headers,
+)
 from chestnutshift.forwarding.exceptions import (
     AttemptNotRunError,
     SlotExpiredError,
@@ -132,8 +136,11 @@
             connections=peer.connections,
             extra_headers=crossing_headers(
                 crossing,
-                job.accepted.request,
-                job.accepted.redacted.target,
+                RequestLine(
+                    job.accepted.request.request_id,
+                    job.accepted.request.method,
+                    job.accepted.redacted.target,
+                ),
                 self._secret,
                 peer.incarnation,
             ),
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -75,15 +75,20 @@
         body_b: int | None,
     ) -> OutboundRequest:
         """Return the request for one upstream; body_b is None for a stream."""
-        headers = list(request.headers)
-        headers.append((names.EXPECTED_UPSTREAM, upstream.encode()))
-        if remaining_s is not None:
-            remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS_PER_S))
-            headers.append((names.DEADLINE, b'%d' % remaining_ms))
+        headers = [(names.EXPECTED_UPSTREAM, upstream.encode())]
         if account:
             headers.append((names.ACCOUNT, account.encode()))
-        headers += _framing(request, body_b)
-        return OutboundRequest(request.method, request.target, headers)
+        return _forwarded(request, headers, remaining_s, body_b)
+
+    def write_crossing(
+        self,
+        request: InboundRequest,
+        headers: Headers,
+        remaining_s: float | None,
+        body_b: int | None,
+    ) -> OutboundRequest:
+        """Return the request for a peer, with the headers of the crossing."""
+        return _forwarded(request, headers, remaining_s, body_b)
 
     def write_health_check(self, path: str, host: str) -> OutboundRequest:
         """Return a health check of an upstream."""
@@ -135,6 +140,20 @@
         return headers
 
 
+def _forwarded(
+    request: InboundRequest,
+    headers: Headers,
+    remaining_s: float | None,
+    body_b: int | None,
+) -> OutboundRequest:
+    headers = [*request.headers, *headers]
+    if remaining_s is not None:
+        remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS_PER_S))
+        headers.append((names.DEADLINE, b'%d' % remaining_ms))
+    headers += _framing(request, body_b)
+    return OutboundRequest(request.method, request.target, headers)
+
+
 def _malformed_request(detail: str) -> RefusalError:
     return RefusalError(Problem(_HTTP_BAD_REQUEST, 'request.malformed', detail))
 
--- a/chestnutshift/platform/settings.py
+++ b/chestnutshift/platform/settings.py
@@ -84,6 +84,7 @@
         lookups=_endpoint(listen, 'directory'),
         peer_port=int(ports[0]),
         metrics_port=int(ports[0]) + 1,
+        crossings_port=int(ports[0]) + 2,
         regions=_regions(object_of(network, 'zones')),
         descriptors_max=integer_of(limits, 'max_fds', 1024),
         store=_store(object_of(document, 'platform')),
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -17,6 +17,7 @@
     number_of,
     read_document,
     required_text,
+    text_of,
 )
 from chestnutshift.platform.route_tables import decode_route_table
 from chestnutshift.platform.store import StoreClient, StoredRow, StoreView
@@ -95,6 +96,8 @@
         region=required_text(document, 'region'),
         incarnation=integer_of(document, 'incarnation'),
         link_mbps=number_of(document, 'link_mbps', 0),
+        crossings=text_of(document, 'crossings'),
+        token=text_of(document, 'token'),
     )
 
 
@@ -107,6 +110,8 @@
         'region': member.region,
         'incarnation': member.incarnation,
         'link_mbps': member.link_mbps,
+        'crossings': member.crossings,
+        'token': member.token,
     }
     return json.dumps(document).encode()
 
--- a/chestnutshift/steering/directory.py
+++ b/chestnutshift/steering/directory.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
+from chestnutshift.steering.reachability import UpstreamReach
 from chestnutshift.steering.registration_order import (
     is_newer,
     is_older,
@@ -23,10 +24,14 @@
 
 
 class UpstreamDirectory:
-    """All upstreams by id and by service; times are boot time in seconds."""
+    """All upstreams by id and by service; times are boot time in seconds.
+
+    reach tells whether this VM reaches upstreams at all.
+    """
 
     def __init__(self, regions: Mapping[str, str]) -> None:
         """Create an empty directory; regions maps failure domain to region."""
+        self.reach = UpstreamReach()
         self._regions = regions
         self._by_name: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -53,6 +53,8 @@
   18: optional map<i64, Suspect> suspects
   // Upstreams that said in an answer that they leave, by the hash of the run.
   19: optional set<i32> leaving
+  // Services of which the sender reaches no upstream, by the hash of the name.
+  20: optional set<i32> unreached
 }
 
 // Asks the VM that decides on an account whether a request is within its
--- a/tests/edge/test_lookups.py
+++ b/tests/edge/test_lookups.py
@@ -26,6 +26,7 @@
     lookups=HERE,
     peer_port=2,
     metrics_port=3,
+    crossings_port=7742,
     regions={'a1': 'a', 'a2': 'a', 'b1': 'b'},
     descriptors_max=100,
     store=StoreSettings(HERE, 1, 1, 1),
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -133,7 +133,7 @@
 
 def make_settings(store_port: int) -> EdgeSettings:
     """Return settings of a VM on free ports."""
-    ports = [free_port() for _ in range(5)]
+    ports = [free_port() for _ in range(6)]
     return EdgeSettings(
         vm='vm-1',
         address=ADDRESS,
@@ -144,6 +144,7 @@
         lookups=Endpoint(ADDRESS, ports[2]),
         peer_port=ports[3],
         metrics_port=ports[4],
+        crossings_port=ports[5],
         regions={'a1': 'a', 'b1': 'b'},
         descriptors_max=1000,
         store=StoreSettings(Endpoint(ADDRESS, store_port), 100, 100, 1),
