Tell a cut of this VM's links from upstreams that have ended

A cut is now concluded only if peers got answers later than the failures, which heartbeats tell (answered_age_ms), or if nobody got any for two seconds. A VM in doubt takes over nothing from peers. Of crash evidence only 'no listener' is disregarded while cut off: every upstream refuses such a VM.

A peer whose last heartbeat lags behind a change of the route table may still be asked; it refuses by itself if it has not got the table.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -173,7 +173,7 @@
             admitted.service, end.kind.value
         ).inc()
         if end.is_unanswered:
-            self._monitor.record_failure(upstream, started_at)
+            self._monitor.record_failure(upstream, started_at, now)
         if end.kind is EndKind.ANSWERED:
             return
         self._state.event_log.emit(
--- a/chestnutshift/edge/crash_guard.py
+++ b/chestnutshift/edge/crash_guard.py
@@ -22,6 +22,9 @@
 LOST_ATTEMPTS_MAX = 2
 # When to come back while the same request is tried at an upstream.
 TRIED_RETRY_AFTER_S = 1.0
+# How an attempt or a check found that the process of an upstream has ended.
+NO_LISTENER = 'no listener'
+ANOTHER_RUN = 'another run'
 
 ON_TRIAL = Problem(
     503,
@@ -80,18 +83,15 @@
     ) -> None:
         """Record what the end of an attempt tells of request and upstream."""
         evidence = self._state.crash_evidence
-        if self._state.directory.reach.is_cut_off:
-            # The links of this VM have failed, not the upstreams.
-            return
         if end.is_lost and pending.fingerprint is not None:
             pending.lost_count += 1
             evidence.record_lost(
                 pending.fingerprint, _label(pending), upstream, now
             )
         if end.is_refused:
-            self._log_proven(evidence.record_refused(upstream, 'no listener'))
+            self._record_refused(upstream, NO_LISTENER)
         if end.kind is EndKind.MISDIRECTED:
-            self._log_proven(evidence.record_refused(upstream, 'another run'))
+            self._record_refused(upstream, ANOTHER_RUN)
         if end.kind in {EndKind.ANSWERED, EndKind.NOT_RUN}:
             evidence.record_alive(upstream, started_at)
         if end.kind is EndKind.ANSWERED and pending.fingerprint is not None:
@@ -109,8 +109,8 @@
         evidence = self._state.crash_evidence
         if is_alive:
             evidence.record_alive(upstream, started_at)
-        elif proof and not self._state.directory.reach.is_cut_off:
-            self._log_proven(evidence.record_refused(upstream, proof))
+        elif proof:
+            self._record_refused(upstream, proof)
 
     def review(self, now: float) -> None:
         """Draw conclusions from registrations, and log changed verdicts."""
@@ -160,6 +160,17 @@
             retry_after_s=wait_s,
         )
 
+    def _record_refused(self, upstream: Upstream, proof: str) -> None:
+        """Record that the process that an upstream was is not there.
+
+        A VM that reaches no upstream is refused by all, whether they run or
+        not.
+        """
+        if proof == NO_LISTENER and self._state.directory.reach.is_cut_off:
+            return
+        evidence = self._state.crash_evidence
+        self._log_proven(evidence.record_refused(upstream, proof))
+
     def _log_proven(self, proven: list[ProvenEnd]) -> None:
         for end in proven:
             lost = end.lost
--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -9,7 +9,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.check_sender import CheckSender
-from chestnutshift.edge.crash_guard import CrashGuard
+from chestnutshift.edge.crash_guard import ANOTHER_RUN, NO_LISTENER, CrashGuard
 from chestnutshift.edge.dialect import AnswerFacts
 from chestnutshift.edge.reach_monitor import ReachMonitor
 from chestnutshift.edge.state import EdgeState
@@ -114,7 +114,7 @@
                 answer = await self._sender.send(upstream)
                 status, facts = answer.status, answer.facts
             except NotConnectedError as error:
-                proof = 'no listener' if error.is_refused else ''
+                proof = NO_LISTENER if error.is_refused else ''
             except UpstreamError:
                 # Without facts the check has failed.
                 facts = None
@@ -124,7 +124,7 @@
         is_alive = facts is not None and (facts.is_not_run or status == HTTP_OK)
         if facts is not None and facts.upstream not in {'', upstream.name}:
             is_alive = False
-            proof = 'another run'
+            proof = ANOTHER_RUN
         self._crash_guard.record_check(
             upstream, started_at, is_alive=is_alive, proof=proof
         )
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -23,7 +23,7 @@
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.pending_requests import PendingRequest
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.fleet.heartbeats import Heartbeat, hash_name
+from chestnutshift.fleet.heartbeats import hash_name
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.view import Peer
 from chestnutshift.forwarding.crossing import (
@@ -120,10 +120,6 @@
         if len(pending.peers_tried) >= PEERS_MAX:
             return None
         able = self._able(pending, now)
-        idle = [
-            peer for peer in able if peer.heartbeat.delay_s <= OVERLOAD_DELAY_S
-        ]
-        able = idle or able
         if not able:
             return None
         nearest = min(map(self._distance, able))
@@ -163,13 +159,29 @@
         return attrs.evolve(end, peer=vm)
 
     def _able(self, pending: PendingRequest, now: float) -> list[Peer]:
-        return [
+        """Return the peers that reach the service.
+
+        Those that know the route table and have processor time to spare leave
+        out the others; a peer may know more than its last heartbeat told.
+        """
+        admitted = pending.admitted
+        able = [
             peer
             for peer in self._state.fleet.serving(now)
             if peer.member.vm not in pending.peers_tried
-            and _may_take(peer.member, pending.admitted)
-            and _can_send(peer.heartbeat, pending.admitted)
+            and _may_take(peer.member, admitted)
+            and hash_name(admitted.service) not in peer.heartbeat.unreached
+        ]
+        current = [
+            peer
+            for peer in able
+            if peer.heartbeat.table_version >= admitted.table_version
+        ]
+        able = current or able
+        idle = [
+            peer for peer in able if peer.heartbeat.delay_s <= OVERLOAD_DELAY_S
         ]
+        return idle or able
 
     def _distance(self, peer: Peer) -> int:
         settings = self._state.settings
@@ -266,12 +278,5 @@
     return not admitted.homes or member.region in admitted.homes
 
 
-def _can_send(heartbeat: Heartbeat, admitted: Admitted) -> bool:
-    """Return whether the VM reaches the service and knows the route table."""
-    if hash_name(admitted.service) in heartbeat.unreached:
-        return False
-    return heartbeat.table_version >= admitted.table_version
-
-
 def _ignore_head(_status: int, _facts: object) -> None:
     """Record nothing: what an answer asks of its sender concerns the peer."""
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -111,6 +111,7 @@
             suspects=state.crashes.reports(now),
             leaving=state.upstream_reports.leaving(),
             unreached=_unreached(state),
+            answered_age_s=_age_s(state.directory.reach.answered_at, now),
         )
 
     def send(self, message: Message, peer: Peer) -> None:
@@ -205,6 +206,10 @@
     ]
 
 
+def _age_s(at: float, now: float) -> float | None:
+    return now - at if math.isfinite(at) else None
+
+
 def _unreached(state: EdgeState) -> frozenset[int]:
     """Return the services of which this VM reaches no upstream, hashed."""
     services = state.table.services if state.table else ()
--- a/chestnutshift/edge/reach_checks.py
+++ b/chestnutshift/edge/reach_checks.py
@@ -79,8 +79,9 @@
                 self._monitor.record_answer(boot_time())
                 round_scope.cancel()
                 return
-        self._monitor.record_failure(upstream, started_at)
-        self._monitor.review(boot_time())
+        now = boot_time()
+        self._monitor.record_failure(upstream, started_at, now)
+        self._monitor.review(now)
 
     async def _is_answered(self, upstream: Upstream, idle_s: float) -> bool:
         with trio.move_on_after(EXCHANGE_TIMEOUT_S):
--- a/chestnutshift/edge/reach_monitor.py
+++ b/chestnutshift/edge/reach_monitor.py
@@ -9,6 +9,7 @@
 from chestnutshift.edge import events
 from chestnutshift.edge.dialect import AnswerFacts
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.fleet.view import peers_answered_at
 from chestnutshift.steering.reachability import OpenAttempt, Reach
 from chestnutshift.steering.upstreams import Condition, Upstream
 
@@ -63,9 +64,12 @@
             )
             self._state.metrics.crossings.cut_off.set(0)
 
-    def record_failure(self, upstream: Upstream, started_at: float) -> None:
+    def record_failure(
+        self, upstream: Upstream, started_at: float, now: float
+    ) -> None:
         """Record that an attempt or check, begun then, got no answer."""
-        self._state.directory.reach.record_failure(upstream, started_at)
+        reach = self._state.directory.reach
+        reach.record_failure(upstream, started_at, now)
 
     def record_check(
         self,
@@ -76,24 +80,27 @@
     ) -> None:
         """Record a health check; facts is None if it got no answer."""
         if facts is None:
-            self.record_failure(upstream, started_at)
+            self.record_failure(upstream, started_at, now)
         else:
             self.record_answer(now)
 
     def review(self, now: float) -> Reach:
         """Return what is known; on a new cut, cancel the silent attempts."""
         state = self._state
-        if state.directory.reach.confirm(state.directory):
+        reach = state.directory.reach
+        heard_at = peers_answered_at(state.fleet, now)
+        if reach.confirm(state.directory, heard_at, now):
             self._cut_off_at = now
             state.event_log.emit(
                 events.CUT_OFF,
-                unanswered=len(state.directory.reach.unanswered(now)),
+                unanswered=len(reach.unanswered(now)),
                 listed=len(list(state.directory)),
+                peers_answered_s=round(now - heard_at, 3),
             )
             state.metrics.crossings.cut_off.set(1)
             for watched in self._watched:
                 watched.scope.cancel()
-        return state.directory.reach.reach(now)
+        return reach.reach(now)
 
     def _end(self, watched: WatchedAttempt) -> None:
         self._watched.discard(watched)
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -143,7 +143,7 @@
             admitted.route.objective_s * QUEUE_OBJECTIVE_RATIO,
         )
         choice = None
-        if self._state.directory.reach.is_cut_off:
+        if self._is_out_of_reach(pending, now):
             raise RefusalError(
                 self._unserved_problem(
                     pending, CUT_OFF_CODE, CUT_OFF_DETAIL, CUT_OFF_WAIT_S
@@ -181,6 +181,16 @@
             )
         return choice
 
+    def _is_out_of_reach(self, pending: PendingRequest, now: float) -> bool:
+        """Return whether to send nothing: another VM may still serve it.
+
+        A peer's request is not tried while that is in doubt.
+        """
+        reach = self._state.directory.reach.reach(now)
+        if reach is Reach.IN_DOUBT:
+            return pending.admitted.progress is not None
+        return reach is Reach.CUT_OFF
+
     def _room_wait_s(self, service: str, now: float) -> float:
         """Return a time until upstreams with a limited rate have room.
 
--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -108,6 +108,7 @@
         },
         leaving=set(heartbeat.leaving),
         unreached=set(heartbeat.unreached),
+        answered_age_ms=_milliseconds(heartbeat.answered_age_s),
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
@@ -146,6 +147,7 @@
         },
         leaving=frozenset(struct.leaving or ()),
         unreached=frozenset(struct.unreached or ()),
+        answered_age_s=_from_milliseconds(struct.answered_age_ms),
     )
 
 
@@ -166,27 +168,33 @@
 
 
 def _suspect_struct(report: SuspectReport) -> ttypes.Suspect:
-    age_s = report.success_age_s
     return ttypes.Suspect(
         ended_ages_ms={
             run: round(age_s * MILLI_PER_UNIT)
             for run, age_s in report.ended_ages_s.items()
         },
-        success_age_ms=None if age_s is None else round(age_s * MILLI_PER_UNIT),
+        success_age_ms=_milliseconds(report.success_age_s),
     )
 
 
 def _read_suspect(struct: ttypes.Suspect) -> SuspectReport:
-    age_ms = struct.success_age_ms
     return SuspectReport(
         {
             run: age / MILLI_PER_UNIT
             for run, age in (struct.ended_ages_ms or {}).items()
         },
-        None if age_ms is None else age_ms / MILLI_PER_UNIT,
+        _from_milliseconds(struct.success_age_ms),
     )
 
 
+def _milliseconds(duration_s: float | None) -> int | None:
+    return None if duration_s is None else round(duration_s * MILLI_PER_UNIT)
+
+
+def _from_milliseconds(milliseconds: int | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLI_PER_UNIT
+
+
 def _microseconds(duration_s: float | None) -> int | None:
     return (
         None if duration_s is None else round(duration_s * MICROSECONDS_PER_S)
--- a/chestnutshift/fleet/heartbeats.py
+++ b/chestnutshift/fleet/heartbeats.py
@@ -51,7 +51,8 @@
     the upstreams that said that they leave, by hash of the run. delay_s is
     how late the sender's timers fire, which grows as its processor is fully
     used. unreached are the services of which the sender reaches no upstream,
-    by hash of the name.
+    by hash of the name. answered_age_s is how long ago any upstream answered
+    the sender, None if none did.
     """
 
     vm: str
@@ -72,6 +73,7 @@
     suspects: Mapping[int, SuspectReport] = attrs.field(factory=dict)
     leaving: Set[int] = frozenset()
     unreached: Set[int] = frozenset()
+    answered_age_s: float | None = None
 
     @property
     def is_busy(self) -> bool:
--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -171,6 +171,18 @@
         )
 
 
+def peers_answered_at(fleet: FleetView, now: float) -> float:
+    """Return when an upstream last answered any live peer."""
+    return max(
+        (
+            peer.last_heartbeat_at - peer.heartbeat.answered_age_s
+            for peer in fleet.live_peers(now)
+            if peer.heartbeat.answered_age_s is not None
+        ),
+        default=-math.inf,
+    )
+
+
 def sender_names(fleet: FleetView, now: float) -> Sequence[str]:
     """Return the VMs among which senders to limited upstreams are chosen.
 
--- a/chestnutshift/steering/reachability.py
+++ b/chestnutshift/steering/reachability.py
@@ -3,8 +3,9 @@
 A VM may lose its links to all upstreams while callers, peers and the store
 still reach it. A single upstream that fails is another matter: it may have
 ended. A VM is in doubt once several upstreams in a row have given no answer
-and none has answered since, and cut off once a check confirms it. One answer
-ends both.
+and none has answered since. It is cut off if enough have failed while peers
+get answers; if nobody gets any for long, requests are refused all the same.
+One answer ends doubt and cut.
 """
 
 import enum
@@ -23,6 +24,12 @@
 # expected time, counts as one that gives none.
 SILENCE_S = 0.6
 SILENCE_RATIO = 1.5
+# How much later than the failures the answer to a peer must be, as its report
+# takes a while to arrive.
+PEER_ANSWER_LATER_S = 0.1
+# If no peer gets answers either, the upstreams may have ended, and may be back
+# soon. From so long after the failures on, the VM counts as cut off.
+ALONE_S = 2.0
 
 
 class Reach(enum.StrEnum):
@@ -54,10 +61,15 @@
     _is_cut_off: bool = False
     # When an upstream last answered, or all evidence was dropped.
     _answered_at: float = -math.inf
-    # Upstreams that failed since then.
-    _failed: set[Upstream] = attrs.field(factory=set)
+    # When upstreams first failed since then, in order.
+    _failed: dict[Upstream, float] = attrs.field(factory=dict)
     _open_attempts: set[OpenAttempt] = attrs.field(factory=set)
 
+    @property
+    def answered_at(self) -> float:
+        """When an upstream last answered this VM."""
+        return self._answered_at
+
     @property
     def is_cut_off(self) -> bool:
         """Whether it is confirmed that no upstream answers."""
@@ -87,30 +99,39 @@
         self._failed.clear()
         return failed
 
-    def record_failure(self, upstream: Upstream, started_at: float) -> None:
-        """Record an attempt or check, begun then, that got no answer.
+    def record_failure(
+        self, upstream: Upstream, started_at: float, now: float
+    ) -> None:
+        """Record an attempt or check, begun at started_at, without an answer.
 
         One that began before the last answer shows nothing.
         """
         if started_at >= self._answered_at:
-            self._failed.add(upstream)
-
-    def confirm(self, listed: Iterable[Upstream]) -> bool:
+            self._failed.setdefault(upstream, now)
+
+    def confirm(
+        self,
+        listed: Iterable[Upstream],
+        peers_answered_at: float,
+        now: float,
+    ) -> bool:
         """Conclude that the VM is cut off if so; return whether that is new.
 
         It is so if enough of the listed upstreams failed, some of each
         service, and in more than one failure domain if they are in more than
-        one. That an attempt is silent so far proves nothing.
+        one; and if peers got answers after that, or nobody for long. That an
+        attempt is silent so far proves nothing.
         """
         if self._is_cut_off:
             return False
         known = set(listed)
-        failed = known & self._failed
-        if len(failed) < min(CUT_UPSTREAMS, max(DOUBT_UPSTREAMS, len(known))):
+        failed = [upstream for upstream in self._failed if upstream in known]
+        needed = min(CUT_UPSTREAMS, max(DOUBT_UPSTREAMS, len(known)))
+        if len(failed) < needed or not _are_everywhere(failed, known):
             return False
-        if _services(failed) != _services(known):
-            return False
-        if len(_domains(failed)) < min(2, len(_domains(known))):
+        failed_at = self._failed[failed[needed - 1]]
+        is_alone = peers_answered_at < failed_at + PEER_ANSWER_LATER_S
+        if is_alone and now < failed_at + ALONE_S:
             return False
         self._is_cut_off = True
         return True
@@ -125,7 +146,7 @@
 
     def unanswered(self, now: float) -> Collection[Upstream]:
         """Return the upstreams that gave no answer since the last one."""
-        return self._failed | self._silent(now)
+        return self._failed.keys() | self._silent(now)
 
     def _silent(self, now: float) -> set[Upstream]:
         return {
@@ -136,6 +157,15 @@
         }
 
 
+def _are_everywhere(
+    failed: Collection[Upstream], known: Collection[Upstream]
+) -> bool:
+    """Return whether they are of all services and of more than one domain."""
+    if _services(failed) != _services(known):
+        return False
+    return len(_domains(failed)) >= min(2, len(_domains(known)))
+
+
 def _services(upstreams: Iterable[Upstream]) -> set[str]:
     return {upstream.registration.service for upstream in upstreams}
 
--- a/chestnutshift/wire/fleet.thrift
+++ b/chestnutshift/wire/fleet.thrift
@@ -55,6 +55,8 @@
   19: optional set<i32> leaving
   // Services of which the sender reaches no upstream, by the hash of the name.
   20: optional set<i32> unreached
+  // How long ago an upstream last answered the sender.
+  21: optional i64 answered_age_ms
 }
 
 // Asks the VM that decides on an account whether a request is within its
