Test what crosses between VMs; soak: VMs cut off from upstreams

Soak: with odd seeds each VM has links of its own, half of them or all are cut in five shapes among the other faults, and a phase of nine seconds is judged by the users' rule. Even seeds share the links and send the crashing request, as VMs tell each other of ends by address.

--- a/tests/edge/linked_fleet.py
+++ b/tests/edge/linked_fleet.py
@@ -63,6 +63,8 @@
 
     state: EdgeState
     links: dict[str, Link]
+    # Cancelled when the VM is killed.
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     @property
     def name(self) -> str:
@@ -95,6 +97,24 @@
             for vm in self.vms
         )
 
+    @property
+    def arrivals(self) -> int:
+        """The number of requests that reached upstreams."""
+        return sum(
+            len(upstream.received) for upstream in self.upstreams.values()
+        )
+
+    async def cut_off(
+        self, *vms: LinkedVm, fault: LinkFault = LinkFault.REFUSED
+    ) -> None:
+        """Cut VMs off from all upstreams, and wait until they know it."""
+        for vm in vms:
+            vm.cut(fault)
+        while not all(vm.state.directory.reach.is_cut_off for vm in vms):
+            for vm in vms:
+                await self.ask(vm)
+            await trio.sleep(0.05)
+
     async def ask(
         self,
         vm: LinkedVm,
@@ -189,7 +209,7 @@
                 store_port = await stack.enter_async_context(served(view))
                 vm = LinkedVm(_make_state(number, store_port), links)
                 fleet.vms.append(vm)
-                nursery.start_soon(_run_vm, vm.state)
+                nursery.start_soon(_run_vm, vm)
             await until(lambda: fleet.is_settled(len(names)))
             yield fleet
             nursery.cancel_scope.cancel()
@@ -221,8 +241,9 @@
     return EdgeState(settings, 1, EventLog(settings.vm))
 
 
-async def _run_vm(state: EdgeState) -> None:
-    await make_process(state, lambda: state.settings).run()
+async def _run_vm(vm: LinkedVm) -> None:
+    with vm.scope:
+        await make_process(vm.state, lambda: vm.state.settings).run()
 
 
 @contextmanager
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -215,7 +215,8 @@
     headers of requests, checks counts health checks, which tell that it stays
     cold for cold_ms, and cancelled counts the requests that were cancelled
     while the upstream was silent. Answers bear headers as well; check_status
-    is the status of health checks; served_at are the times of served requests.
+    is the status of health checks; served_at are the times of served requests,
+    targets the paths and queries of all.
     """
 
     name: str
@@ -227,6 +228,7 @@
     headers: tuple[Header, ...] = ()
     served_at: list[float] = attrs.field(factory=list)
     cancelled: int = 0
+    targets: list[bytes] = attrs.field(factory=list)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer a health check, or a request by the behaviour."""
@@ -241,6 +243,8 @@
             await answer(send, self.check_status, b'', *facts)
             return
         self.received.append(headers)
+        target = b'%b?%b' % (scope['raw_path'], scope['query_string'])
+        self.targets.append(target)
         request_id = (
             b'x-chestnutshift-request-id',
             headers['x-chestnutshift-request-id'].encode(),
--- a/tests/soak_edge/callers.py
+++ b/tests/soak_edge/callers.py
@@ -11,6 +11,7 @@
 from tests.soak_edge.deployment import SoakDeployment
 from tests.soak_edge.guarantees import SentRequest
 from tests.soak_edge.upstreams import CRASH_MARK
+from tests.soak_edge.vms import SoakVm
 
 PAUSE_S = (0, 0.06)
 CRASH_PAUSE_S = (0.05, 0.6)
@@ -37,6 +38,11 @@
             vm = self.deployment.rng.choice(self.deployment.vms)
             await self._send_to_vm(vm.callers_url)
 
+    async def send_steadily(self, vm: SoakVm) -> None:
+        """Send to one VM until cancelled, on new connections after breaks."""
+        while True:
+            await self._send_to_vm(vm.callers_url)
+
     async def send(self, client: httpx.AsyncClient) -> SentRequest:
         """Send one request; record and return its outcome."""
         rng = self.deployment.rng
@@ -47,7 +53,12 @@
         request_id = f'r-{next(self._numbers)}'
         body = f'body of {request_id}'.encode() if is_booking else b''
         request = SentRequest(
-            request_id, rng.choice(keys), not is_booking, body, time.monotonic()
+            request_id,
+            rng.choice(keys),
+            not is_booking,
+            body,
+            time.monotonic(),
+            vm=str(client.base_url),
         )
         try:
             answer = await client.request(
--- a/tests/soak_edge/deployment.py
+++ b/tests/soak_edge/deployment.py
@@ -6,11 +6,12 @@
 import random
 import signal
 import time
+from collections.abc import Collection
 
 import attrs
 import trio
 
-from tests.edge.stand_ins import StoreStandIn, served
+from tests.edge.stand_ins import StoreStandIn, StoreView, served
 from tests.platform.samples import ROUTE_TABLE
 from tests.soak_edge.guarantees import IssuedKey, NamedLimit, SentRequest
 from tests.links import Link, LinkFault
@@ -34,14 +35,22 @@
 
 @attrs.define
 class SoakDeployment:
-    """What a soak starts, and the requests and runs that it recorded."""
+    """What a soak starts, and the requests and runs that it recorded.
+
+    With has_own_links each VM has a link of its own to each upstream, and so
+    knows it by an address of its own. VMs that tell each other which upstreams
+    ended need the same addresses; then all VMs share one link to each.
+    """
 
     rng: random.Random
     folder: pathlib.Path
+    has_own_links: bool
     store: StoreStandIn = attrs.field(factory=StoreStandIn)
     vms: list[SoakVm] = attrs.field(factory=list)
     store_links: list[Link] = attrs.field(factory=list)
     upstream_links: dict[str, Link] = attrs.field(factory=dict)
+    # The links of each VM to the upstreams' own, by VM and upstream.
+    vm_links: dict[str, dict[str, Link]] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
     sent_requests: list[SentRequest] = attrs.field(factory=list)
     issued_keys: dict[str, IssuedKey] = attrs.field(factory=dict)
@@ -57,7 +66,6 @@
     async def start(self, vm_count: int, nursery: trio.Nursery) -> None:
         """Start the store, upstreams and links, then the VMs."""
         self._nursery = nursery
-        store_port = await nursery.start(_serve, self.store)
         for number in range(UPSTREAM_COUNT):
             name = f'i-{number}'
             upstream = SoakUpstream(name, self.rng, self.runs, self._crash)
@@ -70,10 +78,7 @@
         self.issued_keys['k0'] = IssuedKey('konya')
         self.write_table()
         for number in range(vm_count):
-            link = Link(store_port)
-            await nursery.start(link.run)
-            self.store_links.append(link)
-            self.vms.append(make_vm(number, link.port, self.folder))
+            await self._add_vm(number)
         for vm in self.vms:
             vm.start()
 
@@ -143,6 +148,12 @@
             document['status']['seq'] += 1
             self.store.write('servers', name, json.dumps(document).encode())
 
+    def cut_off(self, vms: Collection[SoakVm], fault: LinkFault) -> None:
+        """Set the fault on all links of the VMs to upstreams."""
+        for vm in vms:
+            for link in self.vm_links[vm.name].values():
+                link.set_fault(fault)
+
     def name_limit(self, name: str, limit: float) -> None:
         """Have an upstream name a limit in its answers."""
         self.upstreams[name].rate_limit = limit
@@ -165,6 +176,7 @@
         self.write_table()
         for link in (*self.store_links, *self.upstream_links.values()):
             link.set_fault(LinkFault.NONE)
+        self.cut_off(self.vms, LinkFault.NONE)
         for name in self.upstream_links:
             self.list_upstream(name)
         for vm in self.vms:
@@ -179,6 +191,24 @@
         for vm in self.vms:
             await vm.kill()
 
+    async def _add_vm(self, number: int) -> None:
+        """Add a VM with a link of its own to the store and each upstream."""
+        links = {}
+        shared = self.upstream_links if self.has_own_links else {}
+        for name, link in shared.items():
+            links[name] = Link(link.port)
+            await self._nursery.start(links[name].run)
+        addresses = {
+            name: f'127.0.0.1:{link.port}' for name, link in links.items()
+        }
+        view = StoreView(self.store, addresses)
+        store_link = Link(await self._nursery.start(_serve, view))
+        await self._nursery.start(store_link.run)
+        self.store_links.append(store_link)
+        vm = make_vm(number, store_link.port, self.folder)
+        self.vm_links[vm.name] = links
+        self.vms.append(vm)
+
     def _crash(self, name: str) -> None:
         """End an upstream under a request; it is back soon, as a new run."""
         now = time.monotonic()
--- a/tests/soak_edge/faults.py
+++ b/tests/soak_edge/faults.py
@@ -26,6 +26,16 @@
     LinkFault.SILENT,
 )
 
+# The shapes in which VMs are cut off from upstreams.
+CUT_FAULTS = (
+    LinkFault.REFUSED,
+    LinkFault.DOWN,
+    LinkFault.SILENT,
+    LinkFault.ONE_WAY,
+    LinkFault.CLOSED_TO_NEW,
+)
+ZONE_PROBABILITY = 0.3
+
 
 @FAULTS.register('kill')
 async def kill(deployment: SoakDeployment) -> None:
@@ -143,12 +153,45 @@
     upstream.pause_s = 0
 
 
+@FAULTS.register('cut_off')
+async def cut_off(deployment: SoakDeployment) -> None:
+    """Cut some VMs, or all, off from all upstreams."""
+    vms = draw_vms(deployment, len(deployment.vms))
+    deployment.cut_off(vms, deployment.rng.choice(CUT_FAULTS))
+    await trio.sleep(deployment.rng.uniform(*FAULT_DURATION_S))
+    deployment.cut_off(vms, LinkFault.NONE)
+
+
+@FAULTS.register('cut_partly')
+async def cut_partly(deployment: SoakDeployment) -> None:
+    """Cut a VM off from half of the upstreams."""
+    vm = deployment.rng.choice(deployment.vms)
+    links = list(deployment.vm_links[vm.name].values())
+    half = deployment.rng.sample(links, len(links) // 2)
+    fault = deployment.rng.choice(CUT_FAULTS)
+    for link in half:
+        link.set_fault(fault)
+    await trio.sleep(deployment.rng.uniform(*FAULT_DURATION_S))
+    for link in half:
+        link.set_fault(LinkFault.NONE)
+
+
 @FAULTS.register('replace_key')
 async def replace_key(deployment: SoakDeployment) -> None:
     """Withdraw a key and issue another."""
     deployment.replace_key()
 
 
+def draw_vms(deployment: SoakDeployment, most: int) -> list[SoakVm]:
+    """Return one VM, up to most of them, or those of a failure domain."""
+    rng = deployment.rng
+    zone = rng.choice(deployment.vms).zone
+    in_zone = [vm for vm in deployment.vms if vm.zone == zone]
+    if rng.random() < ZONE_PROBABILITY and len(in_zone) <= most:
+        return in_zone
+    return rng.sample(deployment.vms, rng.randint(1, most))
+
+
 async def _signal_and_revert(
     deployment: SoakDeployment,
     vm: SoakVm,
--- a/tests/soak_edge/guarantees.py
+++ b/tests/soak_edge/guarantees.py
@@ -24,6 +24,12 @@
 CRASHES_FREE = 3
 CRASH_CONTACT_S = 3.0
 CRASH_RETRIES_MAX = 3
+# From so long after VMs were cut off from upstreams, their callers are served
+# so often compared with others, or no more first tries than that fail.
+CUT_CONTACT_S = 4.0
+CUT_SERVED_RATIO_MIN = 2 / 3
+CUT_FAILED_FREE = 10
+CUT_FAILED_RATIO = 1 / 50
 CRASHING_CODE = 'request.crashing'
 
 
@@ -38,6 +44,7 @@
     sent_at: float
     status: int | None = None
     text: str = ''
+    vm: str = ''
 
 
 @attrs.frozen
@@ -87,6 +94,43 @@
     return problems
 
 
+@attrs.frozen
+class CutOff:
+    """VMs that were cut off from all upstreams, by URL, and when."""
+
+    vms: frozenset[str]
+    fault: str
+    began_at: float
+    ended_at: float
+
+
+def find_unequal_service(
+    sent_requests: Sequence[SentRequest], cut: CutOff
+) -> list[str]:
+    """Return a line if callers of cut VMs are served far worse than others."""
+    tries = [
+        request
+        for request in sent_requests
+        if cut.began_at + CUT_CONTACT_S <= request.sent_at < cut.ended_at
+    ]
+    at_cut = [request for request in tries if request.vm in cut.vms]
+    others = [request for request in tries if request.vm not in cut.vms]
+    failed = sum(request.status != SUCCESS for request in at_cut)
+    allowed = CUT_FAILED_FREE + CUT_FAILED_RATIO * len(tries)
+    least = CUT_SERVED_RATIO_MIN * _served_ratio(others)
+    if _served_ratio(at_cut) >= least or failed <= allowed:
+        return []
+    return [
+        f'VMs that were cut off ({cut.fault}) failed {failed} of '
+        f'{len(at_cut)} first tries'
+    ]
+
+
+def _served_ratio(requests: Sequence[SentRequest]) -> float:
+    served = sum(request.status == SUCCESS for request in requests)
+    return served / len(requests) if requests else 1
+
+
 def find_crash_repeats(
     arrivals: Sequence[float], ends: Sequence[float]
 ) -> list[str]:
--- a/tests/soak_edge/runner.py
+++ b/tests/soak_edge/runner.py
@@ -2,21 +2,28 @@
 
 import pathlib
 import random
+import time
 from collections import Counter
 
 import attrs
 import trio
 
 from tests.soak_edge.callers import Callers
+from tests.links import LinkFault
 from tests.soak_edge.deployment import SoakDeployment
-from tests.soak_edge.faults import FAULTS
+from tests.soak_edge.faults import CUT_FAULTS, FAULTS, draw_vms
 from tests.soak_edge.guarantees import (
+    CutOff,
     find_broken_guarantees,
     find_crash_repeats,
     find_exceeded_limits,
+    find_unequal_service,
 )
 
 CALLER_COUNT = 8
+CALLERS_PER_VM = 3
+# How long VMs are cut off beside nothing else.
+CUT_OFF_S = 9.0
 # Maximum number of faults at the same time.
 CONCURRENT_FAULTS = 2
 FAULT_INTERVAL_S = (0.1, 1.5)
@@ -59,8 +66,13 @@
     vm_count: int,
     folder: pathlib.Path,
 ) -> Outcome:
-    """Run one seed, with load and faults for duration_s."""
-    deployment = SoakDeployment(random.Random(seed), folder)
+    """Run one seed, with load and faults for duration_s.
+
+    Odd seeds cut VMs off from upstreams, even ones send a crashing request.
+    """
+    deployment = SoakDeployment(
+        random.Random(seed), folder, has_own_links=bool(seed % 2)
+    )
     outcome = Outcome(seed, folder)
     callers = Callers(deployment)
     try:
@@ -78,7 +90,13 @@
                 outcome,
                 'after the faults',
             )
-            await _run_crashing_request(callers)
+            if deployment.has_own_links:
+                cut = await _run_cut_off(deployment, callers)
+                outcome.problems += find_unequal_service(
+                    deployment.sent_requests, cut
+                )
+            else:
+                await _run_crashing_request(callers)
             await trio.sleep(DRAIN_S)
             nursery.cancel_scope.cancel()
     finally:
@@ -114,6 +132,22 @@
                 nursery.start_soon(_inject, deployment, outcome)
 
 
+async def _run_cut_off(deployment: SoakDeployment, callers: Callers) -> CutOff:
+    """Cut some VMs off from upstreams, while nothing else is disturbed."""
+    vms = draw_vms(deployment, len(deployment.vms) - 1)
+    fault = deployment.rng.choice(CUT_FAULTS)
+    began_at = time.monotonic()
+    deployment.cut_off(vms, fault)
+    with trio.move_on_after(CUT_OFF_S):
+        async with trio.open_nursery() as nursery:
+            for vm in deployment.vms * CALLERS_PER_VM:
+                nursery.start_soon(callers.send_steadily, vm)
+    ended_at = time.monotonic()
+    deployment.cut_off(vms, LinkFault.NONE)
+    urls = frozenset(vm.callers_url for vm in vms)
+    return CutOff(urls, fault.value, began_at, ended_at)
+
+
 async def _run_crashing_request(callers: Callers) -> None:
     """Repeat a crashing request beside others, while no VM is disturbed."""
     with trio.move_on_after(CRASHING_S):
--- a/tests/soak_edge/vms.py
+++ b/tests/soak_edge/vms.py
@@ -50,6 +50,7 @@
 
     name: str
     address: str
+    zone: str
     settings: pathlib.Path
     log: pathlib.Path
     is_stopping: bool = False
@@ -115,4 +116,4 @@
             store_port=store_port,
         ),
     )
-    return SoakVm(name, address, settings, folder / f'{name}.log')
+    return SoakVm(name, address, zone, settings, folder / f'{name}.log')
