Keep to the longest pause that an upstream asked for

What callers saw: requests went to an upstream that had asked for rest, and came back refused. Cause: each answer set the end of the pause anew, so that a shorter word, or an older one read late, ended it sooner.

--- a/chestnutshift/edge/upstream_reports.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -114,7 +114,7 @@
         if facts.is_leaving:
             self.record_leaving(upstream, source=source)
         if status == UNAVAILABLE and facts.retry_after_s:
-            upstream.paused_until = now + facts.retry_after_s
+            upstream.record_pause(facts.retry_after_s, now)
             self._event_log.emit(
                 events.UPSTREAM_PAUSED,
                 upstream=upstream.name,
