Ask an upstream's state again before a request is sent

Cause: the choice was the last time at which the state counted. Once there is a connection it counts again: an upstream that asked for a pause, leaves, is evacuated or in doubt gets nothing, and the request, not sent, goes to another one.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -172,6 +172,8 @@
         self._state.metrics.attempts.labels(
             admitted.service, end.kind.value
         ).inc()
+        if end.is_withheld:
+            return
         if end.is_unanswered:
             self._monitor.record_failure(upstream, started_at, now)
         if end.kind is EndKind.ANSWERED:
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -82,7 +82,8 @@
 
     is_lost tells that the upstream's side closed or reset the connection
     before the answer was complete, is_refused that nothing listens at its
-    address, is_unconnected that no connection could be made. peer is the VM
+    address, is_unconnected that no connection could be made, is_withheld that
+    the upstream wants no requests since it was chosen. peer is the VM
     that the request was passed on to, empty for none, and code why it refused.
     """
 
@@ -93,6 +94,7 @@
     is_lost: bool = False
     is_refused: bool = False
     is_unconnected: bool = False
+    is_withheld: bool = False
     peer: str = ''
     code: str = ''
 
@@ -222,6 +224,10 @@
         raise ExchangeBrokenError('the answer carries no seal of an upstream')
 
 
+def _always() -> bool:
+    return True
+
+
 class UpstreamPool:
     """The connections to all upstreams."""
 
@@ -266,11 +272,12 @@
     collector: AnswerCollector,
     *,
     is_idempotent: bool,
+    may_send: Callable[[], bool] = _always,
 ) -> AttemptEnd:
     """Send the request once and return the result.
 
-    Raises StreamCutError if the answer breaks off after part of it was
-    passed on to the caller.
+    may_send is asked again once there is a connection. Raises StreamCutError
+    if the answer breaks off after part of it was passed on to the caller.
     """
     idle_s = math.inf if is_idempotent else REUSE_IDLE_MAX_S
     try:
@@ -284,6 +291,11 @@
         )
     except ConnectionsExhaustedError as error:
         return AttemptEnd(EndKind.NOT_SENT, error.detail)
+    if not may_send():
+        connections.release(connection)
+        return AttemptEnd(
+            EndKind.NOT_SENT, 'it takes no requests any more', is_withheld=True
+        )
     try:
         await connections.exchange(
             connection,
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -293,9 +293,16 @@
                 pending.body,
                 collector,
                 is_idempotent=is_idempotent,
+                may_send=functools.partial(self._may_send, upstream),
             )
         return AttemptEnd(EndKind.BROKEN, 'this VM reaches no upstream')
 
+    def _may_send(self, upstream: Upstream) -> bool:
+        """Return whether a chosen upstream still takes requests."""
+        if upstream.is_paused(boot_time()):
+            return False
+        return self._state.directory.is_usable(upstream)
+
     def _connections_max(self, pending: PendingRequest) -> int:
         """Return this VM's share of an upstream's permitted connections."""
         service = self._state.table.services.get(pending.admitted.service)
--- a/chestnutshift/edge/upstream_reports.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -26,6 +26,8 @@
 COLD_REPORT_MIN_S = 0.3
 # Likewise for the time at which an upstream named its limit.
 RATE_LIMIT_REPORT_MIN_S = 0.1
+# Longest pause: an upstream must not turn itself off for long by a slip.
+PAUSE_MAX_S = 600.0
 # How long VMs tell each other that an upstream no longer names a limit.
 RATE_LIMIT_END_TOLD_S = 10.0
 
@@ -114,7 +116,9 @@
         if facts.is_leaving:
             self.record_leaving(upstream, source=source)
         if status == UNAVAILABLE and facts.retry_after_s:
-            upstream.record_pause(facts.retry_after_s, now)
+            # No answer ends a pause that another one asked for.
+            until = now + min(PAUSE_MAX_S, facts.retry_after_s)
+            upstream.paused_until = max(upstream.paused_until, until)
             self._event_log.emit(
                 events.UPSTREAM_PAUSED,
                 upstream=upstream.name,
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -11,8 +11,6 @@
 FAILURE_WEIGHT = 0.2
 # Older load reports of the upstream are ignored.
 REPORT_AGE_MAX_S = 0.5
-# Longest pause: an upstream must not turn itself off for long by a slip.
-PAUSE_MAX_S = 600.0
 # Number of recently requested objects that are recorded for each upstream.
 RECENT_OBJECTS_MAX = 256
 
@@ -132,11 +130,6 @@
         if cold_for_s:
             self.cold_until = max(self.cold_until, now + cold_for_s)
 
-    def record_pause(self, pause_s: float, now: float) -> None:
-        """Record that it asked for a pause; never end an earlier one sooner."""
-        until = now + min(PAUSE_MAX_S, pause_s)
-        self.paused_until = max(self.paused_until, until)
-
     def is_paused(self, now: float) -> bool:
         """Return whether it has asked for a pause that is not over."""
         return now < self.paused_until
