--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -113,7 +113,7 @@
             load=_load(fields.get(names.LOAD)),
             cold_s=None if cold_ms is None else cold_ms / MILLISECONDS_PER_S,
             rate_limit=rate_limit,
-            retry_after_s=_parse_decimal(
+            retry_after_s=_longest(
                 [text for name, text in headers if name == b'retry-after']
             ),
             is_leaving=any(
@@ -173,6 +173,14 @@
     return float(text) if is_decimal else None
 
 
+def _longest(texts: Collection[bytes]) -> float | None:
+    """Return the largest of the numbers, None if there is none."""
+    numbers = [_parse_decimal([text]) for text in texts]
+    return max(
+        (number for number in numbers if number is not None), default=None
+    )
+
+
 def _timeout_s(headers: Headers) -> float | None:
     text = find_header(headers, names.DEADLINE)
     if text is None:
