--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -78,9 +78,11 @@
         started_at: float,
     ) -> None:
         problem = problem_of(error, Ran.NOT_RUN)
-        self._state.metrics.requests_ended.labels(
-            writer.route, problem.code
-        ).inc()
+        if not writer.is_for_peer:
+            # The VM that the caller came to counts the request.
+            self._state.metrics.requests_ended.labels(
+                writer.route, problem.code
+            ).inc()
         self._state.event_log.emit(
             events.REQUEST_REFUSED,
             request=writer.request_id,
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -337,6 +337,9 @@
         )
 
     def _record_metrics(self, pending: PendingRequest, status: int) -> None:
+        if pending.writer.is_for_peer:
+            # The VM that the caller came to counts the request.
+            return
         metrics = self._state.metrics
         metrics.requests_ended.labels(
             pending.admitted.route.name, f'{status}'
--- a/chestnutshift/logs/request_trace.py
+++ b/chestnutshift/logs/request_trace.py
@@ -19,6 +19,8 @@
         'edge.ready_changed',
         'edge.stopping',
         'log.lines_left_out',
+        'upstreams.cut_off',
+        'upstreams.reached_again',
     ),
 )
 # Background events from this long before the request's first event count.
@@ -42,8 +44,18 @@
 
     @property
     def reason(self) -> str:
-        """The end of the request, in one sentence."""
+        """The end of the request, in one sentence.
+
+        It is that at the VM that the caller came to, not at a peer's.
+        """
+        peers = {
+            line['vm']
+            for line in self.lines
+            if line['name'] == 'request.taken_over'
+        }
         for line in reversed(self.lines):
+            if line['vm'] in peers:
+                continue
             if line['name'] == 'request.turned_down':
                 return (
                     f'{line["vm"]} answered {line["status"]} '
--- a/tests/logs/test_request_trace.py
+++ b/tests/logs/test_request_trace.py
@@ -58,3 +58,18 @@
         assert 'r-9' in error.detail
     else:
         raise AssertionError('found a request without log lines')
+
+
+def test_request_that_crossed_to_a_peer() -> None:
+    """Both VMs are shown; the end is that at the VM that the caller came to."""
+    lines = (
+        make_line('upstreams.cut_off', 1, unanswered=3),
+        make_line('request.passed_on', 10, request='r-1', peer='vm-2'),
+        make_line('request.taken_over', 11, vm='vm-2', request='r-1'),
+        make_line('request.ended', 12, request='r-1', status=200),
+        make_line('request.ended', 13, vm='vm-2', request='r-1', status=200),
+    )
+    trace = trace_request(lines, 'r-1')
+    assert {line['vm'] for line in trace.lines} == {'vm-1', 'vm-2'}
+    assert trace.background[0]['name'] == 'upstreams.cut_off'
+    assert trace.reason == 'vm-1 forwarded status 200'
