Pass on no request that has no common home

Found by reading: where route and client account have no home region in common, the set of homes is empty, which also means no restriction, so that a VM in doubt sent the body to any peer, which refused. The test failed before.

--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -115,7 +115,8 @@
         crosses between VMs once only. One with home regions goes to VMs
         there, as these get its body.
         """
-        if pending.admitted.progress is not None:
+        admitted = pending.admitted
+        if admitted.progress is not None or admitted.has_no_home:
             return None
         if len(pending.peers_tried) >= PEERS_MAX:
             return None
--- a/tests/edge/linked_fleet.py
+++ b/tests/edge/linked_fleet.py
@@ -32,10 +32,13 @@
 READ = '/a/1'
 WRITE = '/b/1'
 HOMED = '/h/1'
+HOMELESS = '/n/1'
 ROUTES = (
     ('read', '/a/', 'safe', '2500ms', '600ms', 2, 2, 's1', []),
     ('write', '/b/', 'unsafe', '2500ms', '800ms', 1, 1, 's1', []),
     ('homed', '/h/', 'safe', '2500ms', '800ms', 1, 2, 's1', ['a']),
+    # A client account with another home has none in common with this route.
+    ('homeless', '/n/', 'safe', '2500ms', '800ms', 1, 2, 's1', ['b']),
 )
 HOST = 'one.example'
 # First tries that a caller sends to one VM in a second.
--- a/tests/edge/test_passing_on.py
+++ b/tests/edge/test_passing_on.py
@@ -11,6 +11,7 @@
 from chestnutshift.events.log import EventFilter
 from tests.edge.linked_fleet import (
     HOMED,
+    HOMELESS,
     HOST,
     READ,
     WRITE,
@@ -133,6 +134,22 @@
         assert fleet.arrivals == before
 
 
+# HOME: a request without any common home must reach no other VM's region.
+@trio_test
+async def test_request_without_a_home_stays() -> None:
+    """Route and account have different homes: no VM gets the body."""
+    tenants = {
+        'cols': ['name', 'api_keys', 'home_regions'],
+        'rows': [['konya', [KEY], ['a']]],
+    }
+    async with running_fleet(vm_count=2, tenants=tenants) as fleet:
+        cut, peer = fleet.vms
+        await fleet.cut_off(cut)
+        answer = await fleet.ask(cut, HOMELESS)
+        assert answer.status_code == 503
+        assert not _count(peer, events.REQUEST_TAKEN_OVER)
+
+
 # All VMs are cut off: callers must not wait for their deadlines.
 @trio_test
 async def test_all_vms_are_cut_off() -> None:
