--- a/tests/links.py
+++ b/tests/links.py
@@ -142,6 +142,22 @@
             _reset(target)
 
 
+@attrs.define
+class LinkGroup:
+    """Links to one server that have the same fault."""
+
+    links: list[Link] = attrs.field(factory=list)
+    fault: LinkFault = LinkFault.NONE
+    # The links have ports of their own.
+    port: int = 0
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Apply the fault to all links."""
+        self.fault = fault
+        for link in self.links:
+            link.set_fault(fault)
+
+
 def _bound_socket(port: int) -> socket.socket:
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
--- a/tests/soak_edge/deployment.py
+++ b/tests/soak_edge/deployment.py
@@ -12,10 +12,10 @@
 import trio
 
 from tests.edge.stand_ins import StoreStandIn, StoreView, served
+from tests.links import Link, LinkFault, LinkGroup
 from tests.platform.samples import ROUTE_TABLE
 from tests.soak_edge.guarantees import IssuedKey, NamedLimit, SentRequest
-from tests.links import Link, LinkFault
-from tests.soak_edge.upstreams import Run, SoakUpstream
+from tests.soak_edge.upstreams import Run, SoakUpstream, VmUpstream
 from tests.soak_edge.vms import SoakVm, make_vm
 
 UPSTREAM_COUNT = 4
@@ -48,8 +48,9 @@
     store: StoreStandIn = attrs.field(factory=StoreStandIn)
     vms: list[SoakVm] = attrs.field(factory=list)
     store_links: list[Link] = attrs.field(factory=list)
-    upstream_links: dict[str, Link] = attrs.field(factory=dict)
-    # The links of each VM to the upstreams' own, by VM and upstream.
+    # The links of all VMs to an upstream.
+    upstream_links: dict[str, Link | LinkGroup] = attrs.field(factory=dict)
+    # The links of each VM, by VM and upstream, if they have own ones.
     vm_links: dict[str, dict[str, Link]] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
     sent_requests: list[SentRequest] = attrs.field(factory=list)
@@ -70,9 +71,10 @@
             name = f'i-{number}'
             upstream = SoakUpstream(name, self.rng, self.runs, self._crash)
             self.upstreams[name] = upstream
-            port = await nursery.start(_serve, upstream)
-            link = Link(port)
-            await nursery.start(link.run)
+            link = LinkGroup()
+            if not self.has_own_links:
+                link = Link(await nursery.start(_serve, upstream))
+                await nursery.start(link.run)
             self.upstream_links[name] = link
             self.list_upstream(name)
         self.issued_keys['k0'] = IssuedKey('konya')
@@ -194,10 +196,8 @@
     async def _add_vm(self, number: int) -> None:
         """Add a VM with a link of its own to the store and each upstream."""
         links = {}
-        shared = self.upstream_links if self.has_own_links else {}
-        for name, link in shared.items():
-            links[name] = Link(link.port)
-            await self._nursery.start(links[name].run)
+        if self.has_own_links:
+            links = await self._link_upstreams(f'vm-{number}')
         addresses = {
             name: f'127.0.0.1:{link.port}' for name, link in links.items()
         }
@@ -209,6 +209,16 @@
         self.vm_links[vm.name] = links
         self.vms.append(vm)
 
+    async def _link_upstreams(self, vm: str) -> dict[str, Link]:
+        """Return a VM's links to the upstreams, which tell VMs by them."""
+        links = {}
+        for name, upstream in self.upstreams.items():
+            port = await self._nursery.start(_serve, VmUpstream(upstream, vm))
+            links[name] = Link(port)
+            await self._nursery.start(links[name].run)
+            self.upstream_links[name].links.append(links[name])
+        return links
+
     def _crash(self, name: str) -> None:
         """End an upstream under a request; it is back soon, as a new run."""
         now = time.monotonic()
--- a/tests/soak_edge/guarantees.py
+++ b/tests/soak_edge/guarantees.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tests.soak_edge.upstreams import Run
+from tests.soak_edge.upstreams import Arrival, Run, Told
 
 # Statuses that say that the request did not run and never will.
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -24,6 +24,12 @@
 CRASHES_FREE = 3
 CRASH_CONTACT_S = 3.0
 CRASH_RETRIES_MAX = 3
+# From so long after an upstream asked a VM for a pause, it gets at most so
+# many requests from it; none from so long after it said that it leaves.
+PAUSE_CONTACT_S = 0.5
+PAUSE_FREE = 2
+# The settings' drain, and a caller's deadline in which it may arrive late.
+LEAVING_S = 3.0 + 1.5
 # From so long after VMs were cut off from upstreams, their callers are served
 # so often compared with others, or no more first tries than that fail.
 CUT_CONTACT_S = 4.0
@@ -126,6 +132,34 @@
     ]
 
 
+def find_broken_wishes(
+    arrivals: Sequence[Arrival], told: Sequence[Told]
+) -> list[str]:
+    """Return a line for each pause, and each leaving, that a VM disregarded.
+
+    All are of a time in which no VM was disturbed.
+    """
+    problems = []
+    for wish in told:
+        begins_at, allowed = wish.at + LEAVING_S, 0
+        ends_at = math.inf
+        if wish.pause_s:
+            begins_at, allowed = wish.at + PAUSE_CONTACT_S, PAUSE_FREE
+            ends_at = wish.at + wish.pause_s
+        disregarded = sum(
+            begins_at < arrival.at < ends_at
+            for arrival in arrivals
+            if (arrival.upstream, arrival.vm) == (wish.upstream, wish.vm)
+        )
+        if disregarded > allowed:
+            wanted = f'{wish.pause_s} s' if wish.pause_s else 'good'
+            problems.append(
+                f'{wish.upstream} wanted nothing from {wish.vm} for {wanted}, '
+                f'and got {disregarded} requests'
+            )
+    return problems
+
+
 def _served_ratio(requests: Sequence[SentRequest]) -> float:
     served = sum(request.status == SUCCESS for request in requests)
     return served / len(requests) if requests else 1
--- a/tests/soak_edge/runner.py
+++ b/tests/soak_edge/runner.py
@@ -15,6 +15,7 @@
 from tests.soak_edge.guarantees import (
     CutOff,
     find_broken_guarantees,
+    find_broken_wishes,
     find_crash_repeats,
     find_exceeded_limits,
     find_unequal_service,
@@ -22,6 +23,9 @@
 
 CALLER_COUNT = 8
 CALLERS_PER_VM = 3
+# How long upstreams ask for pauses beside nothing else, and the pauses.
+WISHES_S = 9.0
+PAUSE_S = (1.5, 4.0)
 # How long VMs are cut off beside nothing else.
 CUT_OFF_S = 9.0
 # Maximum number of faults at the same time.
@@ -95,6 +99,7 @@
                 outcome.problems += find_unequal_service(
                     deployment.sent_requests, cut
                 )
+                outcome.problems += await _run_wishes(deployment, callers)
             else:
                 await _run_crashing_request(callers)
             await trio.sleep(DRAIN_S)
@@ -148,6 +153,31 @@
     return CutOff(urls, fault.value, began_at, ended_at)
 
 
+async def _run_wishes(
+    deployment: SoakDeployment, callers: Callers
+) -> list[str]:
+    """Have upstreams ask for pauses, and one leave; return what was broken."""
+    leaving, *others = deployment.upstreams.values()
+    for upstream in deployment.upstreams.values():
+        upstream.arrivals.clear()
+        upstream.told.clear()
+        # As the header has it.
+        upstream.pause_s = round(deployment.rng.uniform(*PAUSE_S), 1)
+    leaving.is_leaving = True
+    with trio.move_on_after(WISHES_S):
+        async with trio.open_nursery() as nursery:
+            for vm in deployment.vms * CALLERS_PER_VM:
+                nursery.start_soon(callers.send_steadily, vm)
+    problems = [
+        problem
+        for upstream in (leaving, *others)
+        for problem in find_broken_wishes(upstream.arrivals, upstream.told)
+    ]
+    for upstream in others:
+        upstream.pause_s = 0
+    return problems
+
+
 async def _run_crashing_request(callers: Callers) -> None:
     """Repeat a crashing request beside others, while no VM is disturbed."""
     with trio.move_on_after(CRASHING_S):
--- a/tests/soak_edge/test_guarantees.py
+++ b/tests/soak_edge/test_guarantees.py
@@ -1,5 +1,7 @@
 """The soak's checks report each broken guarantee."""
 
+from itertools import repeat
+
 import attrs
 from nose2.tools import params
 
@@ -7,11 +9,14 @@
     IssuedKey,
     NamedLimit,
     SentRequest,
+    CutOff,
     find_broken_guarantees,
+    find_broken_wishes,
     find_crash_repeats,
     find_exceeded_limits,
+    find_unequal_service,
 )
-from tests.soak_edge.upstreams import Run
+from tests.soak_edge.upstreams import Arrival, Run, Told
 
 ISSUED_KEYS = {
     'k1': IssuedKey('konya'),
@@ -83,3 +88,29 @@
     assert not find_crash_repeats([*ends, 5.5, 6.0, 7.0], ends)
     assert find_crash_repeats([*ends, 5.5, 6.0, 7.0, 8.0], ends)
     assert not find_crash_repeats([5.5, 6.0, 7.0, 8.0], ends[:2])
+
+
+def test_pauses_and_departures_that_vms_disregard() -> None:
+    """Two requests may slip into a pause, none comes after a departure."""
+    pause = Told('i-1', 'vm-1', 10, pause_s=3)
+    slipped = [Arrival('i-1', 'vm-1', 'r', at) for at in (10.4, 11, 12, 13.1)]
+    assert not find_broken_wishes(slipped, [pause])
+    third = Arrival('i-1', 'vm-1', 'r', 12.5)
+    assert find_broken_wishes([*slipped, third], [pause])
+    assert not find_broken_wishes([*slipped, third], [Told('i-1', 'vm-2', 10)])
+    assert find_broken_wishes(
+        [Arrival('i-1', 'vm-1', 'r', 15)], [Told('i-1', 'vm-1', 10)]
+    )
+
+
+def test_callers_of_vms_that_are_cut_off() -> None:
+    """Both a low ratio and more than a few failures break the guarantee."""
+    cut = CutOff(frozenset(('vm-1',)), 'silent', 0, 100)
+    other = SentRequest('r', 'k1', True, b'', 50, 200, vm='vm-2')
+    refused = SentRequest('r', 'k1', True, b'', 50, 503, vm='vm-1')
+    served = list(repeat(other, 40))
+    failed = list(repeat(refused, 10))
+    assert not find_unequal_service(served + failed, cut)
+    assert find_unequal_service(served + failed + failed, cut)
+    early = [attrs.evolve(request, sent_at=3) for request in failed + failed]
+    assert not find_unequal_service(served + early, cut)
--- a/tests/soak_edge/upstreams.py
+++ b/tests/soak_edge/upstreams.py
@@ -31,13 +31,34 @@
     upstream: str = ''
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached an upstream from a VM; at is monotonic."""
+
+    upstream: str
+    vm: str
+    request_id: str
+    at: float
+
+
+@attrs.frozen
+class Told:
+    """What an answer told a VM: that it leaves, or the pause it asks for."""
+
+    upstream: str
+    vm: str
+    at: float
+    pause_s: float = 0
+
+
 @attrs.define
 class SoakUpstream:
     """ASGI application of one upstream; all upstreams append to runs.
 
     Answers name rate_limit, in requests per second, unless it is None, and say
     that it leaves if is_leaving is set. Refusals ask for a pause of pause_s.
-    on_crash is called with the name when a crashing request arrives.
+    on_crash is called with the name when a crashing request arrives. arrivals
+    and told are recorded where VMs have links of their own.
     """
 
     name: str
@@ -47,9 +68,15 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     pause_s: float = 0
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    told: list[Told] = attrs.field(factory=list)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer, shed, fail or lose the answer, at random."""
+        await self.serve('', scope, receive, send)
+
+    async def serve(self, vm: str, scope: Any, receive: Any, send: Any) -> None:
+        """Answer a request of that VM, '' if it is not known."""
         body = await read_body(receive)
         headers = {
             name.decode(): text.decode() for name, text in scope['headers']
@@ -63,6 +90,9 @@
         if headers.get('x-chestnutshift-expect-instance') != self.name:
             await answer(send, 421, b'', id_header, instance_header)
             return
+        self.arrivals.append(
+            Arrival(self.name, vm, request_id, time.monotonic())
+        )
         if CRASH_MARK in scope['path']:
             self.on_crash(self.name)
             await trio.sleep_forever()
@@ -71,6 +101,7 @@
             not_executed_header = (b'x-chestnutshift-not-executed', b'1')
             headers = [id_header, not_executed_header, *self._state_headers()]
             if self.pause_s:
+                self._tell(vm, self.pause_s)
                 headers.append((b'retry-after', b'%.1f' % self.pause_s))
             await answer(send, 503, b'', *headers)
             return
@@ -78,10 +109,15 @@
         self.runs.append(
             Run(request_id, account, body, time.monotonic(), self.name)
         )
+        if self.is_leaving:
+            self._tell(vm)
         await self._run_request(
             send, draw - SHED_PROBABILITY, request_id, id_header
         )
 
+    def _tell(self, vm: str, pause_s: float = 0) -> None:
+        self.told.append(Told(self.name, vm, time.monotonic(), pause_s))
+
     async def _run_request(
         self,
         send: Any,
@@ -113,3 +149,15 @@
         if self.is_leaving:
             headers.append((b'server-leaving', b'1'))
         return headers
+
+
+@attrs.frozen
+class VmUpstream:
+    """ASGI application of an upstream on the link of one VM."""
+
+    _upstream: SoakUpstream
+    _vm: str
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer a request of the VM."""
+        await self._upstream.serve(self._vm, scope, receive, send)
