--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -18,7 +18,8 @@
     PendingRequest,
     request_timeout_s,
 )
-from chestnutshift.edge.request_runner import RETRY_AFTER_MIN_S, RequestRunner
+from chestnutshift.edge.refusals import RETRY_AFTER_MIN_S
+from chestnutshift.edge.request_runner import RequestRunner
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import (
--- a/chestnutshift/edge/forwarders.py
+++ b/chestnutshift/edge/forwarders.py
@@ -13,6 +13,7 @@
 from chestnutshift.edge.passing_on import PeerForwarder, PeerPool
 from chestnutshift.edge.peers import PeerMessenger
 from chestnutshift.edge.reach_monitor import ReachMonitor
+from chestnutshift.edge.refusals import Refusals
 from chestnutshift.edge.request_runner import RequestRunner
 from chestnutshift.edge.retry_decider import RetryDecider
 from chestnutshift.edge.state import EdgeState
@@ -50,6 +51,7 @@
         parts.crash_guard,
         PeerForwarder(state, dialect, parts.peer_pool),
         RetryDecider(state, parts.crash_guard),
+        Refusals(state),
     )
     checker = LimitChecker(state, LimitCalls(state, parts.messenger))
     verifier = CrossingVerifier(
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -80,10 +80,9 @@
         """Return the connections to one incarnation of a VM."""
         pool = self._connections.get(member)
         if pool is None:
-            address, _, port = member.crossings.rpartition(':')
             pool = UpstreamConnections(
-                address,
-                int(port),
+                member.crossings.address,
+                member.crossings.port,
                 pace_s=0,
                 maximum=CONNECTIONS_MAX,
                 options=OPTIONS,
@@ -274,7 +273,7 @@
 
 def _may_take(member: Member, admitted: Admitted) -> bool:
     """Return whether the VM takes over requests, and this one by its home."""
-    if not member.token:
+    if not member.token or member.crossings is None:
         return False
     return not admitted.homes or member.region in admitted.homes
 
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -1,13 +1,12 @@
 """Dispatch requests to upstreams, with bounded retries and queueing."""
 
 import functools
-import random
 from contextlib import nullcontext
 
 import attrs
 
 from chestnutshift.clocks import boot_time
-from chestnutshift.edge import events, reasons
+from chestnutshift.edge import events
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempt_observer import AttemptObserver
 from chestnutshift.edge.attempts import (
@@ -22,10 +21,11 @@
 from chestnutshift.edge.passing_on import PeerForwarder
 from chestnutshift.edge.pending_requests import PendingRequest
 from chestnutshift.edge.reach_monitor import WatchedAttempt
-from chestnutshift.edge.retry_decider import CUT_OFF_CODE, RetryDecider
+from chestnutshift.edge.refusals import Refusals
+from chestnutshift.edge.retry_decider import RetryDecider
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.view import Peer
-from chestnutshift.forwarding.problems import Problem, Ran, RefusalError
+from chestnutshift.forwarding.problems import Ran, RefusalError
 from chestnutshift.forwarding.requests import CallerDisconnectedError
 from chestnutshift.steering.choice import Choice
 from chestnutshift.steering.reachability import Reach
@@ -34,20 +34,11 @@
 from chestnutshift.steering.upstreams import Upstream
 from chestnutshift.upstreams.connection import OutboundRequest
 
-RETRY_AFTER_MIN_S = 0.3
-# Longest estimate; upstreams may ask for more.
-RETRY_AFTER_MAX_S = 3.0
-# Largest fraction that is added to a Retry-After at random, so that refused
-# callers do not retry simultaneously.
-RETRY_AFTER_JITTER = 0.5
 # Upstreams that a request did not reach before a peer is asked instead.
 UNREACHED_MAX = 2
 # With a smaller fraction of a service's upstreams in reach, a request that
 # these can't take is passed on to a peer.
 REACHED_RATIO_MIN = 0.5
-CUT_OFF_DETAIL = 'no upstream answers this VM, and no peer can send the request'
-# When to come back to a VM that is cut off.
-CUT_OFF_WAIT_S = 1.0
 # A request may still be sent if its expected duration is within this
 # multiple of the time left, as estimates are inexact.
 DEADLINE_TOLERANCE_RATIO = 1.3
@@ -67,7 +58,7 @@
     _crash_guard: CrashGuard
     _peers: PeerForwarder
     _retries: RetryDecider
-    _rng: random.Random = attrs.field(factory=random.Random)
+    _refusals: Refusals
 
     async def run(self, pending: PendingRequest) -> None:
         """Try upstreams until one answers; raises RefusalError if none does."""
@@ -144,11 +135,7 @@
         )
         choice = None
         if self._is_out_of_reach(pending, now):
-            raise RefusalError(
-                self._unserved_problem(
-                    pending, CUT_OFF_CODE, CUT_OFF_DETAIL, CUT_OFF_WAIT_S
-                ),
-            )
+            raise self._refusals.cut_off(pending)
         if not admitted.has_no_home:
             choice = state.policy.choose(
                 pending.profile(estimate.answer_b),
@@ -159,26 +146,10 @@
                 allowed_s,
             )
         if choice is None:
-            raise RefusalError(
-                self._unserved_problem(
-                    pending,
-                    'upstreams.none',
-                    reasons.none_usable(
-                        state.directory, pending.profile(), now
-                    ),
-                    self._room_wait_s(admitted.service, now),
-                ),
-            )
+            raise self._refusals.none_usable(pending, now)
         is_late = choice.expected_s > allowed_s
         if is_late and not choice.has_room and not pending.sent_count:
-            raise RefusalError(
-                self._unserved_problem(
-                    pending,
-                    'upstreams.busy',
-                    reasons.busy(choice, allowed_s, now),
-                    min(RETRY_AFTER_MAX_S, choice.expected_s - allowed_s),
-                ),
-            )
+            raise self._refusals.busy(pending, choice, allowed_s, now)
         return choice
 
     def _is_out_of_reach(self, pending: PendingRequest, now: float) -> bool:
@@ -191,23 +162,6 @@
             return pending.admitted.progress is not None
         return reach is Reach.CUT_OFF
 
-    def _room_wait_s(self, service: str, now: float) -> float:
-        """Return a time until upstreams with a limited rate have room.
-
-        Callers that are refused at the same time return spread over the time
-        in which their requests can be sent.
-        """
-        state = self._state
-        usable = [
-            upstream
-            for upstream in state.directory.of_service(service)
-            if state.directory.is_usable(upstream)
-        ]
-        if usable and all(upstream.is_paused(now) for upstream in usable):
-            return min(upstream.paused_until for upstream in usable) - now
-        room_s = state.upstream_rates.room_s(service, usable, now)
-        return self._rng.uniform(0, min(RETRY_AFTER_MAX_S, room_s))
-
     async def _attempt(
         self,
         pending: PendingRequest,
@@ -322,19 +276,7 @@
                 objective_s=pending.admitted.route.objective_s,
             )
             return
-        if pending.ran is Ran.NOT_RUN:
-            wait_s = end.facts.retry_after_s if end.peer and end.facts else 0
-            raise RefusalError(
-                self._unserved_problem(
-                    pending,
-                    end.code or 'upstreams.full',
-                    end.detail,
-                    wait_s or 0,
-                ),
-            )
-        raise RefusalError(
-            Problem(502, 'upstreams.broken', end.detail, Ran.UNKNOWN),
-        )
+        raise self._refusals.after(pending, end)
 
     def _record_metrics(self, pending: PendingRequest, status: int) -> None:
         if pending.writer.is_for_peer:
@@ -346,18 +288,3 @@
         ).inc()
         took_s = boot_time() - pending.started_at
         metrics.latency.labels(pending.admitted.service).observe(took_s)
-
-    def _unserved_problem(
-        self,
-        pending: PendingRequest,
-        code: str,
-        detail: str,
-        wait_s: float = 0,
-    ) -> Problem:
-        """Return the problem to answer with: 503 if it never ran, else 502."""
-        if pending.ran is not Ran.NOT_RUN:
-            return Problem(502, code, detail, pending.ran)
-        wait_s = max(RETRY_AFTER_MIN_S, wait_s)
-        spread_s = min(RETRY_AFTER_MAX_S, wait_s) * RETRY_AFTER_JITTER
-        wait_s += self._rng.uniform(0, spread_s)
-        return Problem(503, code, detail, retry_after_s=wait_s)
--- a/chestnutshift/edge/vm_registration.py
+++ b/chestnutshift/edge/vm_registration.py
@@ -48,7 +48,7 @@
             region=settings.region,
             incarnation=state.incarnation,
             link_mbps=settings.link_mbps,
-            crossings=str(settings.crossings),
+            crossings=settings.crossings,
             token=state.fleet.token,
         )
         failures = 0
--- a/chestnutshift/fleet/members.py
+++ b/chestnutshift/fleet/members.py
@@ -12,9 +12,9 @@
     endpoint is the address for its peers, callers the one for callers as
     address:port; incarnation is the unix time of its start in milliseconds;
     link_mbps is the bandwidth of its network link, 0 if unknown. crossings is
-    the address for requests that peers pass on, as address:port, and token
-    the secret of this incarnation by which they prove themselves; both are
-    empty for a VM of an earlier release.
+    the address for requests that peers pass on, and token the secret of this
+    incarnation by which they prove themselves; None and empty for a VM of an
+    earlier release.
     """
 
     vm: str
@@ -24,5 +24,5 @@
     region: str
     incarnation: int
     link_mbps: float = 0
-    crossings: str = ''
+    crossings: Endpoint | None = None
     token: str = attrs.field(default='', repr=False)
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -1,8 +1,8 @@
 """The tables of the platform's store as sources of decoded rows."""
 
 import json
-from collections.abc import Callable
-from typing import Generic, TypeVar
+from collections.abc import Callable, Mapping
+from typing import Any, Generic, TypeVar
 
 import attrs
 
@@ -24,6 +24,7 @@
 from chestnutshift.platform.upstream_rows import (
     decode_registration,
     read_address,
+    split_address,
 )
 from chestnutshift.routes.model import RouteTable
 from chestnutshift.steering.upstreams import Registration
@@ -96,7 +97,7 @@
         region=required_text(document, 'region'),
         incarnation=integer_of(document, 'incarnation'),
         link_mbps=number_of(document, 'link_mbps', 0),
-        crossings=text_of(document, 'crossings'),
+        crossings=_read_crossings(document),
         token=text_of(document, 'token'),
     )
 
@@ -110,12 +111,17 @@
         'region': member.region,
         'incarnation': member.incarnation,
         'link_mbps': member.link_mbps,
-        'crossings': member.crossings,
+        'crossings': str(member.crossings) if member.crossings else '',
         'token': member.token,
     }
     return json.dumps(document).encode()
 
 
+def _read_crossings(document: Mapping[str, Any]) -> Endpoint | None:
+    text = text_of(document, 'crossings')
+    return Endpoint(*split_address(text)) if text else None
+
+
 def operator_source(store: StoreClient) -> Source[RouteTable | Evacuation]:
     """Return the source of route tables and evacuations."""
     return TableSource(store, names.OPERATOR_TABLE, decode_operator_row)
