--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -3,10 +3,12 @@
 import copy
 import json
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 from nose2.tools import params
 
+from chestnutshift.edge.settings import Endpoint
 from chestnutshift.platform.durations import read_duration, write_duration
 from chestnutshift.platform.exceptions import MalformedError
 from chestnutshift.platform.route_tables import decode_route_table
@@ -131,3 +133,16 @@
     """An encoded member is decoded to an equal one."""
     member = make_member('vm-1')
     assert decode_member('vm-1', encode_member(member)) == member
+    taking_over = attrs.evolve(
+        member, crossings=Endpoint('127.0.0.1', 7742), token='t'
+    )
+    assert decode_member('vm-1', encode_member(taking_over)) == taking_over
+
+
+# A malformed address ended the VM that passed a request on to it.
+def test_malformed_address_for_requests_of_peers() -> None:
+    """The row names no VM."""
+    document = json.loads(encode_member(make_member('vm-1')))
+    for text in ('nowhere', '127.0.0.1:', '127.0.0.1:99999', 5):
+        document['crossings'] = text
+        assert _is_malformed(decode_member, 'vm-1', json.dumps(document))
