Test a peer that stops; a cut is concluded only in doubt

A VM that never heard of a peer's answers logs none instead of infinity, which is no JSON, and the fleet is looked through only while the VM is in doubt. No decision changes.

--- a/chestnutshift/edge/gates.py
+++ b/chestnutshift/edge/gates.py
@@ -31,7 +31,10 @@
 
     @abc.abstractmethod
     async def prepare(self, pending: PendingRequest) -> None:
-        """Charge the account, if that is left; raises RefusalError."""
+        """Charge the account, or take over what a peer has done.
+
+        Raises RefusalError.
+        """
 
 
 @attrs.frozen
--- a/chestnutshift/edge/reach_monitor.py
+++ b/chestnutshift/edge/reach_monitor.py
@@ -1,5 +1,6 @@
 """Follow whether this VM reaches upstreams, and act on changes."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -86,21 +87,28 @@
 
     def review(self, now: float) -> Reach:
         """Return what is known; on a new cut, cancel the silent attempts."""
+        reach = self._state.directory.reach
+        if reach.reach(now) is Reach.IN_DOUBT:
+            self._conclude(now)
+        return reach.reach(now)
+
+    def _conclude(self, now: float) -> None:
         state = self._state
         reach = state.directory.reach
         heard_at = peers_answered_at(state.fleet, now)
-        if reach.confirm(state.directory, heard_at, now):
-            self._cut_off_at = now
-            state.event_log.emit(
-                events.CUT_OFF,
-                unanswered=len(reach.unanswered(now)),
-                listed=len(list(state.directory)),
-                peers_answered_s=round(now - heard_at, 3),
-            )
-            state.metrics.crossings.cut_off.set(1)
-            for watched in self._watched:
-                watched.scope.cancel()
-        return reach.reach(now)
+        if not reach.confirm(state.directory, heard_at, now):
+            return
+        self._cut_off_at = now
+        heard_s = round(now - heard_at, 3) if math.isfinite(heard_at) else None
+        state.event_log.emit(
+            events.CUT_OFF,
+            unanswered=len(reach.unanswered(now)),
+            listed=len(list(state.directory)),
+            peers_answered_s=heard_s,
+        )
+        state.metrics.crossings.cut_off.set(1)
+        for watched in self._watched:
+            watched.scope.cancel()
 
     def _end(self, watched: WatchedAttempt) -> None:
         self._watched.discard(watched)
--- a/tests/edge/linked_fleet.py
+++ b/tests/edge/linked_fleet.py
@@ -13,6 +13,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.events.log import EventLog
+from chestnutshift.fleet.heartbeats import MemberPhase
 from tests.edge.stand_ins import (
     StoreStandIn,
     StoreView,
@@ -68,12 +69,26 @@
     links: dict[str, Link]
     # Cancelled when the VM is killed.
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _stopping: trio.Event = attrs.field(factory=trio.Event)
 
     @property
     def name(self) -> str:
         """The VM's name."""
         return self.state.settings.vm
 
+    async def run(self) -> None:
+        """Run the VM until it has stopped or is killed."""
+        state = self.state
+        with self.scope:
+            await make_process(
+                state, lambda: state.settings, self._stopping
+            ).run()
+
+    def stop(self) -> None:
+        """Begin the graceful stop, as a stop signal does."""
+        self.state.phase = MemberPhase.STOPPING
+        self._stopping.set()
+
     def cut(self, fault: LinkFault, upstreams: Collection[str] = ()) -> None:
         """Set the fault on the links to some upstreams, by default all."""
         for upstream in upstreams or self.links:
@@ -212,7 +227,7 @@
                 store_port = await stack.enter_async_context(served(view))
                 vm = LinkedVm(_make_state(number, store_port), links)
                 fleet.vms.append(vm)
-                nursery.start_soon(_run_vm, vm)
+                nursery.start_soon(vm.run)
             await until(lambda: fleet.is_settled(len(names)))
             yield fleet
             nursery.cancel_scope.cancel()
@@ -244,11 +259,6 @@
     return EdgeState(settings, 1, EventLog(settings.vm))
 
 
-async def _run_vm(vm: LinkedVm) -> None:
-    with vm.scope:
-        await make_process(vm.state, lambda: vm.state.settings).run()
-
-
 @contextmanager
 def _kept_signal_handlers() -> Iterator[None]:
     """Restore the handlers that several VMs of one process replace."""
--- a/tests/edge/test_passing_on.py
+++ b/tests/edge/test_passing_on.py
@@ -26,6 +26,9 @@
 # How long a refusal, and the end of work for a caller that left, may take.
 AT_ONCE_S = 0.3
 CANCELLED_S = 0.2
+# Requests before and after a peer begins to stop, and the pause between them.
+STOPPING_REQUESTS = 8
+STOPPING_PAUSE_S = 0.2
 
 
 def _count(vm: LinkedVm, kind: object) -> int:
@@ -241,6 +244,34 @@
         assert answers[READ].status_code == 200
 
 
+# LOST: a peer that stops must answer what it has taken over.
+@trio_test
+async def test_peer_that_stops() -> None:
+    """Requests in its hands are answered, later ones go to another peer."""
+    async with running_fleet(vm_count=3) as fleet:
+        cut = fleet.vms[0]
+        await fleet.cut_off(cut)
+        for upstream in fleet.upstreams.values():
+            upstream.behaviour = 'slow'
+        statuses = []
+
+        async def ask(path: str, body: bytes) -> None:
+            answer = await fleet.ask(cut, path, body)
+            statuses.append(answer.status_code)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(STOPPING_REQUESTS):
+                nursery.start_soon(ask, READ, b'')
+                nursery.start_soon(ask, WRITE, b'x')
+            stopped = fleet.vms[2]
+            await until(lambda: _count(stopped, events.REQUEST_TAKEN_OVER))
+            stopped.stop()
+            for _ in range(STOPPING_REQUESTS):
+                nursery.start_soon(ask, WRITE, b'x')
+                await trio.sleep(STOPPING_PAUSE_S)
+        assert set(statuses) == {200}
+
+
 @trio_test
 async def test_lookups_prefer_vms_that_reach_upstreams() -> None:
     """A VM that is cut off stays ready, but is named to no new caller."""
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -160,9 +160,14 @@
 
 
 def make_process(
-    state: EdgeState, read_settings: Callable[[], EdgeSettings]
+    state: EdgeState,
+    read_settings: Callable[[], EdgeSettings],
+    stopping: trio.Event | None = None,
 ) -> EdgeProcess:
-    """Return the process of a VM whose log nobody reads."""
+    """Return the process of a VM whose log nobody reads.
+
+    It begins its graceful stop when stopping is set.
+    """
     store = StoreClient(state.settings.store.endpoint)
     backend = Backend(
         dialect=PlatformDialect(),
@@ -174,4 +179,10 @@
     )
     sink = os.open(os.devnull, os.O_WRONLY)
     lines = BoundedLines(sink, 0)
-    return EdgeProcess(state, backend, EntryApplication(state), lines)
+    return EdgeProcess(
+        state,
+        backend,
+        EntryApplication(state),
+        lines,
+        trio.Event() if stopping is None else stopping,
+    )
