--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -65,8 +65,10 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for upstream in self._due_upstreams(boot_time()):
-                    self._schedules[upstream].is_running = True
-                    nursery.start_soon(self._check, upstream)
+                    # It may be dropped before the check begins.
+                    schedule = self._schedules[upstream]
+                    schedule.is_running = True
+                    nursery.start_soon(self._check, upstream, schedule)
                 await trio.sleep(SCHEDULE_TICK_S)
 
     def _due_upstreams(self, now: float) -> list[Upstream]:
@@ -105,8 +107,9 @@
             return False
         return self._state.upstream_rates.is_first_sender(upstream)
 
-    async def _check(self, upstream: Upstream) -> None:
-        schedule = self._schedules[upstream]
+    async def _check(
+        self, upstream: Upstream, schedule: _CheckSchedule
+    ) -> None:
         started_at = boot_time()
         status, facts, proof = 0, None, ''
         with trio.move_on_after(CHECK_TIMEOUT_S):
