--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -38,6 +39,7 @@
 SEARCH = '/a/1'
 BOOK = '/a/b/1'
 TIMEOUT_S = 20.0
+PORTS = (12_000, 30_000)
 
 
 @attrs.define
@@ -153,10 +155,19 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind((ADDRESS, 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free at the moment.
+
+    It is below those that connections take, which might take it meanwhile.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((ADDRESS, port))
+            except OSError:
+                # Another test has it.
+                continue
+        return port
 
 
 def make_process(
