--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -145,3 +145,19 @@
     assert not reach.confirm(directory, before, NOW + 1)
     assert reach.reach(NOW + 1) is Reach.IN_DOUBT
     assert reach.confirm(directory, before, NOW + 2.1)
+
+
+# RECOVER: a VM took eight seconds to learn that nothing passed its links, as
+# its few requests were all for one object, so at one upstream.
+def test_silent_attempts_at_one_upstream() -> None:
+    """Two of them raise a doubt, also once their deadlines have passed."""
+    _, upstreams = make_upstreams()
+    reach = UpstreamReach()
+    started = [
+        reach.begin_attempt(upstreams['listings-a1'], 0.3, NOW)
+        for _ in range(2)
+    ]
+    assert reach.reach(NOW + 1) is Reach.IN_DOUBT
+    for open_attempt in started:
+        reach.end_attempt(open_attempt)
+    assert reach.reach(NOW + 1.5) is Reach.IN_DOUBT
