--- a/review/standins.py
+++ b/review/standins.py
@@ -105,12 +105,25 @@
         # Called before the answer to a page of rows-get, with the query.
         self.on_page = None
         self._changed = asyncio.Event()
-        self._tasks = set()
+        self._views = []
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def start_view(self, translate):
+        """Serve the store at a further port; return it.
+
+        translate changes the content of rows as they go through the links of
+        one VM, so that a proxy may stand between it and others.
+        """
+        async def serve(reader, writer):
+            await self._serve(reader, writer, translate)
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self._views.append(server)
+        return server.sockets[0].getsockname()[1]
+
     def write(self, table, key, document):
         content = document if isinstance(document, bytes) else json.dumps(document).encode()
         self._put(table, key, base64.b64encode(content).decode())
@@ -134,7 +147,7 @@
         rows = [row for (name, _), row in self.rows.items() if name == table and row['ver'] > version]
         return sorted(rows, key=lambda row: row['ver'])
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, translate=None):
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -146,6 +159,9 @@
                 status, document = await self._answer(parts.path, query, body)
                 document |= {'now': f'{time.monotonic():.3f}s'}
                 document.setdefault('ver', self.version)
+                if translate is not None and 'rows' in document:
+                    rows = [translated(row, translate) for row in document['rows']]
+                    document = {**document, 'rows': rows}
                 content = json.dumps(document).encode()
                 writer.write(answer_bytes(status, content, [('Content-Type', 'application/json')]))
                 await writer.drain()
@@ -185,6 +201,47 @@
         return 200, {'rows': self._after(table, after)}
 
 
+def translated(row, translate):
+    if 'value' not in row:
+        return row
+    text = translate(base64.b64decode(row['value']).decode())
+    return {**row, 'value': base64.b64encode(text.encode()).decode()}
+
+
+class Relay(asyncio.DatagramProtocol):
+    """One end of a datagram link between two VMs, which can be cut.
+
+    What comes from one VM is sent to the other from the opposite end, so that
+    replies come back there.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.opposite = None
+        self.is_cut = False
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, datagram, _address):
+        if not self.is_cut:
+            self.opposite.transport.sendto(datagram, self._target)
+
+
+async def link_datagrams(one, other, port=7740):
+    """Return the two relays between two VMs, the end of one first."""
+    loop = asyncio.get_running_loop()
+    relays = []
+    for target in (other, one):
+        _, relay = await loop.create_datagram_endpoint(
+            lambda: Relay((target.address, port)), local_addr=('127.0.0.1', 0)
+        )
+        relays.append(relay)
+    relays[0].opposite, relays[1].opposite = relays[1], relays[0]
+    return relays
+
+
 class Server:
     """A sound server of one service; cases override `serve`."""
 
@@ -268,7 +325,7 @@
         writer.write(self.sealed(request_id))
 
 
-def manifest(version, routes, services, keys=None, limits=None):
+def manifest(version, routes, services, keys=None, limits=None, rate=1000, burst=1000):
     """Return the content of op/config.
 
     routes are (name, prefix, kind, timeout, goal, attempts, service).
@@ -292,7 +349,7 @@
     if keys:
         document['tenants'] = {
             'cols': ['name', 'api_keys', 'rate_per_s', 'burst'],
-            'rows': [['tenant1', list(keys), 1000, 1000]],
+            'rows': [['tenant1', list(keys), rate, burst]],
         }
     return document
 
@@ -371,14 +428,19 @@
         self.address = f'127.{1 + upper % 250}.{lower}.{number + 1}'
         self.settings = pathlib.Path(folder) / f'{self.name}.toml'
         self.log = pathlib.Path(folder) / f'{self.name}.log'
-        self.settings.write_text(SETTINGS.format(
-            name=self.name, address=self.address, zone=zone,
-            region=ZONES[zone], store=store,
-        ))
+        self._zone = zone
+        self.use_store(store)
         self.process = None
         with (ROOT / 'deploy/system.toml').open('rb') as file:
             self._command = tomllib.load(file)['roles']['edge']['run'].split()
 
+    def use_store(self, store):
+        """Write the settings with this address of the store."""
+        self.settings.write_text(SETTINGS.format(
+            name=self.name, address=self.address, zone=self._zone,
+            region=ZONES[self._zone], store=store,
+        ))
+
     def start(self):
         kept = ('PATH', 'HOME', 'LANG')
         environment = {name: os.environ[name] for name in kept if name in os.environ}
@@ -467,6 +529,10 @@
             shutil.rmtree(self._folder, ignore_errors=True)
         self.record.save()
 
+    def end_of(self, relay):
+        address, port = relay.transport.get_extra_info('sockname')
+        return f'{address}:{port}'
+
     async def start_vms(self):
         for vm in self.vms:
             vm.start()
