A cut answer without a length is not complete, whichever task learns of it

Cause: the kernel reports a reset once. While a body is streamed one task sends and one reads; if the sender was told, its error was dropped as that of an upstream that answers early, and the reader took the end that followed for the answer's. Ruled out: that bytes before the reset are lost, and that h11 takes a reset for an end (a test with the reader first passes before, too).

Change: the connection keeps why sending failed, and an end after that breaks the exchange. EPIPE alone follows an orderly end (Linux reports a reset behind the upstream's end as EPIPE, one without it as ECONNRESET), so an early answer that is whole, without a length, is still delivered.

--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -138,6 +138,8 @@
         self._received_at = self._sent_at
         self._sent_b = 0
         self._has_ended = False
+        # Why sending failed, unless the upstream had ended its side before.
+        self._send_failure: ExchangeBrokenError | None = None
         enable_tcp_keepalive(stream.socket, options.unacknowledged_ms)
 
     @property
@@ -252,9 +254,10 @@
         try:
             await self._stream.send_all(content)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise _failure_of(error)(
-                f'sending the request failed: {error}',
-            ) from error
+            failure = _failure_of(error)(f'sending the request failed: {error}')
+            if _errno_of(error) != errno.EPIPE:
+                self._send_failure = failure
+            raise failure from error
 
     def _next_event(self) -> h11.Event:
         try:
@@ -268,6 +271,13 @@
             ) from error
 
     async def _read(self) -> None:
+        """Read once; raises ExchangeBrokenError.
+
+        The kernel reports an error of the connection once. Where the task that
+        sends has got it, this one reads an end that is not an orderly one, and
+        an answer without a length would look complete. EPIPE alone follows an
+        orderly end: the upstream has closed its side and reads no more.
+        """
         try:
             content = await self._stream.receive_some(READ_B)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -275,6 +285,9 @@
                 f'receiving the answer failed: {error}',
             ) from error
         self._has_ended = not content
+        if self._has_ended and self._send_failure is not None:
+            failure = self._send_failure
+            raise type(failure)(failure.detail) from failure
         if content:
             self._received_at = trio.current_time()
         self._h11.receive_data(content)
@@ -284,12 +297,18 @@
     error: trio.BrokenResourceError | trio.ClosedResourceError,
 ) -> type[ExchangeBrokenError]:
     """Return the error to raise: a link that is cut times out instead."""
-    cause = error.__cause__
-    if isinstance(cause, OSError) and cause.errno in _RESET_ERRNOS:
+    if _errno_of(error) in _RESET_ERRNOS:
         return ExchangeLostError
     return ExchangeBrokenError
 
 
+def _errno_of(
+    error: trio.BrokenResourceError | trio.ClosedResourceError,
+) -> int | None:
+    cause = error.__cause__
+    return cause.errno if isinstance(cause, OSError) else None
+
+
 def _is_final(event: h11.Event) -> bool:
     """Return whether the event is the head of a final (not 1xx) answer."""
     if not isinstance(event, h11.InformationalResponse):
