Figures of other writers have a range, and heartbeats fit their fields

Cause, first of two: a value without a bound gets in. `cold_left` of 3000000000ms goes into every heartbeat, whose field is 32 bits wide, and the encoder raises OverflowError. The same way were open to a cold header of 12 digits, a row of a VM, a version of a route table, a column that is a list, an id that no header can carry, an address that is none, a port of 5000 digits, half a surrogate pair, and to a peer's ages and missing fields.

Ages of peers are never negative.

--- a/chestnutshift/fleet/datagrams.py
+++ b/chestnutshift/fleet/datagrams.py
@@ -20,6 +20,8 @@
 
 MICROSECONDS_PER_S = 1_000_000
 MILLI_PER_UNIT = 1000
+INT32_MAX = 2**31 - 1
+INT64_MAX = 2**63 - 1
 _DECODE_ERRORS = (
     TException,
     EOFError,
@@ -28,6 +30,15 @@
     TypeError,
     AttributeError,
 )
+# A VM of any release sets these in its heartbeats.
+_REQUIRED_FIELDS = (
+    'vm',
+    'incarnation',
+    'number',
+    'sent_at_us',
+    'phase',
+    'table_version',
+)
 _PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
 
 
@@ -86,7 +97,7 @@
         table_version=heartbeat.table_version,
         proof_age_us=_microseconds(heartbeat.proof_age_s),
         demand_milli={
-            account: round(rate * MILLI_PER_UNIT)
+            account: _scaled(rate, MILLI_PER_UNIT, INT32_MAX)
             for account, rate in heartbeat.demand.items()
         },
         in_flight=dict(heartbeat.in_flight),
@@ -95,7 +106,7 @@
         operators_era=heartbeat.operators_changed_at.era,
         upstreams_era=heartbeat.upstreams_changed_at.era,
         cold_for_ms={
-            upstream: round(duration_s * MILLI_PER_UNIT)
+            upstream: _scaled(duration_s, MILLI_PER_UNIT, INT32_MAX)
             for upstream, duration_s in heartbeat.cold_for_s.items()
         },
         rate_limits={
@@ -108,12 +119,17 @@
         },
         leaving=set(heartbeat.leaving),
         unreached=set(heartbeat.unreached),
-        answered_age_ms=_milliseconds(heartbeat.answered_age_s),
+        answered_age_ms=_milli(heartbeat.answered_age_s),
         delay_us=_microseconds(heartbeat.delay_s),
     )
 
 
 def _read_heartbeat(struct: ttypes.Beat) -> Heartbeat:
+    missing = [
+        name for name in _REQUIRED_FIELDS if getattr(struct, name) is None
+    ]
+    if missing:
+        raise ValueError(f'a heartbeat without {missing}')
     demand = struct.demand_milli or {}
     return Heartbeat(
         vm=struct.vm,
@@ -124,8 +140,11 @@
         table_version=struct.table_version,
         echoed_at=_seconds(struct.echoed_at_us),
         proof_age_s=_seconds(struct.proof_age_us),
-        demand={name: rate / MILLI_PER_UNIT for name, rate in demand.items()},
-        in_flight=struct.in_flight or {},
+        demand={name: _from_milli(rate) for name, rate in demand.items()},
+        in_flight={
+            upstream: max(0, count)
+            for upstream, count in (struct.in_flight or {}).items()
+        },
         operators_changed_at=StorePosition(
             struct.operators_era or 0, struct.operators_changed_at or 0
         ),
@@ -134,7 +153,7 @@
         ),
         delay_s=_seconds(struct.delay_us) or 0,
         cold_for_s={
-            upstream: duration / MILLI_PER_UNIT
+            upstream: _from_milli(duration)
             for upstream, duration in (struct.cold_for_ms or {}).items()
         },
         rate_limits={
@@ -147,59 +166,71 @@
         },
         leaving=frozenset(struct.leaving or ()),
         unreached=frozenset(struct.unreached or ()),
-        answered_age_s=_from_milliseconds(struct.answered_age_ms),
+        answered_age_s=_from_milli(struct.answered_age_ms),
     )
 
 
 def _rate_limit_struct(report: RateLimitReport) -> ttypes.RateLimit:
-    limit = report.limit
     return ttypes.RateLimit(
-        limit_milli=None if limit is None else round(limit * MILLI_PER_UNIT),
-        age_ms=round(report.age_s * MILLI_PER_UNIT),
+        limit_milli=_milli(report.limit),
+        age_ms=_milli(report.age_s),
     )
 
 
 def _read_rate_limit(struct: ttypes.RateLimit) -> RateLimitReport:
-    limit = struct.limit_milli
     return RateLimitReport(
-        None if limit is None else limit / MILLI_PER_UNIT,
-        struct.age_ms / MILLI_PER_UNIT,
+        _from_milli(struct.limit_milli), _from_milli(struct.age_ms or 0)
     )
 
 
 def _suspect_struct(report: SuspectReport) -> ttypes.Suspect:
     return ttypes.Suspect(
         ended_ages_ms={
-            run: round(age_s * MILLI_PER_UNIT)
+            run: _scaled(age_s, MILLI_PER_UNIT, INT32_MAX)
             for run, age_s in report.ended_ages_s.items()
         },
-        success_age_ms=_milliseconds(report.success_age_s),
+        success_age_ms=_milli(report.success_age_s),
     )
 
 
 def _read_suspect(struct: ttypes.Suspect) -> SuspectReport:
     return SuspectReport(
         {
-            run: age / MILLI_PER_UNIT
+            run: _from_milli(age)
             for run, age in (struct.ended_ages_ms or {}).items()
         },
-        _from_milliseconds(struct.success_age_ms),
+        _from_milli(struct.success_age_ms),
     )
 
 
-def _milliseconds(duration_s: float | None) -> int | None:
-    return None if duration_s is None else round(duration_s * MILLI_PER_UNIT)
+def _scaled(number: float, factor: int, maximum: int) -> int:
+    """Return the number in the unit of a field, within the field's range.
+
+    A figure that exceeds the range of its field must not keep the rest of the
+    message from the peers.
+    """
+    return round(max(-maximum, min(maximum, number * factor)))
 
 
-def _from_milliseconds(milliseconds: int | None) -> float | None:
-    return None if milliseconds is None else milliseconds / MILLI_PER_UNIT
+def _milli(number: float | None) -> int | None:
+    if number is None:
+        return None
+    return _scaled(number, MILLI_PER_UNIT, INT64_MAX)
+
+
+def _from_milli(number: int | None) -> float | None:
+    """Return a figure that is never negative, None for none."""
+    return None if number is None else max(0, number) / MILLI_PER_UNIT
 
 
 def _microseconds(duration_s: float | None) -> int | None:
-    return (
-        None if duration_s is None else round(duration_s * MICROSECONDS_PER_S)
-    )
+    if duration_s is None:
+        return None
+    return _scaled(duration_s, MICROSECONDS_PER_S, INT64_MAX)
 
 
 def _seconds(microseconds: int | None) -> float | None:
-    return None if microseconds is None else microseconds / MICROSECONDS_PER_S
+    """Return a time or duration, which is never negative; None for none."""
+    if microseconds is None:
+        return None
+    return max(0, microseconds) / MICROSECONDS_PER_S
--- a/chestnutshift/platform/durations.py
+++ b/chestnutshift/platform/durations.py
@@ -5,7 +5,8 @@
 
 from chestnutshift.platform.exceptions import MalformedError
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+# With so many digits a duration is finite, and a float exact to the unit.
+_DURATION = re.compile(r'([0-9]{1,15}(?:\.[0-9]{1,9})?)(ms|s)')
 _SECONDS = {'ms': 0.001, 's': 1.0}
 
 
--- a/chestnutshift/platform/fields.py
+++ b/chestnutshift/platform/fields.py
@@ -1,12 +1,15 @@
 """Typed access to the fields of the platform's documents."""
 
 import json
-import math
 from collections.abc import Iterator, Mapping
 from typing import Any
 
 from chestnutshift.platform.exceptions import MalformedError
 
+# Messages between VMs carry integers up to this one, a signed 64-bit number.
+INTEGER_MAX = 2**63 - 1
+NUMBER_MAX = 1e15
+
 
 def read_document(content: bytes) -> Mapping[str, Any]:
     """Parse a JSON object; raise MalformedError."""
@@ -19,6 +22,24 @@
     return document
 
 
+def check_text(name: str, text: str) -> None:
+    """Raise MalformedError for text that no message can carry.
+
+    JSON may name half of a surrogate pair, which has no encoding.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise MalformedError(f'{name} is not valid Unicode') from error
+
+
+def check_header_text(name: str, text: str) -> None:
+    """Raise MalformedError for text that no header can carry."""
+    check_text(name, text)
+    if not text or not text.isprintable() or text != text.strip():
+        raise MalformedError(f'{name} can not be sent in a header')
+
+
 def read_table(table: object) -> Iterator[Mapping[str, Any]]:
     """Yield the rows of a table with columns, without null fields.
 
@@ -30,6 +51,8 @@
     rows = table.get('rows')
     if not isinstance(columns, list) or not isinstance(rows, list):
         raise MalformedError('a table lacks its columns or rows')
+    if not all(isinstance(column, str) for column in columns):
+        raise MalformedError('a column of a table has no name')
     for row in rows:
         if not isinstance(row, list) or len(row) != len(columns):
             raise MalformedError(
@@ -44,6 +67,7 @@
     text = fields.get(name, default)
     if not isinstance(text, str):
         raise MalformedError(f'{name} is not a string')
+    check_text(name, text)
     return text
 
 
@@ -60,21 +84,28 @@
     name: str,
     default: float = 0,
 ) -> float:
-    """Return a finite, non-negative number; raise MalformedError."""
+    """Return a number from 0 to NUMBER_MAX; raise MalformedError."""
     number = fields.get(name, default)
     is_number = isinstance(number, (int, float))
     if not is_number or isinstance(number, bool):
         raise MalformedError(f'{name} is not a number')
-    if not math.isfinite(number) or number < 0:
+    if not 0 <= number <= NUMBER_MAX:
         raise MalformedError(f'{name} is out of range')
     return number
 
 
-def integer_of(fields: Mapping[str, Any], name: str, default: int = 0) -> int:
-    """Return a non-negative integer; raise MalformedError."""
+def integer_of(
+    fields: Mapping[str, Any],
+    name: str,
+    default: int = 0,
+    maximum: int = INTEGER_MAX,
+) -> int:
+    """Return an integer from 0 to maximum; raise MalformedError."""
     number = fields.get(name, default)
-    if not isinstance(number, int) or isinstance(number, bool) or number < 0:
-        raise MalformedError(f'{name} is not a non-negative integer')
+    if not isinstance(number, int) or isinstance(number, bool):
+        raise MalformedError(f'{name} is not an integer')
+    if not 0 <= number <= maximum:
+        raise MalformedError(f'{name} is out of range')
     return number
 
 
@@ -97,6 +128,8 @@
     is_list = isinstance(texts, list)
     if not is_list or not all(isinstance(text, str) for text in texts):
         raise MalformedError(f'{name} is not a list of strings')
+    for text in texts:
+        check_text(name, text)
     return tuple(texts)
 
 
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -19,6 +19,7 @@
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import Headers
 from chestnutshift.platform import names
+from chestnutshift.platform.upstream_rows import COLD_MAX_S
 from chestnutshift.steering.upstreams import LoadReport
 from chestnutshift.upstreams.connection import OutboundRequest
 
@@ -98,7 +99,6 @@
     def read_answer(self, headers: Headers) -> AnswerFacts:
         """Parse the headers of an upstream's answer."""
         fields = dict(headers)
-        cold_ms = _parse_digits(fields.get(names.COLD_MS))
         limit_texts = {
             text for name, text in headers if name in names.RATE_LIMIT
         }
@@ -111,7 +111,7 @@
             is_encoded=b'content-encoding' in fields,
             keep_alive_s=_keep_alive_s(fields.get(b'keep-alive', b'')),
             load=_load(fields.get(names.LOAD)),
-            cold_s=None if cold_ms is None else cold_ms / MILLISECONDS_PER_S,
+            cold_s=_cold_s(fields.get(names.COLD_MS)),
             rate_limit=rate_limit,
             retry_after_s=_longest(
                 [text for name, text in headers if name == b'retry-after']
@@ -211,6 +211,14 @@
     return [(b'content-length', b'0')]
 
 
+def _cold_s(text: bytes | None) -> float | None:
+    milliseconds = _parse_digits(text)
+    if milliseconds is None:
+        return None
+    cold_s = milliseconds / MILLISECONDS_PER_S
+    return cold_s if cold_s <= COLD_MAX_S else None
+
+
 def _keep_alive_s(text: bytes) -> float | None:
     for part in text.split(b','):
         name, _, seconds = part.strip().partition(b'=')
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's configuration into a route table."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -26,6 +27,8 @@
 )
 
 HEXADECIMAL_BASE = 16
+# A version fits into a signed 64-bit number, as heartbeats carry it.
+_VERSION = re.compile('[0-9a-fA-F]{1,15}')
 _LARGE_ANSWER_KIND = 'download'
 # Requests of every other kind, uploads included, may run at most once.
 _IDEMPOTENT_KINDS = frozenset(('safe', _LARGE_ANSWER_KIND))
@@ -57,12 +60,9 @@
 def read_version(document: Mapping[str, Any]) -> int:
     """Parse the table's version, a hexadecimal number."""
     text = required_text(document, 'version')
-    try:
-        return int(text, HEXADECIMAL_BASE)
-    except ValueError as error:
-        raise MalformedError(
-            f'{text!r} is not a hexadecimal version'
-        ) from error
+    if _VERSION.fullmatch(text) is None:
+        raise MalformedError(f'{text!r} is not a hexadecimal version')
+    return int(text, HEXADECIMAL_BASE)
 
 
 def _rows(document: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
--- a/chestnutshift/platform/upstream_rows.py
+++ b/chestnutshift/platform/upstream_rows.py
@@ -1,11 +1,13 @@
 """Decoding of the rows by which upstreams register themselves."""
 
 from collections.abc import Mapping
+from ipaddress import ip_address
 from typing import Any
 
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import MalformedError
 from chestnutshift.platform.fields import (
+    check_header_text,
     integer_of,
     object_of,
     read_document,
@@ -14,11 +16,16 @@
 from chestnutshift.steering.upstreams import Registration
 
 PORT_MAX = 65_535
+PORT_DIGITS_MAX = 5
+SLOTS_MAX = 100_000
+# The longest time for which an upstream may say that it stays cold.
+COLD_MAX_S = 86_400.0
 _IS_LEAVING = {'ready': False, 'draining': True}
 
 
 def decode_registration(upstream: str, content: bytes) -> Registration:
     """Decode the registration of an upstream; raise MalformedError."""
+    check_header_text('the id', upstream)
     document = read_document(content)
     info = object_of(document, 'info')
     status = object_of(document, 'status')
@@ -26,7 +33,6 @@
     if state not in _IS_LEAVING:
         raise MalformedError(f'unknown state {state!r}')
     address, port = read_address(document)
-    cold_left = status.get('cold_left')
     return Registration(
         upstream=upstream,
         # Unix time of the start in milliseconds; a restart loses all state of
@@ -39,12 +45,20 @@
         slots=_slots(info),
         sequence=integer_of(status, 'seq'),
         is_leaving=_IS_LEAVING[state],
-        cold_for_s=0 if cold_left is None else read_duration(cold_left),
+        cold_for_s=_cold_for_s(status),
     )
 
 
+def _cold_for_s(status: Mapping[str, Any]) -> float:
+    text = status.get('cold_left')
+    cold_for_s = 0 if text is None else read_duration(text)
+    if cold_for_s > COLD_MAX_S:
+        raise MalformedError(f'cold_left is out of range: {text}')
+    return cold_for_s
+
+
 def _slots(info: Mapping[str, Any]) -> int:
-    slots = integer_of(info, 'slots')
+    slots = integer_of(info, 'slots', maximum=SLOTS_MAX)
     if not slots:
         raise MalformedError('slots is missing or 0')
     return slots
@@ -58,7 +72,15 @@
 
 def split_address(text: str) -> tuple[str, int]:
     """Split IP:port into its parts; raise MalformedError."""
-    address, _, port = text.rpartition(':')
-    if not address or not port.isdecimal() or int(port) > PORT_MAX:
-        raise MalformedError(f'{text!r} is not an address and port')
-    return address, int(port)
+    address, _, digits = text.rpartition(':')
+    try:
+        ip_address(address)
+    except ValueError as error:
+        raise MalformedError(f'{address!r} is not an IP address') from error
+    is_short = len(digits) <= PORT_DIGITS_MAX
+    if not (is_short and digits.isascii() and digits.isdecimal()):
+        raise MalformedError(f'{text!r} has no port')
+    port = int(digits)
+    if port > PORT_MAX:
+        raise MalformedError(f'the port of {text!r} is out of range')
+    return address, port
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -112,6 +112,45 @@
     assert _is_malformed(decode_registration, 'i-1', row)
 
 
+# Figures beyond the fields of heartbeats ended every VM of the fleet.
+@params(
+    ('status.cold_left', '3000000000ms'),
+    ('status.cold_left', '9000000000000000s'),
+    ('status.cold_left', f'{"9" * 400}s'),
+    ('status.seq', 2**63),
+    ('born', 10**400),
+    ('info.slots', 10**400),
+    ('info.service', '\ud800'),
+    ('info.zone', '\ud800'),
+    ('addr', f'127.0.0.1:{"1" * 5000}'),
+    ('addr', '127.0.0.1:80\u0660'),
+    ('addr', '127.0.0.1\0:80'),
+    ('addr', f'{"a" * 70}:80'),
+)
+def test_registrations_out_of_range(path: str, content: object) -> None:
+    """A figure that no real upstream names makes the row malformed."""
+    row = registration(path, content)
+    assert _is_malformed(decode_registration, 'i-1', row)
+
+
+@params('', 'i-\ud800', 'i-1\r\nx: y', ' i-1')
+def test_ids_that_no_header_can_carry(upstream: str) -> None:
+    """Requests name the upstream in a header."""
+    assert _is_malformed(decode_registration, upstream, registration())
+
+
+@params(
+    {'version': 'f' * 16},
+    {'version': '-1'},
+    {'tenants': {'cols': ['name', 'rate_per_s'], 'rows': [['a', 10**400]]}},
+    {'tenants': {'cols': ['name', ['a']], 'rows': [['a', 1]]}},
+    {'tenants': {'cols': ['name'], 'rows': [['\ud800']]}},
+)
+def test_route_tables_out_of_range(changes: dict[str, object]) -> None:
+    """Heartbeats carry versions and account names."""
+    assert _is_malformed(decode_route_table, route_table(**changes))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_refused(content: bytes) -> None:
     """Decoding raises no other exception than MalformedError."""
