A fault in one datagram, row, check or heartbeat ends there and is heard of

Cause, second of two: an exception in one task ends the process; the task of the heartbeats expected OSError only, and the tasks that read datagrams, rows and health checks expected their own errors only.

Tasks without input of others still end the process: nobody would do their work. running_edge fails a test whose VM logged a fault.

--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -25,6 +25,12 @@
     'The settings could not be read; the previous ones stay in force.',
     logging.WARNING,
 )
+FAULT = define(
+    8007,
+    'edge.fault',
+    'An unexpected exception ended one piece of work; the program has a fault.',
+    logging.ERROR,
+)
 STORE_LOST = define(
     8010,
     'store.lost',
--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -9,6 +9,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.check_sender import CheckSender
+from chestnutshift.edge.containment import contained
 from chestnutshift.edge.crash_guard import ANOTHER_RUN, NO_LISTENER, CrashGuard
 from chestnutshift.edge.dialect import AnswerFacts
 from chestnutshift.edge.reach_monitor import ReachMonitor
@@ -68,7 +69,7 @@
                     # It may be dropped before the check begins.
                     schedule = self._schedules[upstream]
                     schedule.is_running = True
-                    nursery.start_soon(self._check, upstream, schedule)
+                    nursery.start_soon(self._run_check, upstream, schedule)
                 await trio.sleep(SCHEDULE_TICK_S)
 
     def _due_upstreams(self, now: float) -> list[Upstream]:
@@ -107,6 +108,15 @@
             return False
         return self._state.upstream_rates.is_first_sender(upstream)
 
+    async def _run_check(
+        self, upstream: Upstream, schedule: _CheckSchedule
+    ) -> None:
+        with contained(self._state, 'check', upstream=upstream.name):
+            await self._check(upstream, schedule)
+            return
+        schedule.is_running = False
+        schedule.due_at = boot_time() + RETRY_BACKOFF_MAX_S
+
     async def _check(
         self, upstream: Upstream, schedule: _CheckSchedule
     ) -> None:
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -130,6 +130,11 @@
             'rate_limits_malformed_total',
             'Answers of upstreams that named a limit that is no number.',
         )
+        self.faults = self._counter(
+            'faults_total',
+            'Unexpected exceptions, by the piece of work that they ended.',
+            'work',
+        )
         self.crashes = CrashMetrics(self.registry)
         self.crossings = CrossingMetrics(self.registry)
         self.log_lines_dropped = self._gauge(
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -9,6 +9,7 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
+from chestnutshift.edge.containment import contained
 from chestnutshift.edge.datagram_port import Address, DatagramPort
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.datagrams import Message, decode, encode
@@ -82,8 +83,8 @@
         heartbeat = self.next_heartbeat(now)
         self._is_busy = heartbeat.is_busy
         for index, peer in enumerate(peers):
-            peer_sent_at = peer.heartbeat.sent_at if peer.heartbeat else None
-            self.send(attrs.evolve(heartbeat, echoed_at=peer_sent_at), peer)
+            with contained(state, 'heartbeat', peer=peer.member.vm):
+                self._send_heartbeat(heartbeat, peer)
             if index % SENDS_PER_CHECKPOINT == 0:
                 await trio.lowlevel.checkpoint()
 
@@ -119,6 +120,10 @@
         endpoint = peer.member.endpoint
         self._send(message, (endpoint.address, endpoint.port))
 
+    def _send_heartbeat(self, heartbeat: Heartbeat, peer: Peer) -> None:
+        peer_sent_at = peer.heartbeat.sent_at if peer.heartbeat else None
+        self.send(attrs.evolve(heartbeat, echoed_at=peer_sent_at), peer)
+
     def _interval_s(self, now: float) -> float:
         fleet = self._state.fleet
         if not self._is_busy:
@@ -158,9 +163,13 @@
                 )
                 continue
             for datagram, address in received:
-                reply = self._handle_datagram(datagram, address[0])
-                if reply is not None:
-                    self._send(reply, address)
+                with contained(self._state, 'datagram', address=address[0]):
+                    self._answer_datagram(datagram, address)
+
+    def _answer_datagram(self, datagram: bytes, address: Address) -> None:
+        reply = self._handle_datagram(datagram, address[0])
+        if reply is not None:
+            self._send(reply, address)
 
     def _handle_datagram(self, datagram: bytes, address: str) -> Message | None:
         """Process a datagram and return the reply, if any."""
--- a/chestnutshift/edge/reach_checks.py
+++ b/chestnutshift/edge/reach_checks.py
@@ -8,6 +8,7 @@
 
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge.check_sender import CheckSender
+from chestnutshift.edge.containment import contained
 from chestnutshift.edge.reach_monitor import ReachMonitor
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.steering.reachability import Reach
@@ -47,7 +48,9 @@
     async def _run_round(self) -> None:
         async with trio.open_nursery() as nursery:
             for upstream in self._choose(boot_time()):
-                nursery.start_soon(self._check, upstream, nursery.cancel_scope)
+                nursery.start_soon(
+                    self._run_check, upstream, nursery.cancel_scope
+                )
 
     def _choose(self, now: float) -> list[Upstream]:
         """Return the upstreams to check, of as many services as possible.
@@ -70,6 +73,12 @@
         chosen += [upstream for upstream in listed if upstream not in chosen]
         return chosen[:ROUND_SIZE]
 
+    async def _run_check(
+        self, upstream: Upstream, round_scope: trio.CancelScope
+    ) -> None:
+        with contained(self._state, 'check', upstream=upstream.name):
+            await self._check(upstream, round_scope)
+
     async def _check(
         self, upstream: Upstream, round_scope: trio.CancelScope
     ) -> None:
--- a/chestnutshift/edge/state_updater.py
+++ b/chestnutshift/edge/state_updater.py
@@ -3,9 +3,10 @@
 import attrs
 
 from chestnutshift.edge import events
+from chestnutshift.edge.containment import contained, report_fault
 from chestnutshift.edge.evacuations import Evacuations
 from chestnutshift.edge.state import LAPSE_GRACE_S, EdgeState
-from chestnutshift.edge.store_tables import Evacuation, View
+from chestnutshift.edge.store_tables import Change, Evacuation, View
 from chestnutshift.fleet.members import Member
 from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.fleet.view import FleetView
@@ -38,7 +39,7 @@
             self._evacuations.clear_requested()
             self._malformed_keys.clear()
         for change in view.changes:
-            self._log_malformed_row('operators', change.key, change.problem)
+            self._log_malformed_row('operators', change)
             self._malformed_keys.discard(change.key)
             if change.problem:
                 self._malformed_keys.add(change.key)
@@ -73,21 +74,12 @@
         # A view may list a row several times, with its newest state last.
         latest = {change.key: change for change in view.changes}
         for change in latest.values():
-            self._log_malformed_row('upstreams', change.key, change.problem)
+            self._log_malformed_row('upstreams', change)
             if change.state is None:
                 removed.append(change.key)
-            else:
-                upstream = directory.register(
-                    change.state, now, is_copy=is_copy
-                )
-                self._state.event_log.emit(
-                    events.UPSTREAM_LISTED,
-                    upstream=change.key,
-                    service=change.state.service,
-                    condition=upstream.condition.value if upstream else 'gone',
-                    sequence=change.state.sequence,
-                    cold_for_s=change.state.cold_for_s,
-                )
+                continue
+            with contained(self._state, 'row', key=change.key):
+                self._register(change.state, now, is_copy=is_copy)
         for name in directory.unregister(removed, now):
             self._state.event_log.emit(events.UPSTREAM_GONE, upstream=name)
 
@@ -98,11 +90,13 @@
         if view.is_whole:
             fleet.keep_only({change.key for change in view.changes}, now)
         for change in view.changes:
-            self._log_malformed_row('members', change.key, change.problem)
+            self._log_malformed_row('members', change)
             if change.state is None:
                 fleet.remove_member(change.key)
-            elif not (is_copy and _is_earlier(fleet, change.state)):
-                fleet.add_member(change.state, now)
+                continue
+            with contained(self._state, 'row', key=change.key):
+                if not (is_copy and _is_earlier(fleet, change.state)):
+                    fleet.add_member(change.state, now)
         self._check_registration(view)
 
     def _prepare_for_copy(self, view: View, now: float) -> None:
@@ -173,13 +167,30 @@
             domains=sorted(domains),
         )
 
-    def _log_malformed_row(self, source: str, key: str, problem: str) -> None:
-        if problem:
+    def _register(
+        self, registration: Registration, now: float, *, is_copy: bool
+    ) -> None:
+        upstream = self._state.directory.register(
+            registration, now, is_copy=is_copy
+        )
+        self._state.event_log.emit(
+            events.UPSTREAM_LISTED,
+            upstream=registration.upstream,
+            service=registration.service,
+            condition=upstream.condition.value if upstream else 'gone',
+            sequence=registration.sequence,
+            cold_for_s=registration.cold_for_s,
+        )
+
+    def _log_malformed_row(self, source: str, change: Change) -> None:
+        if change.fault is not None:
+            report_fault(self._state, 'row', change.fault, key=change.key)
+        if change.problem:
             self._state.event_log.emit(
                 events.ROW_MALFORMED,
                 source=source,
-                key=key,
-                detail=problem,
+                key=change.key,
+                detail=change.problem,
             )
 
 
--- a/chestnutshift/edge/store_tables.py
+++ b/chestnutshift/edge/store_tables.py
@@ -22,12 +22,14 @@
     """The current content of a row.
 
     state is None for a row that is removed, malformed or of no interest;
-    problem says why a malformed row could not be decoded.
+    problem says why a malformed row could not be decoded. fault is the
+    unexpected exception that its decoding raised, None for none.
     """
 
     key: str
     state: State | None
     problem: str = ''
+    fault: Exception | None = None
 
 
 @attrs.frozen
--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -68,6 +68,9 @@
             return Change(row.key, self._decode(row.key, row.content))
         except MalformedError as error:
             return Change(row.key, None, problem=error.detail)
+        except Exception as error:
+            # One row must not hide the others.
+            return Change(row.key, None, problem=repr(error), fault=error)
 
 
 def decode_operator_row(
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -11,6 +11,7 @@
 import httpx
 import trio
 
+from chestnutshift.edge import events
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.process import EdgeProcess
 from chestnutshift.edge.settings import (
@@ -21,7 +22,7 @@
 )
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.vm_registration import Registrar
-from chestnutshift.events.log import EventLog
+from chestnutshift.events.log import Event, EventFilter, EventLog
 from chestnutshift.logs.bounded import BoundedLines
 from chestnutshift.platform.entry import EntryApplication
 from chestnutshift.platform.heads import PlatformDialect
@@ -47,12 +48,14 @@
     """A running edge VM with its store and upstreams.
 
     settings_file stands in for the content of the VM's settings file.
+    expects_faults allows that the VM logs a fault of the program.
     """
 
     state: EdgeState
     store: StoreStandIn
     upstreams: list[UpstreamStandIn]
     settings_file: EdgeSettings
+    expects_faults: bool = False
 
     async def ask(
         self,
@@ -127,6 +130,11 @@
         await until(lambda: len(list(state.directory)) == len(upstreams))
         yield world
         nursery.cancel_scope.cancel()
+        assert world.expects_faults or not _faults(state)
+
+
+def _faults(state: EdgeState) -> list[Event]:
+    return state.event_log.select(EventFilter(number=events.FAULT.number))
 
 
 def _is_serving(state: EdgeState) -> bool:
