A row without readable content hides no other row

What a VM saw: a value that is no base64, or no text, made the whole answer of the store malformed, so every VM kept what it had read before, and one that started read nothing.

Change: the key and version of a row are the store's own and must be readable; its content is its writer's, and a row without one is malformed by itself.

Checked: tests.platform.test_store, five contents that failed before.

--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -63,7 +63,7 @@
 
     def _change(self, row: StoredRow) -> Change[State]:
         if row.content is None:
-            return Change(row.key, None)
+            return Change(row.key, None, problem=row.problem)
         try:
             return Change(row.key, self._decode(row.key, row.content))
         except MalformedError as error:
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -50,11 +50,15 @@
 
 @attrs.frozen
 class StoredRow:
-    """A row of a table; content is None if the row was removed."""
+    """A row of a table; content is None if the row was removed.
+
+    problem says why the content of a malformed row can't be read.
+    """
 
     key: str
     content: bytes | None
     version: int
+    problem: str = ''
 
 
 @attrs.frozen
@@ -279,14 +283,21 @@
 
 
 def _row(row: Mapping[str, Any]) -> StoredRow:
+    """Return a row; raises StoreUnavailableError if it can't be told apart.
+
+    Its content may come from any writer, and hides no other row.
+    """
     try:
         key = text_of(row, 'key')
         version = integer_of(row, 'ver', ABSENT_VERSION)
-        if row.get('removed'):
-            return StoredRow(key, None, version)
-        content = base64.b64decode(text_of(row, 'value'))
-    except (MalformedError, ValueError, AttributeError) as error:
+    except (MalformedError, AttributeError) as error:
         raise StoreUnavailableError(
             f'the store sent a malformed row: {error!r}'
         ) from error
+    if row.get('removed'):
+        return StoredRow(key, None, version)
+    try:
+        content = base64.b64decode(text_of(row, 'value'))
+    except (MalformedError, ValueError) as error:
+        return StoredRow(key, None, version, problem=f'no content: {error}')
     return StoredRow(key, content, version)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 
 import attrs
 import trio
+from nose2.tools import params
 from trio.testing import trio_test
 
 from chestnutshift.edge.settings import Endpoint
@@ -52,6 +53,18 @@
             await trio.sleep_forever()
 
 
+@attrs.define
+class RowsStore:
+    """An ASGI store of these rows."""
+
+    rows: list[dict[str, object]]
+
+    async def __call__(self, _scope: Any, _receive: Any, send: Any) -> None:
+        """Answer with all rows."""
+        page = {'rows': self.rows, 'ver': 7}
+        await answer(send, 200, json.dumps(page).encode())
+
+
 @attrs.define
 class PagedStore:
     """An ASGI store of two pages, which returns from a copy between them."""
@@ -108,3 +121,19 @@
             else:
                 assert view.era == era
             await store.aclose()
+
+
+# A row of another writer whose content is no base64 hid the whole table.
+@params('e', 'e30', 7, '\u0661', '\ud800')
+@trio_test
+async def test_row_without_readable_content(content: object) -> None:
+    """It is malformed, and the others hold."""
+    rows = [{**ROW, 'key': 'odd', 'value': content}, ROW]
+    async with served(RowsStore(rows)) as port:
+        store = StoreClient(Endpoint('127.0.0.1', port))
+        view = await store.read('op')
+        await store.aclose()
+    odd, sound = view.rows
+    assert (odd.key, odd.content) == ('odd', None)
+    assert odd.problem
+    assert (sound.content, sound.problem) == (b'{}', '')
