Heartbeats tell of cold upstreams only where a request may go to them

Any writer may list upstreams of services that the route table does not name, and each cold one travelled in every heartbeat: some thousand of them are more than a datagram holds, and no heartbeat is sent then (EMSGSIZE). A VM without a route table sends no requests and tells of none.

--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -94,6 +94,7 @@
         state = self._state
         age_s = state.freshness.age_s(now)
         is_proven = math.isfinite(age_s) and state.is_trusted(now)
+        services = state.table.services if state.table else ()
         return Heartbeat(
             vm=state.settings.vm,
             incarnation=state.incarnation,
@@ -107,7 +108,7 @@
             operators_changed_at=state.operators_changes.changed_at,
             upstreams_changed_at=state.upstreams_changes.changed_at,
             delay_s=state.delay_s,
-            cold_for_s=state.upstream_reports.cold_for_s(now),
+            cold_for_s=state.upstream_reports.cold_for_s(services, now),
             rate_limits=state.upstream_reports.rate_limits(now),
             suspects=state.crashes.reports(now),
             leaving=state.upstream_reports.leaving(),
--- a/chestnutshift/edge/upstream_reports.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -3,7 +3,7 @@
 Upstreams are named by the hash of the id, which is short.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -50,12 +50,19 @@
             if upstream.in_flight
         }
 
-    def cold_for_s(self, now: float) -> dict[int, float]:
-        """Return how long upstreams stay cold."""
+    def cold_for_s(
+        self, services: Collection[str], now: float
+    ) -> dict[int, float]:
+        """Return how long the upstreams of these services stay cold.
+
+        Any writer may list upstreams of services that no request goes to;
+        these would fill the heartbeats.
+        """
         return {
             name_hash: upstream.cold_until - now
             for name_hash, upstream in self._by_hash().items()
             if upstream.is_cold(now)
+            and upstream.registration.service in services
         }
 
     def rate_limits(self, now: float) -> dict[int, RateLimitReport]:
--- a/tests/edge/test_hostile_values.py
+++ b/tests/edge/test_hostile_values.py
@@ -55,7 +55,7 @@
 @params(3e6, 9e15, math.inf)
 def test_cold_time_beyond_the_field_of_heartbeats(cold_for_s) -> None:
     """The heartbeat carries the longest time instead."""
-    state = make_state(SilentLog('vm-1'))
+    state = make_serving_state()
     listed = attrs.evolve(LISTED, cold_for_s=cold_for_s)
     state.directory.register(listed, NOW)
     heartbeat = PeerMessenger(state).next_heartbeat(NOW)
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -11,9 +11,17 @@
 from chestnutshift.edge.settings import Bounds, Endpoint
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.events.log import EventLog
-from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
+from chestnutshift.fleet.heartbeats import (
+    Heartbeat,
+    MemberPhase,
+    hash_upstream,
+)
+from chestnutshift.platform.route_tables import decode_route_table
+from chestnutshift.steering.upstreams import Registration
+from tests.edge.factories import make_state
 from tests.edge.world import make_settings
 from tests.fleet.factories import make_member
+from tests.platform.samples import route_table
 
 RUN_S = 0.1
 FLEET_VMS = 80
@@ -48,6 +56,20 @@
         self.counts[address[0]] += len(datagram) > 0
 
 
+# Rows of another writer filled the heartbeats of every VM.
+def test_cold_upstreams_without_routes() -> None:
+    """They are told to nobody, those of other services are."""
+    state = make_state()
+    state.adopt(decode_route_table(route_table()))
+    for upstream, service in (('i-1', 's1'), ('agent-7', 'backup-agent')):
+        listed = Registration(
+            upstream, 1, service, '127.0.0.1', 80, 'a1', 1, cold_for_s=3
+        )
+        state.directory.register(listed, now=100)
+    heartbeat = PeerMessenger(state).next_heartbeat(now=101)
+    assert heartbeat.cold_for_s.keys() == {hash_upstream('i-1')}
+
+
 @trio_test
 async def test_busy_vms_hear_more_often() -> None:
     """In a large fleet, VMs that serve callers exchange load in between."""
