No connection carries two attempts of one request

A confirmed lease may be booked twice.

Cause: an answer is recognized by the id of the request, which all attempts share. After a partial refusal the same upstream may be tried again, over the connection used last; the late copy of the first refusal then comes where the answer to the second attempt is due, which is running. A late copy can come on no other connection, so an attempt never goes over one that carried an earlier attempt of the request: that shuts the cause out, not this one way to it.

--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -17,6 +17,7 @@
     ExchangeLostError,
     OutboundRequest,
     UpstreamAnswer,
+    UpstreamConnection,
 )
 from chestnutshift.upstreams.connections import (
     ConnectionsExhaustedError,
@@ -272,16 +273,22 @@
     collector: AnswerCollector,
     *,
     is_idempotent: bool,
+    used: set[UpstreamConnection],
     may_send: Callable[[], bool] = _always,
 ) -> AttemptEnd:
     """Send the request once and return the result.
 
+    used are the connections that carried earlier attempts of the request, to
+    which this one's is added. An answer to an earlier attempt may come late on
+    its connection, and all attempts have one id, so a further attempt on it
+    could be taken for refused while it runs.
+
     may_send is asked again once there is a connection. Raises StreamCutError
     if the answer breaks off after part of it was passed on to the caller.
     """
     idle_s = math.inf if is_idempotent else REUSE_IDLE_MAX_S
     try:
-        connection = await connections.acquire(idle_s)
+        connection = await connections.acquire(idle_s, used)
     except NotConnectedError as error:
         return AttemptEnd(
             EndKind.NOT_SENT,
@@ -296,6 +303,7 @@
         return AttemptEnd(
             EndKind.NOT_SENT, 'it takes no requests any more', is_withheld=True
         )
+    used.add(connection)
     try:
         await connections.exchange(
             connection,
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -147,6 +147,7 @@
                 pending.body,
                 self._collector(pending),
                 is_idempotent=pending.admitted.route.is_idempotent,
+                used=pending.used_connections,
             )
         finally:
             self._in_flight[vm] -= 1
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -11,6 +11,7 @@
 from chestnutshift.forwarding.requests import RequestBody
 from chestnutshift.steering.choice import RequestProfile
 from chestnutshift.steering.upstreams import Upstream
+from chestnutshift.upstreams.connection import UpstreamConnection
 
 # A body up to this length is buffered, so that it can be sent again.
 BODY_BUFFER_MAX_B = 1_048_576
@@ -26,7 +27,8 @@
     attempts count in neither. avoided are the upstreams tried already.
     fingerprint tells whether it is the same as another request, None if that
     is not known; lost_count counts the attempts whose upstream broke off.
-    peers_tried are the VMs that it was passed on to.
+    peers_tried are the VMs that it was passed on to, used_connections those
+    that carried its attempts.
     """
 
     admitted: Admitted
@@ -42,6 +44,7 @@
     fingerprint: int | None = None
     lost_count: int = 0
     peers_tried: set[str] = attrs.field(factory=set)
+    used_connections: set[UpstreamConnection] = attrs.field(factory=set)
 
     @property
     def body_b(self) -> int | None:
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -247,6 +247,7 @@
                 pending.body,
                 collector,
                 is_idempotent=is_idempotent,
+                used=pending.used_connections,
                 may_send=functools.partial(self._may_send, upstream),
             )
         return AttemptEnd(EndKind.BROKEN, 'this VM reaches no upstream')
--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -7,7 +7,7 @@
 import math
 import socket
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 
 import trio
 
@@ -91,20 +91,22 @@
         """Number of idle connections."""
         return len(self._idle)
 
-    async def acquire(self, idle_s: float = math.inf) -> UpstreamConnection:
+    async def acquire(
+        self,
+        idle_s: float = math.inf,
+        excluded: Collection[UpstreamConnection] = (),
+    ) -> UpstreamConnection:
         """Return an idle connection that is still open, or a new one.
 
-        One that was idle for more than idle_s seconds is not used. The
-        caller passes the connection to `exchange` or `release`. Raises
-        NotConnectedError or ConnectionsExhaustedError.
+        One that was idle for more than idle_s seconds, or is in excluded, is
+        not used. The caller passes the connection to `exchange` or `release`.
+        Raises NotConnectedError or ConnectionsExhaustedError.
         """
         now = trio.current_time()
         self._discard_silent_since(now - self._options.idle_s)
-        while self._idle and self._idle[-1].received_at >= now - idle_s:
-            connection = self._idle.pop()
-            if not connection.is_readable:
-                return connection
-            self._discard(connection)
+        connection = self._take_idle(now - idle_s, excluded)
+        if connection is not None:
+            return connection
         if self._open_count >= self._maximum and self._idle:
             self._discard(self._idle.popleft())
         if self._open_count >= self._maximum:
@@ -167,6 +169,21 @@
             stream = await _open_stream(self._address, self._port)
         return UpstreamConnection(stream, self._options)
 
+    def _take_idle(
+        self, since: float, excluded: Collection[UpstreamConnection]
+    ) -> UpstreamConnection | None:
+        """Return the most recently used idle connection that may be used."""
+        for connection in tuple(reversed(self._idle)):
+            if connection.received_at < since:
+                return None
+            if connection in excluded:
+                continue
+            self._idle.remove(connection)
+            if not connection.is_readable:
+                return connection
+            self._discard(connection)
+        return None
+
     async def _dial(self) -> UpstreamConnection:
         self._open_count += 1
         try:
