A refusal without the request's id does not tell that it has not run

What callers might see: a health check has no id, so its refusal has none. If that refusal comes a second time late, on a connection that a request uses next, it was taken for the refusal of that request: one that may run once was sent again, or refused with 503, while it ran. Suspected by the review, shown by tests.edge.test_late_copies.test_late_copy_of_a_refused_check, which failed before, also with connections kept apart by request.

Change: a refusal, or a 421, counts only with the id of the request, as any answer does; without it the attempt is broken and promises nothing.

--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -206,17 +206,16 @@
     request: InboundRequest,
     status: int,
 ) -> None:
-    """Raise ExchangeBrokenError unless an upstream answered this request."""
+    """Raise ExchangeBrokenError unless an upstream answered this request.
+
+    A refusal without an id may be a late one of an earlier request, or of a
+    health check, on the connection: it does not tell that this one did not run.
+    """
+    if facts.request_id != request.request_id:
+        whose = 'the id of another request' if facts.request_id else 'no id'
+        raise ExchangeBrokenError(f'the answer carries {whose}')
     if facts.is_not_run or status == MISDIRECTED:
-        if facts.request_id not in {'', request.request_id}:
-            raise ExchangeBrokenError(
-                'the refusal carries the id of another request'
-            )
         return
-    if facts.request_id != request.request_id:
-        raise ExchangeBrokenError(
-            'the answer carries the id of another request'
-        )
     if facts.is_encoded:
         raise ExchangeBrokenError(
             'the answer has a content encoding that was not requested'
--- a/tests/edge/test_late_copies.py
+++ b/tests/edge/test_late_copies.py
@@ -13,6 +13,7 @@
 import trio
 from trio.testing import trio_test
 
+from chestnutshift.steering.upstreams import Condition
 from tests.edge.stand_ins import UpstreamStandIn
 from tests.edge.world import World, running_edge, until
 from tests.platform.samples import ROUTE_TABLE
@@ -145,3 +146,25 @@
         for number in range(REQUESTS):
             assert await _post(world, upstream, number)
     assert sum(upstream.runs.values())
+
+
+async def _check(world: World, upstream: RepeatingUpstream) -> None:
+    """Have the VM send the upstream a health check, which is refused."""
+    found = next(iter(world.state.directory))
+    checks = upstream.refused_checks
+    found.condition = Condition.UNPROVEN
+    await until(lambda: upstream.refused_checks > checks)
+    await until(lambda: found.condition is Condition.READY)
+
+
+# REFUSED: the late copy of a refused health check names no request, and was
+# taken for the refusal of the next request on the connection.
+@trio_test
+async def test_late_copy_of_a_refused_check() -> None:
+    """No request runs twice, and none is refused that has run."""
+    upstream = RepeatingUpstream(refuses_checks=True)
+    async with repeating_world(upstream) as world:
+        for number in range(REQUESTS):
+            await _check(world, upstream)
+            assert await _post(world, upstream, number)
+    assert sum(upstream.runs.values())
