A download that ends its upstreams midway is refused like any crashing request

Cause: evidence that is never recorded. Once an answer is longer than what is buffered, a broken exchange raised StreamCutError out of the attempt, past the observer and the crash guard; only attempts that returned a result left a trace. Change: a cut is a result of an attempt like any other (EndKind.CUT): it is observed, counted and recorded first, and aborts the caller's connection then. So a cut also makes its upstream unproven, as a broken attempt does.

--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -22,6 +22,7 @@
 # Unknown headers that are logged, once each, and the length of their names.
 UNKNOWN_HEADERS_MAX = 32
 HEADER_NAME_MAX = 64
+_BROKEN = frozenset((EndKind.BROKEN, EndKind.CUT))
 
 
 @attrs.define
@@ -193,7 +194,7 @@
             return
         upstream.record_failure(now)
         is_alive = now - upstream.answered_at <= RECENT_ANSWER_S
-        if end.kind is not EndKind.BROKEN or not is_alive:
+        if end.kind not in _BROKEN or not is_alive:
             self.mark_unproven(upstream, end.detail)
 
 
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -61,6 +61,9 @@
     MISDIRECTED = 'misdirected'
     # The exchange failed; the request may have run.
     BROKEN = 'broken'
+    # It failed after a part of the answer was passed on to the caller, whose
+    # connection is aborted.
+    CUT = 'cut'
 
 
 @attrs.frozen
@@ -282,8 +285,7 @@
     its connection, and all attempts have one id, so a further attempt on it
     could be taken for refused while it runs.
 
-    may_send is asked again once there is a connection. Raises StreamCutError
-    if the answer breaks off after part of it was passed on to the caller.
+    may_send is asked again once there is a connection.
     """
     idle_s = math.inf if is_idempotent else REUSE_IDLE_MAX_S
     try:
@@ -311,11 +313,9 @@
             collector.collect,
         )
     except ExchangeBrokenError as error:
-        if collector.is_streaming:
-            raise StreamCutError(error.detail) from error
         facts = collector.end.facts if collector.end else None
         return AttemptEnd(
-            EndKind.BROKEN,
+            EndKind.CUT if collector.is_streaming else EndKind.BROKEN,
             error.detail,
             facts=facts,
             is_lost=isinstance(error, ExchangeLostError),
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -16,6 +16,7 @@
     AnswerCollector,
     AttemptEnd,
     EndKind,
+    StreamCutError,
     attempt,
     discard_body,
 )
@@ -130,7 +131,8 @@
     async def send(self, pending: PendingRequest, peer: Peer) -> AttemptEnd:
         """Pass the request on and return the result.
 
-        Raises StreamCutError as `attempt` does.
+        Raises StreamCutError if the answer breaks off after a part of it was
+        passed on.
         """
         vm = peer.member.vm
         pending.peers_tried.add(vm)
@@ -157,6 +159,8 @@
         else:
             pending.sent_count += 1
         self._record(pending, vm, end, boot_time() - started_at)
+        if end.kind is EndKind.CUT:
+            raise StreamCutError(end.detail)
         return attrs.evolve(end, peer=vm)
 
     def _able(self, pending: PendingRequest, now: float) -> list[Peer]:
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -13,6 +13,7 @@
     AnswerCollector,
     AttemptEnd,
     EndKind,
+    StreamCutError,
     UpstreamPool,
     attempt,
 )
@@ -170,7 +171,8 @@
     ) -> AttemptEnd:
         """Send the request to the chosen upstream and record the result.
 
-        Raises CallerDisconnectedError if nobody waits for the answer.
+        Raises CallerDisconnectedError if nobody waits for the answer, and
+        StreamCutError if it breaks off after a part of it was passed on.
         """
         if pending.has_caller_left():
             raise CallerDisconnectedError('the caller left before an attempt')
@@ -210,6 +212,8 @@
         self._crash_guard.record_attempt(
             pending, upstream, end, now, boot_time()
         )
+        if end.kind is EndKind.CUT:
+            raise StreamCutError(end.detail)
         if end.kind in {EndKind.NOT_SENT, EndKind.NOT_RUN, EndKind.MISDIRECTED}:
             pending.ran = ran_before
         if end.kind is EndKind.NOT_SENT:
--- a/tests/edge/mortal_upstreams.py
+++ b/tests/edge/mortal_upstreams.py
@@ -4,12 +4,20 @@
 import trio
 
 from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.forwarding.requests import Send
 from tests.edge.stand_ins import LIMITS, UpstreamStandIn
 from tests.edge.world import World
 
-# A request whose path contains this ends each upstream that runs it.
+# A request whose path contains this ends each upstream that runs it, and one
+# with the other mark does so midway through a long answer.
 CRASH_MARK = 'crash'
+MIDWAY_MARK = 'midway'
+# The answer to a request with this one lasts until the upstream ends.
+LONG_MARK = 'long'
+ANSWER_B = 600_000
+SENT_B = 400_000
 RESTART_S = 0.3
+MIDWAY_S = 0.05
 
 
 @attrs.define
@@ -17,7 +25,8 @@
     """An upstream whose process ends under a crashing request.
 
     It starts again after RESTART_S at the same address, under another id.
-    ended counts its ends, arrivals the crashing requests that reached it.
+    ended counts its ends, arrivals the crashing requests that reached it, and
+    downloads the long answers that it began.
     """
 
     world: World
@@ -25,6 +34,7 @@
     port: int = 0
     ended: int = 0
     arrivals: int = 0
+    downloads: int = 0
     _crash: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
@@ -43,10 +53,17 @@
         self._crash = crash
 
         async def serve_or_crash(scope, receive, send) -> None:
+            if LONG_MARK in scope['path']:
+                self.downloads += 1
+                await _begin_answer(scope, send)
+                await trio.sleep_forever()
             if CRASH_MARK not in scope['path']:
                 await serve(scope, receive, send)
                 return
             self.arrivals += 1
+            if MIDWAY_MARK in scope['path']:
+                await _begin_answer(scope, send)
+                await trio.sleep(MIDWAY_S)
             crash.set()
             await trio.sleep_forever()
 
@@ -62,3 +79,22 @@
             one.socket.close()
         self.ended += 1
         self.world.store.remove('servers', run_name)
+
+
+async def _begin_answer(scope: dict, send: Send) -> None:
+    """Send a part of a long answer."""
+    headers = dict(scope['headers'])
+    named = b'x-chestnutshift-request-id'
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [
+                (named, headers[named]),
+                (b'x-chestnutshift-server-seal', b's'),
+                (b'content-length', b'%d' % ANSWER_B),
+            ],
+        }
+    )
+    part = {'body': b'm' * SENT_B, 'more_body': True}
+    await send({'type': 'http.response.body', **part})
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -1,7 +1,7 @@
 """A request that ends the upstreams that run it is soon refused."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 import httpx
@@ -9,7 +9,13 @@
 from trio.testing import trio_test
 
 from chestnutshift.crashes.suspects import REFUSED_S
-from tests.edge.mortal_upstreams import MortalUpstream
+from chestnutshift.edge import events
+from chestnutshift.events.log import EventFilter
+from tests.edge.mortal_upstreams import (
+    LONG_MARK,
+    MIDWAY_MARK,
+    MortalUpstream,
+)
 from tests.edge.world import World, running_edge, until
 
 CRASHING = '/a/crash'
@@ -19,6 +25,9 @@
 ARRIVALS_MAX = 6
 # How long a request may be repeated until it is refused.
 ASKING_S = 20.0
+# Callers that load one object, and upstreams that are lost under them at least.
+DOWNLOADS = 24
+LOST_MIN = 4
 
 
 @asynccontextmanager
@@ -51,6 +60,62 @@
         assert (await world.ask(path=INNOCENT)).status_code == 200
 
 
+# BUDGET: a download that ended its upstreams midway was never refused, as the
+# end of an answer that is passed on left no evidence.
+@trio_test
+async def test_request_that_crashes_midway() -> None:
+    """Its repeats reach upstreams no more often than permitted."""
+    async with mortal_world() as (world, upstreams):
+        outcomes = []
+        for _ in range(12):
+            try:
+                answer = await world.ask(path=f'{CRASHING}/{MIDWAY_MARK}')
+            except httpx.TransportError:
+                outcomes.append('cut')
+            else:
+                outcomes.append(answer.json()['code'])
+            await trio.sleep(0.5)
+        arrivals = sum(upstream.arrivals for upstream in upstreams)
+        assert 'cut' in outcomes
+        assert arrivals <= ARRIVALS_MAX, outcomes
+        assert outcomes[-1] == 'request.crashing'
+        assert (await world.ask(path=INNOCENT)).status_code == 200
+
+
+async def _download(world: World, path: str) -> None:
+    """Ask for a long answer, which breaks off."""
+    with suppress(httpx.TransportError):
+        await world.ask(path=path, x_chestnutshift_affinity_key='')
+
+
+# An upstream that many callers load the same object from ends for another
+# reason; that must not refuse the object to the next callers.
+@trio_test
+async def test_mass_loss_under_downloads_of_one_object() -> None:
+    """The downloads are cut with their upstreams, and served after that."""
+    path = f'{INNOCENT}/{LONG_MARK}'
+    async with mortal_world() as (world, upstreams):
+        async with trio.open_nursery() as nursery:
+            for _ in range(DOWNLOADS):
+                nursery.start_soon(_download, world, path)
+            await until(
+                lambda: sum(one.downloads for one in upstreams) == DOWNLOADS
+            )
+            busy = [one for one in upstreams if one.downloads]
+            assert len(busy) >= LOST_MIN
+            for one in busy:
+                one.end()
+        # The proofs of the ends come with the next requests and checks.
+        proven = EventFilter(number=events.CRASH_PROVEN.number)
+        log = world.state.event_log
+        await until(lambda: len(log.select(proven)) >= LOST_MIN)
+        back = {f'{one.name}-{one.ended}' for one in upstreams}
+        await until(lambda: back == {one.name for one in world.state.directory})
+        begun = sum(one.downloads for one in upstreams)
+        await _download(world, path)
+        assert sum(one.downloads for one in upstreams) == begun + 1
+
+
 @trio_test
 async def test_operator_allows_a_request() -> None:
     """It is listed with what operators know it by, and then runs again."""
