A request with a body over 1 MiB is recognized when it comes again

Change: such a request is recognized by the first MiB of its body and the length.

Checked: tests.edge.test_crashing_requests.test_long_upload_that_crashes failed before (never refused in 20 s); the rest of the module passes.

--- a/chestnutshift/edge/crash_guard.py
+++ b/chestnutshift/edge/crash_guard.py
@@ -12,7 +12,10 @@
 from chestnutshift.crashes.suspects import Suspect
 from chestnutshift.edge import events
 from chestnutshift.edge.attempts import AttemptEnd, EndKind
-from chestnutshift.edge.pending_requests import PendingRequest
+from chestnutshift.edge.pending_requests import (
+    BODY_BUFFER_MAX_B,
+    PendingRequest,
+)
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.view import sender_names
 from chestnutshift.forwarding.problems import Problem, RefusalError
@@ -49,8 +52,7 @@
     def admitting(self, pending: PendingRequest, now: float) -> Iterator[None]:
         """Identify a request, and refuse it if upstreams end under it.
 
-        Raises RefusalError. A request whose body is too long to buffer has no
-        fingerprint and is never refused.
+        Raises RefusalError.
         """
         pending.fingerprint = _fingerprint(pending)
         standing = self._standing(pending, now)
@@ -189,18 +191,23 @@
     return f'{number & 0xFFFFFFFFFFFFFFFF:016x}'
 
 
-def _fingerprint(pending: PendingRequest) -> int | None:
-    body = pending.body.buffered
-    if body is None:
-        return None
+def _fingerprint(pending: PendingRequest) -> int:
     admitted = pending.admitted
     request = admitted.request
+    body = pending.body.buffered
+    length_b = None
+    if body is None:
+        # Two long uploads of one sender to one target that begin alike and
+        # are equally long count as the same.
+        body = pending.body.prefix(BODY_BUFFER_MAX_B)
+        length_b = request.length_b or 0
     return fingerprint(
         admitted.account_name,
         request.method,
         request.host,
         request.target,
         body,
+        length_b,
     )
 
 
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -153,6 +153,10 @@
         if self._is_read:
             self._complete_body = b''.join(self._chunks)
 
+    def prefix(self, size_b: int) -> bytes:
+        """Return the first size_b bytes of a body that is not sent yet."""
+        return b''.join(self._chunks)[:size_b]
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield a body that is too long for `buffer`; usable only once."""
         self._is_streaming = True
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -10,6 +10,7 @@
 
 from chestnutshift.crashes.suspects import REFUSED_S
 from chestnutshift.edge import events
+from chestnutshift.edge.pending_requests import BODY_BUFFER_MAX_B
 from chestnutshift.events.log import EventFilter
 from tests.edge.mortal_upstreams import (
     LONG_MARK,
@@ -17,6 +18,7 @@
     MortalUpstream,
 )
 from tests.edge.world import World, running_edge, until
+from tests.platform.samples import ROUTE_TABLE
 
 CRASHING = '/a/crash'
 INNOCENT = '/a/other'
@@ -31,9 +33,11 @@
 
 
 @asynccontextmanager
-async def mortal_world() -> AsyncIterator[tuple[World, list[MortalUpstream]]]:
+async def mortal_world(
+    **tables: object,
+) -> AsyncIterator[tuple[World, list[MortalUpstream]]]:
     """Run a VM in front of upstreams that end under a crashing request."""
-    async with running_edge() as world, trio.open_nursery() as nursery:
+    async with running_edge(**tables) as world, trio.open_nursery() as nursery:
         upstreams = [
             MortalUpstream(world, f'm-{number}')
             for number in range(UPSTREAM_COUNT)
@@ -82,6 +86,21 @@
         assert (await world.ask(path=INNOCENT)).status_code == 200
 
 
+# BUDGET: a request with a body over 1 MiB had no fingerprint.
+@trio_test
+async def test_long_upload_that_crashes() -> None:
+    """It is refused too, and an upload that differs in its length is not."""
+    body = b'u' * (BODY_BUFFER_MAX_B + 100_000)
+    limits = {**ROUTE_TABLE['limits'], 'max_body_bytes': 2 * len(body)}
+    async with mortal_world(limits=limits) as (world, upstreams):
+        answer = await _ask_until_refused(world, method='POST', body=body)
+        assert answer.json()['code'] == 'request.crashing'
+        arrivals = sum(upstream.arrivals for upstream in upstreams)
+        assert arrivals <= ARRIVALS_MAX
+        await world.ask(path=CRASHING, method='POST', body=body[1:])
+        assert sum(one.arrivals for one in upstreams) > arrivals
+
+
 async def _download(world: World, path: str) -> None:
     """Ask for a long answer, which breaks off."""
     with suppress(httpx.TransportError):
@@ -155,11 +174,11 @@
         await world.ask(path=CRASHING, method='POST', body=b'fixed')
 
 
-async def _ask_until_refused(world: World) -> httpx.Response:
+async def _ask_until_refused(world: World, **request: object) -> httpx.Response:
     """Repeat the crashing request until it is refused."""
     with trio.fail_after(ASKING_S):
         while True:
-            answer = await world.ask(path=CRASHING)
+            answer = await world.ask(path=CRASHING, **request)
             if answer.status_code == 503:
                 return answer
             await trio.sleep(0.3)
