A refused HEAD request gets an answer without a body

Cause, first of three: a refusal of the connection itself was written with its body whatever the method; h11 knows that a HEAD answer has none and raises LocalProtocolError. Change: the method is read from the first bytes, which tell it also where the head can't be parsed, is too long or is cut, and at a connection over the limit, which is given 0.2 s to show it. A refusal to HEAD has no body and no bytes after its head.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -10,7 +10,6 @@
 import logging
 from collections.abc import Awaitable, Callable, Iterator
 
-import h11
 import trio
 
 from chestnutshift.callers import refusals
@@ -27,6 +26,9 @@
 Send = Callable[[Message], Awaitable[None]]
 Application = Callable[[Message, Receive, Send], Awaitable[None]]
 
+# How long a connection over the limit may take to show its request's method.
+FIRST_BYTES_S = 0.2
+
 logger = logging.getLogger('chestnutshift.http')
 
 
@@ -120,7 +122,9 @@
                 self.transport.reset()
 
     async def _refuse_first(self, problem: Problem) -> None:
-        await self._refuse(problem, self._reader.parser)
+        with trio.move_on_after(FIRST_BYTES_S):
+            await self._reader.read_first_bytes()
+        await self._refuse_read(problem)
         await self._close()
 
     async def _serve(self) -> None:
@@ -134,11 +138,17 @@
             self.transport.reset()
             return
         if refused is not None:
-            await self._refuse(refused, self._reader.parser)
+            await self._refuse_read(refused)
         await self._close()
 
-    async def _refuse(self, problem: Problem, parser: h11.Connection) -> None:
-        await self.write(refusals.format_refusal(problem, parser))
+    async def _refuse_read(self, problem: Problem) -> None:
+        """Refuse the request that was read last."""
+        answer = refusals.format_refusal(
+            problem,
+            self._reader.parser,
+            is_to_head=self._reader.is_head_request,
+        )
+        await self.write(answer)
 
     async def _close(self) -> None:
         """Close the sending side; keep reading so that the answer arrives."""
@@ -215,7 +225,7 @@
             await exchange.wait_for_turn()
             if exchange.is_started:
                 return False
-            await self._refuse(refusals.INTERNAL_ERROR, exchange.parser)
+            await exchange.write_refusal(refusals.INTERNAL_ERROR)
             self._stop_reading()
             # That answer closes the connection: no other may follow it.
             for later in self._unanswered[1:]:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -10,6 +10,8 @@
 import trio
 
 from chestnutshift.callers.body_reader import BodyReader
+from chestnutshift.callers.refusals import format_refusal
+from chestnutshift.forwarding.problems import Problem
 from chestnutshift.forwarding.requests import CallerDisconnectedError, Headers
 
 if TYPE_CHECKING:
@@ -159,6 +161,13 @@
         while self._held:
             await self._write(self._held.pop(0))
 
+    async def write_refusal(self, problem: Problem) -> None:
+        """Write a refusal in place of the answer, and close the connection."""
+        answer = format_refusal(
+            problem, self.parser, is_to_head=self._request.method == b'HEAD'
+        )
+        await self._connection.write(answer)
+
     def has_caller_left(self) -> bool:
         """Return whether the caller has disconnected."""
         return self._connection.disconnect_monitor.has_caller_left
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -54,21 +54,25 @@
 )
 
 
-def format_refusal(problem: Problem, parser: h11.Connection) -> bytes:
-    """Return the bytes of an answer that also closes the connection."""
+def format_refusal(
+    problem: Problem, parser: h11.Connection, *, is_to_head: bool
+) -> bytes:
+    """Return the bytes of an answer that also closes the connection.
+
+    is_to_head tells that the request is a HEAD request, whose answer has no
+    body.
+    """
     request_id = secrets.token_hex(REQUEST_ID_B)
-    body = problem.body(request_id)
+    body = b'' if is_to_head else problem.body(request_id)
     headers = problem.headers(request_id)
     headers += [
         (b'content-length', b'%d' % len(body)),
         (b'connection', b'close'),
     ]
     response = h11.Response(status_code=problem.status, headers=headers)
-    return (
-        parser.send(response)
-        + parser.send(h11.Data(data=body))
-        + parser.send(h11.EndOfMessage())
-    )
+    head = parser.send(response)
+    content = parser.send(h11.Data(data=body)) if body else b''
+    return head + content + parser.send(h11.EndOfMessage())
 
 
 def refuse_malformed(error: h11.RemoteProtocolError) -> Problem:
--- a/chestnutshift/callers/request_reader.py
+++ b/chestnutshift/callers/request_reader.py
@@ -12,6 +12,8 @@
 from chestnutshift.forwarding.problems import RefusalError
 from chestnutshift.forwarding.requests import Headers
 
+_HEAD = b'HEAD '
+
 
 @attrs.frozen
 class RequestHead:
@@ -39,6 +41,9 @@
         self._limits = limits
         self._stop = stop
         self._parser = self._make_parser()
+        # The first bytes of the request, which tell its method even if its
+        # head can't be parsed.
+        self._first_bytes = b''
         self._scope = trio.CancelScope()
         self._is_between_requests = False
         self._is_busy = False
@@ -49,6 +54,11 @@
         """The parser of the request that is read or was read last."""
         return self._parser
 
+    @property
+    def is_head_request(self) -> bool:
+        """Whether the request that is read, as far as it is, is a HEAD."""
+        return self._first_bytes.startswith(_HEAD)
+
     def close_idle(self, at: float) -> None:
         """End the wait for a head at that time."""
         self._close_at = min(self._close_at, at)
@@ -66,10 +76,11 @@
             return False
         content, has_ended = self._parser.trailing_data
         self._parser = self._make_parser()
+        self._first_bytes = b''
         if content:
-            self._parser.receive_data(content)
+            self._receive(content)
         if has_ended:
-            self._parser.receive_data(b'')
+            self._receive(b'')
         return True
 
     async def next_head(self) -> RequestHead | None:
@@ -93,6 +104,15 @@
             raise RefusalError(problem)
         return RequestHead(event, headers)
 
+    async def read_first_bytes(self) -> None:
+        """Read the beginning of the first request, whatever it is."""
+        self._receive(await self._read_ahead.take())
+
+    def _receive(self, content: bytes) -> None:
+        if len(self._first_bytes) < len(_HEAD):
+            self._first_bytes = (self._first_bytes + content)[: len(_HEAD)]
+        self._parser.receive_data(content)
+
     async def _next_event(self) -> h11.Event:
         """Return the next event; NEED_DATA after a timeout."""
         event = self._parser.next_event()
@@ -102,13 +122,13 @@
         self._scope = trio.CancelScope(deadline=self._idle_deadline(now))
         self._is_between_requests = True
         with self._scope:
-            self._parser.receive_data(await self._read_ahead.take())
+            self._receive(await self._read_ahead.take())
             self._is_between_requests = False
             now = trio.current_time()
             self._scope.deadline = now + self._limits.header_timeout_s
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
-                self._parser.receive_data(await self._read_ahead.take())
+                self._receive(await self._read_ahead.take())
                 event = self._parser.next_event()
         self._is_between_requests = False
         return event
