A fault of one connection ends that connection alone

Second cause: containment that the application had, and nothing around it.

Change: the listener reports what a connection raises (edge.fault with work `connection`, counted; the first product logs it), the connection is reset, and the others go on. All ports have it.

Checked: test_fault_of_one_connection and test_connection_that_raises failed before, as the process ended.

--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -1,7 +1,9 @@
 """Accepts a limited number of callers' connections until the VM stops."""
 
 import functools
+import logging
 import ssl
+from collections.abc import Callable
 
 import trio
 
@@ -16,14 +18,32 @@
 BACKLOG = 512
 
 Listener = trio.SocketListener | trio.SSLListener
+# Told of an unexpected exception that ended a connection.
+ReportFault = Callable[[Exception], None]
+
+logger = logging.getLogger('chestnutshift.http')
+
+
+def log_fault(error: Exception) -> None:
+    """Log a fault of the program, with the place it comes from."""
+    logger.error('a fault ended a connection', exc_info=error)
 
 
 class CallersListener:
     """Serves an ASGI application to callers on any number of listeners."""
 
-    def __init__(self, application: Application, limits: CallerLimits) -> None:
-        """Serve the application within the limits."""
+    def __init__(
+        self,
+        application: Application,
+        limits: CallerLimits,
+        report_fault: ReportFault = log_fault,
+    ) -> None:
+        """Serve the application within the limits.
+
+        A fault that a connection raises ends that connection alone.
+        """
         self._application = application
+        self._report_fault = report_fault
         self._limits = limits
         self._stop = StopState()
         self._open: set[CallerConnection] = set()
@@ -67,6 +87,13 @@
             connection.close_idle(now + self._limits.stop_idle_s)
 
     async def _serve_stream(self, stream: CallerStream) -> None:
+        try:
+            await self._serve_or_refuse(stream)
+        except Exception as error:
+            # The connection has been reset.
+            self._report_fault(error)
+
+    async def _serve_or_refuse(self, stream: CallerStream) -> None:
         connection = CallerConnection(
             CallerTransport(stream),
             self._application,
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -1,5 +1,6 @@
 """The ports of an edge VM, and the graceful stop of those that forward."""
 
+import functools
 from collections.abc import Collection
 
 import attrs
@@ -8,6 +9,7 @@
 from chestnutshift.callers.connection import Application
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.edge.containment import report_fault
 from chestnutshift.edge.forwarders import Forwarders
 from chestnutshift.edge.metrics_page import MetricsApplication
 from chestnutshift.edge.settings import EdgeSettings, Endpoint
@@ -46,11 +48,11 @@
         """
         settings = self._state.settings
         limits = _make_limits(settings)
-        callers = CallersListener(
+        callers = self._make_listener(
             self._forwarders.callers,
             attrs.evolve(limits, pipelined_max=PIPELINED_MAX),
         )
-        peers = CallersListener(
+        peers = self._make_listener(
             self._forwarders.peers,
             attrs.evolve(limits, connections_max=PEER_CONNECTIONS_MAX),
         )
@@ -69,12 +71,18 @@
     ) -> None:
         settings = self._state.settings
         metrics = attrs.evolve(settings.callers, port=settings.metrics_port)
-        nursery.start_soon(
-            _serve_port, metrics, MetricsApplication(self._state), limits
-        )
+        page = self._make_listener(MetricsApplication(self._state), limits)
+        nursery.start_soon(_serve_port, metrics, page)
         entries = dict.fromkeys((settings.readiness, settings.lookups))
         for endpoint in entries:
-            nursery.start_soon(_serve_port, endpoint, self._entry, limits)
+            entry = self._make_listener(self._entry, limits)
+            nursery.start_soon(_serve_port, endpoint, entry)
+
+    def _make_listener(
+        self, application: Application, limits: CallerLimits
+    ) -> CallersListener:
+        report = functools.partial(report_fault, self._state, 'connection')
+        return CallersListener(application, limits, report)
 
     async def _stop_after_grace(
         self,
@@ -100,10 +108,7 @@
     )
 
 
-async def _serve_port(
-    endpoint: Endpoint, application: Application, limits: CallerLimits
-) -> None:
-    listener = CallersListener(application, limits)
+async def _serve_port(endpoint: Endpoint, listener: CallersListener) -> None:
     await listener.serve(await _listen(endpoint), trio.Event())
 
 
--- a/tests/callers/test_listener.py
+++ b/tests/callers/test_listener.py
@@ -1,14 +1,20 @@
 """The number of connections is bounded, and a stop is graceful."""
 
 import json
+import unittest
+from contextlib import suppress
+from unittest.mock import patch
 
 import attrs
 import trio
 from trio.testing import trio_test
 
+from chestnutshift.callers import refusals
 from tests.callers.clients import calling, get
 from tests.callers.serving import LIMITS, echo, serving
 
+logs = unittest.TestCase().assertLogs
+
 
 @trio_test
 async def test_connection_limit():
@@ -87,3 +93,23 @@
             raise AssertionError('a connection was accepted')
     except OSError:
         return
+
+
+# LOST: an exception of one connection ended the process with all others.
+@trio_test
+async def test_fault_of_one_connection() -> None:
+    """That connection is reset, the fault is logged, and others are served."""
+    fault = patch.object(
+        refusals, 'refuse_head', side_effect=ZeroDivisionError('a fault')
+    )
+    async with serving(echo) as port, calling(port.number) as other:
+        await other.send(get('/1'))
+        await other.answer()
+        with fault, logs('chestnutshift.http') as logged:
+            async with calling(port.number) as caller:
+                await caller.send(get('/2'))
+                with suppress(trio.BrokenResourceError):
+                    assert not await caller.read_end()
+        assert 'ZeroDivisionError' in logged.output[0]
+        await other.send(get('/3'))
+        assert (await other.answer()).body == b'GET /3 '
--- a/tests/edge/test_containment.py
+++ b/tests/edge/test_containment.py
@@ -1,13 +1,15 @@
 """A fault in one datagram, row or check ends there, and is heard of."""
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from unittest.mock import Mock, patch
 
 import attrs
+import httpx
 import trio
 from trio.testing import trio_test
 
+from chestnutshift.callers import refusals
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.check_sender import CheckSender
@@ -130,3 +132,16 @@
         await until(lambda: upstream.condition is Condition.READY)
         assert _fault_count(world.state, 'check') == 1
         assert (await world.ask()).status_code == 200
+
+
+# LOST: an exception of one connection ended the VM with all others.
+@trio_test
+async def test_connection_that_raises() -> None:
+    """The connection is reset, and the VM serves on."""
+    async with running_edge('serve') as world:
+        world.expects_faults = True
+        with _failing(refusals, 'refuse_head'):
+            with suppress(httpx.TransportError):
+                await world.ask()
+        await until(lambda: _fault_count(world.state, 'connection') == 1)
+        assert (await world.ask()).status_code == 200
