--- a/chestnutshift/callers/limits.py
+++ b/chestnutshift/callers/limits.py
@@ -1,5 +1,7 @@
 """Limits on callers' connections, and whether the VM is stopping."""
 
+from collections.abc import Callable
+
 import attrs
 
 from chestnutshift.conf import defaults
@@ -15,9 +17,14 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Limits of a callers' port; times in seconds."""
+    """Limits of a callers' port; times in seconds.
+
+    find_header_limit_b returns the longest head in bytes where that changes
+    while the port serves, in place of header_limit_b.
+    """
 
     header_limit_b: int = defaults.HEADER_LIMIT_B
+    find_header_limit_b: Callable[[], int] | None = None
     header_timeout_s: float = defaults.HEADER_TIMEOUT_S
     connections_max: int = defaults.CALLER_CONNECTIONS_MAX
     grace_s: float = defaults.GRACE_S
@@ -32,6 +39,13 @@
     # must not be repeated, see callers.exchange.
     pipelined_max: int = 1
 
+    @property
+    def head_max_b(self) -> int:
+        """The longest head of a request that is served now, in bytes."""
+        if self.find_header_limit_b is None:
+            return self.header_limit_b
+        return min(defaults.HEADER_LIMIT_MAX_B, self.find_header_limit_b())
+
 
 @attrs.define
 class StopState:
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -27,7 +27,7 @@
     'this VM has reached its connection limit; use another',
     retry_after_s=1,
 )
-_HEAD_TOO_LARGE = Problem(
+HEAD_TOO_LARGE = Problem(
     HEAD_TOO_LARGE_STATUS,
     'request.head',
     'the head of the request is too large',
@@ -78,7 +78,7 @@
 def refuse_malformed(error: h11.RemoteProtocolError) -> Problem:
     """Return the refusal of a head that h11 rejects."""
     if error.error_status_hint == HEAD_TOO_LARGE_STATUS:
-        return _HEAD_TOO_LARGE
+        return HEAD_TOO_LARGE
     return Problem(400, 'request.malformed', str(error))
 
 
@@ -94,7 +94,7 @@
     """
     head_b = sum(len(name) + len(text) for name, text in headers)
     if head_b + len(request.target) > limit_b:
-        return _HEAD_TOO_LARGE
+        return HEAD_TOO_LARGE
     if request.http_version not in {b'1.1', b'1.0'}:
         return _UNSUPPORTED_VERSION
     if request.method == b'CONNECT':
--- a/chestnutshift/callers/request_reader.py
+++ b/chestnutshift/callers/request_reader.py
@@ -9,6 +9,7 @@
 from chestnutshift.callers import refusals
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.read_ahead import ReadAheadBuffer
+from chestnutshift.conf import defaults
 from chestnutshift.forwarding.problems import RefusalError
 from chestnutshift.forwarding.requests import Headers
 
@@ -98,7 +99,7 @@
             return None
         # Iterating over h11's headers is slow, so they are copied once.
         headers = list(event.headers)
-        limit_b = self._limits.header_limit_b
+        limit_b = self._limits.head_max_b
         problem = refusals.refuse_head(event, headers, limit_b)
         if problem is not None:
             raise RefusalError(problem)
@@ -108,6 +109,11 @@
         """Read the beginning of the first request, whatever it is."""
         self._receive(await self._read_ahead.take())
 
+    def _check_length(self) -> None:
+        """Raise RefusalError if the part of a head that came is too long."""
+        if len(self._parser.trailing_data[0]) > self._limits.head_max_b:
+            raise RefusalError(refusals.HEAD_TOO_LARGE)
+
     def _receive(self, content: bytes) -> None:
         if len(self._first_bytes) < len(_HEAD):
             self._first_bytes = (self._first_bytes + content)[: len(_HEAD)]
@@ -128,6 +134,7 @@
             self._scope.deadline = now + self._limits.header_timeout_s
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
+                self._check_length()
                 self._receive(await self._read_ahead.take())
                 event = self._parser.next_event()
         self._is_between_requests = False
@@ -144,5 +151,5 @@
     def _make_parser(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=self._limits.header_limit_b,
+            max_incomplete_event_size=defaults.HEADER_LIMIT_MAX_B,
         )
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -9,10 +9,11 @@
 from chestnutshift.callers.connection import Application
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.conf import defaults
 from chestnutshift.edge.containment import report_fault
 from chestnutshift.edge.forwarders import Forwarders
 from chestnutshift.edge.metrics_page import MetricsApplication
-from chestnutshift.edge.settings import EdgeSettings, Endpoint
+from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.state import EdgeState
 
 # Fractions of the stop's grace period after which new connections are no longer
@@ -28,6 +29,8 @@
 
 # Connections of peers that pass requests on.
 PEER_CONNECTIONS_MAX = 600
+# Headers that a peer adds to a request that it passes on, in bytes.
+CROSSING_HEAD_B = 8192
 # Requests of one caller's connection that are served at the same time.
 PIPELINED_MAX = 8
 
@@ -47,14 +50,20 @@
         The other ports are served in the nursery until it is cancelled.
         """
         settings = self._state.settings
-        limits = _make_limits(settings)
+        limits = _make_limits(self._state)
         callers = self._make_listener(
             self._forwarders.callers,
             attrs.evolve(limits, pipelined_max=PIPELINED_MAX),
         )
         peers = self._make_listener(
             self._forwarders.peers,
-            attrs.evolve(limits, connections_max=PEER_CONNECTIONS_MAX),
+            attrs.evolve(
+                limits,
+                connections_max=PEER_CONNECTIONS_MAX,
+                find_header_limit_b=functools.partial(
+                    _header_limit_b, self._state, CROSSING_HEAD_B
+                ),
+            ),
         )
         self._serve_others(nursery, limits)
         stop_serving = trio.Event()
@@ -97,8 +106,17 @@
         stop_serving.set()
 
 
-def _make_limits(settings: EdgeSettings) -> CallerLimits:
+def _header_limit_b(state: EdgeState, added_b: int = 0) -> int:
+    """Return the longest head by the route table in force, plus added_b."""
+    table = state.table
+    limit_b = table.bounds.header_limit_b if table else defaults.HEADER_LIMIT_B
+    return limit_b + added_b
+
+
+def _make_limits(state: EdgeState) -> CallerLimits:
+    settings = state.settings
     return CallerLimits(
+        find_header_limit_b=functools.partial(_header_limit_b, state),
         connections_max=settings.descriptors_max - DESCRIPTORS_RESERVED,
         grace_s=settings.bounds.grace_s
         * (REQUESTS_GRACE_RATIO - ACCEPT_GRACE_RATIO),
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -13,8 +13,11 @@
 
 from chestnutshift.callers.limits import CallerLimits
 from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.conf.defaults import HEADER_LIMIT_MAX_B
 
-LIMITS = CallerLimits(grace_s=0, half_close_is_disconnect=True)
+LIMITS = CallerLimits(
+    header_limit_b=HEADER_LIMIT_MAX_B, grace_s=0, half_close_is_disconnect=True
+)
 SLOW_S = 0.6
 Row = dict[str, Any]
 Header = tuple[bytes, bytes]
