Requests behind a stream that may break off are not sent on meanwhile

Cause: a stream that breaks off can only end with a reset of the connection, and the requests behind it were passed on as soon as they were read.

Change: while requests behind it are at work, up to 4 MiB of an answer is buffered, so that a broken one is retried or refused and the connection goes on; once an answer is streamed, requests that come behind it wait until it is complete. The requests of a connection have a class of their own, and the parser tells a HEAD request itself, which the refusals use.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -17,8 +17,10 @@
 from chestnutshift.callers.exchange import CallerExchange, Message
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.read_ahead import ReadAheadBuffer
+from chestnutshift.callers.request_parser import RequestParser
 from chestnutshift.callers.request_reader import RequestHead, RequestReader
 from chestnutshift.callers.transport import CallerTransport
+from chestnutshift.callers.unanswered import UnansweredExchanges
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import CallerDisconnectedError
 
@@ -58,8 +60,7 @@
         self._application = application
         self._stop = stop
         self._reader = RequestReader(self.read_ahead, limits, stop)
-        # Requests whose answers are not complete, the oldest first.
-        self._unanswered: list[CallerExchange] = []
+        self._unanswered = UnansweredExchanges()
         self._answered = trio.lowlevel.ParkingLot()
         # Set once the newest answer announces the end of the connection.
         self._is_closing = False
@@ -124,7 +125,7 @@
     async def _refuse_first(self, problem: Problem) -> None:
         with trio.move_on_after(FIRST_BYTES_S):
             await self._reader.read_first_bytes()
-        await self._refuse_read(problem)
+        await self._refuse(problem, self._reader.parser)
         await self._close()
 
     async def _serve(self) -> None:
@@ -138,17 +139,11 @@
             self.transport.reset()
             return
         if refused is not None:
-            await self._refuse_read(refused)
+            await self._refuse(refused, self._reader.parser)
         await self._close()
 
-    async def _refuse_read(self, problem: Problem) -> None:
-        """Refuse the request that was read last."""
-        answer = refusals.format_refusal(
-            problem,
-            self._reader.parser,
-            is_to_head=self._reader.is_head_request,
-        )
-        await self.write(answer)
+    async def _refuse(self, problem: Problem, parser: RequestParser) -> None:
+        await self.write(refusals.format_refusal(problem, parser))
 
     async def _close(self) -> None:
         """Close the sending side; keep reading so that the answer arrives."""
@@ -185,7 +180,9 @@
 
     def _add_exchange(self, head: RequestHead) -> CallerExchange:
         previous = self._unanswered[-1].done if self._unanswered else None
-        exchange = CallerExchange(self, self._reader.parser, head, previous)
+        exchange = CallerExchange(
+            self, self._reader.parser, head, previous, self._unanswered
+        )
         self._unanswered.append(exchange)
         self._reader.set_busy(True, trio.current_time())
         return exchange
@@ -225,7 +222,7 @@
             await exchange.wait_for_turn()
             if exchange.is_started:
                 return False
-            await exchange.write_refusal(refusals.INTERNAL_ERROR)
+            await self._refuse(refusals.INTERNAL_ERROR, exchange.parser)
             self._stop_reading()
             # That answer closes the connection: no other may follow it.
             for later in self._unanswered[1:]:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -2,6 +2,7 @@
 
 import time
 from email.utils import formatdate
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
@@ -10,8 +11,8 @@
 import trio
 
 from chestnutshift.callers.body_reader import BodyReader
-from chestnutshift.callers.refusals import format_refusal
-from chestnutshift.forwarding.problems import Problem
+from chestnutshift.callers.request_parser import RequestParser
+from chestnutshift.callers.unanswered import UnansweredExchanges
 from chestnutshift.forwarding.requests import CallerDisconnectedError, Headers
 
 if TYPE_CHECKING:
@@ -27,6 +28,13 @@
 # The name of the ASGI extension that tells whether the caller has left. The
 # request is cancelled then too, but later at a VM that is behind.
 DEPARTURE_EXTENSION = 'chestnutshift.departure'
+# The name of the ASGI extension that waits until no earlier answer of the
+# connection is being streamed. If one breaks off, the connection is reset, and
+# the requests behind it are lost: they must not have been sent on.
+STREAM_EXTENSION = 'chestnutshift.stream'
+# The name of the ASGI extension that tells whether later requests of the
+# connection are being served, so that a stream that breaks off loses them.
+FOLLOWED_EXTENSION = 'chestnutshift.followed'
 
 BODILESS_STATUSES = frozenset((204, 304))
 _CLOSE = (b'connection', b'close')
@@ -63,14 +71,17 @@
     def __init__(
         self,
         connection: 'CallerConnection',
-        parser: h11.Connection,
+        parser: RequestParser,
         head: 'RequestHead',
         previous: trio.Event | None,
+        unanswered: UnansweredExchanges,
     ) -> None:
         """Serve a request whose head has been read.
 
         previous is set once the request before it is done, None if it is.
+        unanswered has the requests of the connection.
         """
+        self._unanswered = unanswered
         self.scope = trio.CancelScope()
         self.done = trio.Event()
         self._previous = previous
@@ -86,6 +97,7 @@
         self._answer_has_body = True
         self._body = BodyReader(connection, parser, head.headers)
         self._is_started = False
+        self._is_streaming = False
         self._is_complete = False
 
     @property
@@ -98,6 +110,11 @@
         """Whether the answer has begun."""
         return self._is_started
 
+    @property
+    def is_streaming(self) -> bool:
+        """Whether the answer has begun, and its end is not known yet."""
+        return self._is_streaming
+
     @property
     def is_complete(self) -> bool:
         """Whether the complete answer has been sent."""
@@ -138,6 +155,10 @@
             'extensions': {
                 TURN_EXTENSION: self.wait_for_turn,
                 DEPARTURE_EXTENSION: self.has_caller_left,
+                STREAM_EXTENSION: partial(
+                    self._unanswered.wait_for_streams, self
+                ),
+                FOLLOWED_EXTENSION: partial(self._unanswered.is_followed, self),
             },
             'state': {},
         }
@@ -152,6 +173,8 @@
         A complete answer whose turn has not come is held for write_held.
         """
         self._held.append(message)
+        is_head = message['type'] == 'http.response.start'
+        self._is_streaming = is_head or message.get('more_body', False)
         if self._previous is None or message.get('more_body', False):
             await self.write_held()
 
@@ -161,13 +184,6 @@
         while self._held:
             await self._write(self._held.pop(0))
 
-    async def write_refusal(self, problem: Problem) -> None:
-        """Write a refusal in place of the answer, and close the connection."""
-        answer = format_refusal(
-            problem, self.parser, is_to_head=self._request.method == b'HEAD'
-        )
-        await self._connection.write(answer)
-
     def has_caller_left(self) -> bool:
         """Return whether the caller has disconnected."""
         return self._connection.disconnect_monitor.has_caller_left
--- a/chestnutshift/callers/refusals.py
+++ b/chestnutshift/callers/refusals.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from chestnutshift.callers.request_parser import RequestParser
 from chestnutshift.forwarding.problems import Problem, Ran
 from chestnutshift.forwarding.requests import REQUEST_ID_B, Headers
 
@@ -54,16 +55,10 @@
 )
 
 
-def format_refusal(
-    problem: Problem, parser: h11.Connection, *, is_to_head: bool
-) -> bytes:
-    """Return the bytes of an answer that also closes the connection.
-
-    is_to_head tells that the request is a HEAD request, whose answer has no
-    body.
-    """
+def format_refusal(problem: Problem, parser: RequestParser) -> bytes:
+    """Return the bytes of an answer that also closes the connection."""
     request_id = secrets.token_hex(REQUEST_ID_B)
-    body = b'' if is_to_head else problem.body(request_id)
+    body = b'' if parser.is_head_request else problem.body(request_id)
     headers = problem.headers(request_id)
     headers += [
         (b'content-length', b'%d' % len(body)),
--- a/chestnutshift/callers/request_reader.py
+++ b/chestnutshift/callers/request_reader.py
@@ -9,12 +9,10 @@
 from chestnutshift.callers import refusals
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.read_ahead import ReadAheadBuffer
-from chestnutshift.conf import defaults
+from chestnutshift.callers.request_parser import RequestParser
 from chestnutshift.forwarding.problems import RefusalError
 from chestnutshift.forwarding.requests import Headers
 
-_HEAD = b'HEAD '
-
 
 @attrs.frozen
 class RequestHead:
@@ -41,25 +39,17 @@
         self._read_ahead = read_ahead
         self._limits = limits
         self._stop = stop
-        self._parser = self._make_parser()
-        # The first bytes of the request, which tell its method even if its
-        # head can't be parsed.
-        self._first_bytes = b''
+        self._parser = RequestParser()
         self._scope = trio.CancelScope()
         self._is_between_requests = False
         self._is_busy = False
         self._close_at = math.inf
 
     @property
-    def parser(self) -> h11.Connection:
+    def parser(self) -> RequestParser:
         """The parser of the request that is read or was read last."""
         return self._parser
 
-    @property
-    def is_head_request(self) -> bool:
-        """Whether the request that is read, as far as it is, is a HEAD."""
-        return self._first_bytes.startswith(_HEAD)
-
     def close_idle(self, at: float) -> None:
         """End the wait for a head at that time."""
         self._close_at = min(self._close_at, at)
@@ -76,12 +66,11 @@
         if self._parser.their_state is not h11.DONE:
             return False
         content, has_ended = self._parser.trailing_data
-        self._parser = self._make_parser()
-        self._first_bytes = b''
+        self._parser = RequestParser()
         if content:
-            self._receive(content)
+            self._parser.receive_data(content)
         if has_ended:
-            self._receive(b'')
+            self._parser.receive_data(b'')
         return True
 
     async def next_head(self) -> RequestHead | None:
@@ -107,18 +96,13 @@
 
     async def read_first_bytes(self) -> None:
         """Read the beginning of the first request, whatever it is."""
-        self._receive(await self._read_ahead.take())
+        self._parser.receive_data(await self._read_ahead.take())
 
     def _check_length(self) -> None:
         """Raise RefusalError if the part of a head that came is too long."""
         if len(self._parser.trailing_data[0]) > self._limits.head_max_b:
             raise RefusalError(refusals.HEAD_TOO_LARGE)
 
-    def _receive(self, content: bytes) -> None:
-        if len(self._first_bytes) < len(_HEAD):
-            self._first_bytes = (self._first_bytes + content)[: len(_HEAD)]
-        self._parser.receive_data(content)
-
     async def _next_event(self) -> h11.Event:
         """Return the next event; NEED_DATA after a timeout."""
         event = self._parser.next_event()
@@ -128,14 +112,14 @@
         self._scope = trio.CancelScope(deadline=self._idle_deadline(now))
         self._is_between_requests = True
         with self._scope:
-            self._receive(await self._read_ahead.take())
+            self._parser.receive_data(await self._read_ahead.take())
             self._is_between_requests = False
             now = trio.current_time()
             self._scope.deadline = now + self._limits.header_timeout_s
             event = self._parser.next_event()
             while event is h11.NEED_DATA:
                 self._check_length()
-                self._receive(await self._read_ahead.take())
+                self._parser.receive_data(await self._read_ahead.take())
                 event = self._parser.next_event()
         self._is_between_requests = False
         return event
@@ -147,9 +131,3 @@
         is_stopping = self._stop.is_stopping
         idle_s = limits.stop_idle_s if is_stopping else limits.idle_s
         return min(self._close_at, now + idle_s)
-
-    def _make_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=defaults.HEADER_LIMIT_MAX_B,
-        )
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -28,6 +28,9 @@
 # Answers up to this length are buffered, so that the request can be retried
 # if the connection breaks; longer ones are streamed.
 ANSWER_BUFFER_B = 262_144
+# Likewise while requests behind it on the caller's connection are at work,
+# which would be lost with a stream that breaks off.
+FOLLOWED_BUFFER_B = 4_194_304
 # A refusal counts without what its body has beyond this; so does a health
 # check. The connection is closed then.
 DISCARDED_MAX_B = 65_536
@@ -128,6 +131,10 @@
 RecordHead = Callable[[int, AnswerFacts], None]
 
 
+def _never() -> bool:
+    return False
+
+
 class StreamCutError(Exception):
     """A streamed answer broke off; the caller's connection is aborted."""
 
@@ -141,6 +148,8 @@
     _start_answer: StartAnswer
     _write_part: WritePart
     _record_head: RecordHead
+    # Whether requests behind this one on the connection are at work.
+    _is_followed: Callable[[], bool] = _never
     end: AttemptEnd | None = None
     _chunks: list[bytes] = attrs.field(factory=list)
     _length_b: int = 0
@@ -173,13 +182,16 @@
             await self._write_part(part.content, part.is_last)
             return
         self._chunks.append(part.content)
-        if self._length_b <= ANSWER_BUFFER_B or part.is_last:
+        if part.is_last or self._length_b <= self._buffer_b():
             return
         self.is_streaming = True
         headers = self._dialect.caller_headers(answer.headers)
         await self._start_answer(answer.status, headers)
         await self._write_part(b''.join(self._chunks), False)
 
+    def _buffer_b(self) -> int:
+        return FOLLOWED_BUFFER_B if self._is_followed() else ANSWER_BUFFER_B
+
     def _finish(self, answer: UpstreamAnswer, facts: AnswerFacts) -> AttemptEnd:
         if facts.is_not_run:
             return AttemptEnd(EndKind.NOT_RUN, f'{answer.status}', facts=facts)
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -5,6 +5,8 @@
 
 from chestnutshift.callers.exchange import (
     DEPARTURE_EXTENSION,
+    FOLLOWED_EXTENSION,
+    STREAM_EXTENSION,
     TURN_EXTENSION,
 )
 from chestnutshift.clocks import boot_time
@@ -122,11 +124,13 @@
             now,
             deadline,
             scope['extensions'][DEPARTURE_EXTENSION],
+            scope['extensions'][FOLLOWED_EXTENSION],
         )
         left_s = deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as deadline_scope:
             if not admitted.route.is_idempotent:
                 await scope['extensions'][TURN_EXTENSION]()
+            await scope['extensions'][STREAM_EXTENSION]()
             await body.buffer(BODY_BUFFER_MAX_B)
             await self._gate.prepare(pending)
             await self._request_runner.run(pending)
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -243,6 +243,7 @@
             pending.writer.start,
             pending.writer.write_part,
             _ignore_head,
+            pending.is_followed,
         )
 
     def _log_sent(self, pending: PendingRequest, vm: str, now: float) -> None:
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -22,7 +22,8 @@
     """An admitted request and the progress of its attempts.
 
     started_at and deadline are boot times in seconds. has_caller_left tells
-    whether an answer would reach nobody. sent_count counts the
+    whether an answer would reach nobody, is_followed whether requests behind it
+    on its connection are at work. sent_count counts the
     attempts that were sent, unreached_count those that were not; misdirected
     attempts count in neither. avoided are the upstreams tried already.
     fingerprint tells whether it is the same as another request, None if that
@@ -37,6 +38,7 @@
     started_at: float
     deadline: float
     has_caller_left: Callable[[], bool]
+    is_followed: Callable[[], bool]
     sent_count: int = 0
     unreached_count: int = 0
     ran: Ran = Ran.NOT_RUN
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -240,6 +240,7 @@
             pending.writer.start,
             pending.writer.write_part,
             functools.partial(self._observer.record_head, upstream, watched),
+            pending.is_followed,
         )
         is_idempotent = pending.admitted.route.is_idempotent
         with watched.scope if is_idempotent else nullcontext():
