An upload at which an upstream is at work is not said not to have run

Cause: a refusal took its word on the run from the moment of its error, always "not run", and not from the request. Change: an error while the request runs is reported with what is known of its run, and a status that promises (408, 421, 429, 503) becomes 504 then, for any reason: the body stops, is malformed, or turns out too long.

--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -37,6 +37,10 @@
     Send,
 )
 
+# Statuses that tell a caller that its request has not run and never will.
+PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+GATEWAY_TIMEOUT_STATUS = 504
+
 
 @attrs.define
 class EdgeForwarder:
@@ -133,7 +137,7 @@
             await scope['extensions'][STREAM_EXTENSION]()
             await body.buffer(BODY_BUFFER_MAX_B)
             await self._gate.prepare(pending)
-            await self._request_runner.run(pending)
+            await self._run(pending)
         if deadline_scope.cancelled_caught:
             if writer.is_started:
                 raise StreamCutError(
@@ -141,6 +145,30 @@
                 )
             raise RefusalError(_deadline_problem(pending))
 
+    async def _run(self, pending: PendingRequest) -> None:
+        """Run the request; raises RefusalError with a true word on its run.
+
+        The caller's body may stop, or turn out to be malformed, while an
+        upstream is at work on its beginning.
+        """
+        try:
+            await self._request_runner.run(pending)
+        except CallerDisconnectedError:
+            raise
+        except CodedError as error:
+            problem = _true_problem(error, pending.ran)
+            raise RefusalError(problem) from error
+
+
+def _true_problem(error: CodedError, ran: Ran) -> Problem:
+    """Return the refusal of a request, whose status promises nothing untrue."""
+    problem = problem_of(error, ran)
+    if problem.ran is Ran.NOT_RUN or problem.status not in PROMISING_STATUSES:
+        return problem
+    return attrs.evolve(
+        problem, status=GATEWAY_TIMEOUT_STATUS, retry_after_s=None
+    )
+
 
 def _deadline_problem(pending: PendingRequest) -> Problem:
     if pending.ran is Ran.NOT_RUN and not pending.sent_count:
@@ -151,7 +179,7 @@
             retry_after_s=RETRY_AFTER_MIN_S,
         )
     return Problem(
-        504,
+        GATEWAY_TIMEOUT_STATUS,
         'request.deadline_passed',
         'the deadline passed before the answer was complete',
         Ran.UNKNOWN,
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -50,7 +50,7 @@
         The other ports are served in the nursery until it is cancelled.
         """
         settings = self._state.settings
-        limits = _make_limits(self._state)
+        limits = make_limits(self._state)
         callers = self._make_listener(
             self._forwarders.callers,
             attrs.evolve(limits, pipelined_max=PIPELINED_MAX),
@@ -113,7 +113,8 @@
     return limit_b + added_b
 
 
-def _make_limits(state: EdgeState) -> CallerLimits:
+def make_limits(state: EdgeState) -> CallerLimits:
+    """Return the limits of the callers' port of a VM."""
     settings = state.settings
     return CallerLimits(
         find_header_limit_b=functools.partial(_header_limit_b, state),
