A table that is read in pages is known up to its first page only

Cause: each page is of a moment of its own, and the view took the version, the time of the call and the store's clock from the last page, though the rows of earlier pages are older. Change: all three come from the first page; the feed brings later changes again, which does no harm.

Checked: tests.platform.test_store.test_version_of_a_table_read_in_pages failed before.

--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -78,6 +78,13 @@
     era: int = 0
 
 
+@attrs.frozen
+class _Page(StoreView):
+    """One page of a table, and whether more follow."""
+
+    is_truncated: bool = False
+
+
 @attrs.frozen
 class _Answer:
     status: int
@@ -100,33 +107,29 @@
         )
 
     async def read(self, table: str) -> StoreView:
-        """Return all rows of a table; raises StoreUnavailableError."""
-        rows: list[StoredRow] = []
-        eras: set[int] = set()
-        start = ''
-        while True:
-            query = {'table': table, 'part': '', 'from': start}
-            if not start:
-                query.pop('from')
-            answer = await self._call('GET', names.READ_ROWS_PATH, query)
-            document = _document(answer)
-            rows.extend(_rows(document))
-            eras.add(answer.era)
-            if len(eras) > 1:
+        """Return all rows of a table; raises StoreUnavailableError.
+
+        Each page is of a moment of its own, so the view is complete up to the
+        first: later changes to the rows of an earlier page are not in it.
+        """
+        page = await self._read_page(table, '')
+        rows = list(page.rows)
+        first = page
+        while page.is_truncated and page.rows:
+            # The smallest key after the last one.
+            page = await self._read_page(table, f'{rows[-1].key}\0')
+            rows.extend(page.rows)
+            if page.era != first.era:
                 raise StoreUnavailableError(
                     'the store entered another era between two pages'
                 )
-            if not document.get('truncated') or not rows:
-                version = integer_of(document, 'ver')
-                return StoreView(
-                    tuple(rows),
-                    version,
-                    answer.requested_at,
-                    _store_now(document),
-                    answer.era,
-                )
-            # The smallest key after the last one.
-            start = f'{rows[-1].key}\0'
+        return StoreView(
+            tuple(rows),
+            first.version,
+            first.requested_at,
+            first.store_now,
+            first.era,
+        )
 
     async def follow(
         self,
@@ -194,6 +197,21 @@
         """Close the idle connections."""
         await self._connections.aclose()
 
+    async def _read_page(self, table: str, start: str) -> _Page:
+        query = {'table': table, 'part': ''}
+        if start:
+            query['from'] = start
+        answer = await self._call('GET', names.READ_ROWS_PATH, query)
+        document = _document(answer)
+        return _Page(
+            _rows(document),
+            integer_of(document, 'ver'),
+            answer.requested_at,
+            _store_now(document),
+            answer.era,
+            bool(document.get('truncated')),
+        )
+
     async def _call(
         self,
         method: str,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from nose2.tools import params
 from trio.testing import trio_test
 
+from chestnutshift.clocks import boot_time
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.platform.exceptions import StoreUnavailableError
 from chestnutshift.platform.store import ANSWER_TIMEOUT_S, StoreClient
@@ -123,6 +124,41 @@
             await store.aclose()
 
 
+@attrs.define
+class ChangingStore:
+    """An ASGI store of two pages, whose first one changes between them."""
+
+    version: int = 7
+
+    async def __call__(self, scope: Any, _receive: Any, send: Any) -> None:
+        """Answer with the next page, of a newer version than the last."""
+        is_first = b'from=' not in scope['query_string']
+        page = {
+            'rows': [{**ROW, 'key': 'a' if is_first else 'b'}],
+            'ver': self.version,
+            'truncated': is_first,
+            'now': f'{self.version}s',
+        }
+        self.version += 1
+        await answer(send, 200, json.dumps(page).encode())
+
+
+# DRAIN: an upstream that said between two pages that it leaves was not heard,
+# as the view had the version of the last page.
+@trio_test
+async def test_version_of_a_table_read_in_pages() -> None:
+    """It is that of the first page, and so are the times."""
+    async with served(ChangingStore()) as port:
+        store = StoreClient(Endpoint('127.0.0.1', port))
+        before = boot_time()
+        view = await store.read('op')
+        await store.aclose()
+    assert [row.key for row in view.rows] == ['a', 'b']
+    assert view.version == 7
+    assert math.isclose(view.store_now, 7)
+    assert view.requested_at - before < ANSWER_TIMEOUT_S
+
+
 # A row of another writer whose content is no base64 hid the whole table.
 @params('e', 'e30', 7, '\u0661', '\ud800')
 @trio_test
