Connections that wait while a VM is busy are accepted together

Hypothesis: one connection is accepted in each turn of the event loop, a turn takes tens of milliseconds at such a VM, and refused callers come back on new connections. Change: a listener takes all connections that wait, up to 64 a turn, as the datagram port reads.

--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -1,12 +1,13 @@
 """Accepts a limited number of callers' connections until the VM stops."""
 
-import functools
 import logging
 import ssl
 from collections.abc import Callable
+from contextlib import closing
 
 import trio
 
+from chestnutshift.callers.accepting import BACKLOG, BatchListener
 from chestnutshift.callers.connection import Application, CallerConnection
 from chestnutshift.callers.limits import CallerLimits, StopState
 from chestnutshift.callers.refusals import TOO_MANY_CONNECTIONS
@@ -15,9 +16,8 @@
 # Connections over the limit that are sent a refusal concurrently; more are
 # reset.
 REFUSED_MAX = 50
-BACKLOG = 512
 
-Listener = trio.SocketListener | trio.SSLListener
+Listener = BatchListener | trio.SSLListener
 # Told of an unexpected exception that ended a connection.
 ReportFault = Callable[[Exception], None]
 
@@ -64,14 +64,9 @@
         Answers that are incomplete after grace_s seconds are reset.
         """
         async with trio.open_nursery() as connections:
-            accept = functools.partial(
-                trio.serve_listeners,
-                self._serve_stream,
-                listeners,
-                handler_nursery=connections,
-            )
             async with trio.open_nursery() as acceptors:
-                acceptors.start_soon(accept)
+                for listener in listeners:
+                    acceptors.start_soon(self._accept, listener, connections)
                 await stopping.wait()
                 acceptors.cancel_scope.cancel()
             now = trio.current_time()
@@ -86,6 +81,21 @@
         for connection in self._open:
             connection.close_idle(now + self._limits.stop_idle_s)
 
+    async def _accept(
+        self, listener: Listener, connections: trio.Nursery
+    ) -> None:
+        """Serve the connections of a listener until cancelled; close it."""
+        if isinstance(listener, trio.SSLListener):
+            await trio.serve_listeners(
+                self._serve_stream, [listener], handler_nursery=connections
+            )
+            return
+        with closing(listener):
+            while True:
+                streams = await listener.accept()
+                for stream in streams:
+                    connections.start_soon(self._serve_stream, stream)
+
     async def _serve_stream(self, stream: CallerStream) -> None:
         try:
             await self._serve_or_refuse(stream)
@@ -127,13 +137,13 @@
     key_file: str = '',
 ) -> list[Listener]:
     """Listen on an address, with TLS if certificate_file is set."""
+    if not certificate_file:
+        return [BatchListener(address, port)]
     listeners = await trio.open_tcp_listeners(
         port,
         host=address,
         backlog=BACKLOG,
     )
-    if not certificate_file:
-        return list(listeners)
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(certificate_file, key_file)
     context.set_alpn_protocols(['http/1.1'])
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -8,7 +8,11 @@
 
 from chestnutshift.callers.connection import Application
 from chestnutshift.callers.limits import CallerLimits
-from chestnutshift.callers.listener import CallersListener, open_listeners
+from chestnutshift.callers.listener import (
+    CallersListener,
+    Listener,
+    open_listeners,
+)
 from chestnutshift.conf import defaults
 from chestnutshift.edge.containment import report_fault
 from chestnutshift.edge.forwarders import Forwarders
@@ -131,5 +135,5 @@
     await listener.serve(await _listen(endpoint), trio.Event())
 
 
-async def _listen(endpoint: Endpoint) -> list[trio.SocketListener]:
+async def _listen(endpoint: Endpoint) -> list[Listener]:
     return await open_listeners(endpoint.address, endpoint.port)
