An echo of a time to come proves no route table

What could happen (review, seen while reading): a heartbeat that echoes the clock of a VM from before its machine started again. The boot clock starts anew, so the echo lies in the future, and the proof with it: the VM would trust its keys until its clock gets there, withdrawn ones included. A peer that is wrong about the time does the same.

Change: an echo later than now is of an earlier start, and proves nothing. Shown by a test only, not by a machine that starts again.

Checked: tests.fleet.test_heartbeats.test_echo_from_before_a_restart failed before.

--- a/chestnutshift/fleet/view.py
+++ b/chestnutshift/fleet/view.py
@@ -121,13 +121,8 @@
             return False
         peer.heartbeat = heartbeat
         peer.last_heartbeat_at = now
-        if (
-            heartbeat.echoed_at is not None
-            and heartbeat.proof_age_s is not None
-        ):
-            # The peer's proof was at most proof_age_s old when it sent this
-            # heartbeat, and that was after this VM's clock read echoed_at.
-            proven_at = heartbeat.echoed_at - heartbeat.proof_age_s
+        proven_at = _proven_at(heartbeat, now)
+        if proven_at is not None:
             peer.proven_at = max(peer.proven_at, proven_at)
         return True
 
@@ -201,5 +196,18 @@
     return [vm for vm in fleet.names if vm not in silent]
 
 
+def _proven_at(heartbeat: Heartbeat, now: float) -> float | None:
+    """Return since when the peer's route table is proven, None for never.
+
+    Its proof was at most proof_age_s old when it sent this heartbeat, and that
+    was after this VM's clock read echoed_at. The clock starts anew with the
+    machine, so an echo of a later time is of an earlier start of this VM.
+    """
+    echoed_at, age_s = heartbeat.echoed_at, heartbeat.proof_age_s
+    if echoed_at is None or age_s is None or echoed_at > now:
+        return None
+    return echoed_at - age_s
+
+
 def _sequence(heartbeat: Heartbeat) -> tuple[int, int]:
     return heartbeat.incarnation, heartbeat.number
