Soak: hostile rows, long heads, late copies and crashes midway; own ends count

A process that ends by itself, and a fault that a VM logs, break a seed. Not in it: early answers without a length, as its upstreams are ASGI applications (tests.upstreams.test_connection_ends plays them), and crashing downloads beside cuts.

--- a/tests/edge/test_state_updater.py
+++ b/tests/edge/test_state_updater.py
@@ -136,3 +136,17 @@
     end = Change('evacuate/a1', None)
     updater.apply_operators(make_operators_view(end, era=2), now=201)
     assert not state.directory.evacuated
+
+
+# CONFIG: a VM that started just as the store returned from an older copy
+# accepted a key that only the lost route table took away, until the first
+# heartbeats arrived.
+def test_vm_that_starts_before_it_hears_its_peers() -> None:
+    """It trusts no key until peers that are listed have had time to tell."""
+    state = make_state()
+    state.fleet.add_member(make_member('vm-2'), 100)
+    row = Change('config', decode_route_table(route_table()))
+    whole = make_operators_view(row, is_whole=True, requested_at=100)
+    StateUpdater(state).apply_operators(whole, now=100)
+    assert not state.is_trusted(100)
+    assert state.is_trusted(100 + state.settings.bounds.withdrawal_s / 2)
--- a/tests/fleet/test_heartbeats.py
+++ b/tests/fleet/test_heartbeats.py
@@ -74,8 +74,8 @@
     assert view.proof(11) < 0
 
 
-# CONFIG: a VM whose machine started again would have accepted withdrawn keys for
-# as long as the machine had run before: peers echo its old clock for a moment.
+# CONFIG: a VM whose machine started again would have accepted withdrawn keys
+# for as long as it had run before: peers echo its old clock for a moment.
 def test_echo_from_before_a_restart() -> None:
     """An echo of a time that has not come yet proves nothing."""
     view = make_view()
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -80,10 +80,10 @@
     )
 
 
-def tolerated_requests() -> float:
+def tolerated_requests(account: Account = ACCOUNT) -> float:
     """Return the number of requests that are tolerated in a window."""
-    limit = ACCOUNT.rate * TOLERANCE.window_s + ACCOUNT.burst
-    return limit + TOLERANCE.requests(ACCOUNT)
+    limit = account.rate * TOLERANCE.window_s + account.burst
+    return limit + TOLERANCE.requests(account)
 
 
 def test_hot_account_is_held_to_its_limit() -> None:
--- a/tests/links.py
+++ b/tests/links.py
@@ -1,8 +1,9 @@
 """Loopback TCP proxy that can delay, reset, refuse or stall connections."""
 
 import enum
+import functools
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -28,9 +29,12 @@
     REFUSED = 'refused'
     # The port refuses new connections, and open ones live on.
     CLOSED_TO_NEW = 'closed_to_new'
+    # A refusal comes a second time, where the next answer is due.
+    LATE_COPIES = 'late_copies'
 
 
 DELAY_S = 0.4
+REFUSAL = b'HTTP/1.1 503'
 ADDRESS = '127.0.0.1'
 _REFUSING = frozenset((LinkFault.REFUSED, LinkFault.CLOSED_TO_NEW))
 _RESETTING = frozenset((LinkFault.RESET, LinkFault.DOWN, LinkFault.REFUSED))
@@ -100,13 +104,22 @@
             _reset(client)
             return
         self._open_streams |= {client, server}
+        late = _LateCopy(client)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    self._forward, client, server, self._forwards_requests
+                    self._forward,
+                    client,
+                    server,
+                    self._forwards_requests,
+                    late.send,
                 )
                 nursery.start_soon(
-                    self._forward, server, client, self._forwards_answers
+                    self._forward,
+                    server,
+                    client,
+                    self._forwards_answers,
+                    functools.partial(late.keep, self),
                 )
         finally:
             self._open_streams -= {client, server}
@@ -124,7 +137,9 @@
         source: trio.SocketStream,
         target: trio.SocketStream,
         may_forward: Callable[[], bool],
+        prepare: Callable[[bytes], Awaitable[None]],
     ) -> None:
+        """Forward one direction; prepare is called with what comes next."""
         try:
             while True:
                 content = await source.receive_some(CHUNK_B)
@@ -135,6 +150,7 @@
                 if not content:
                     await target.send_eof()
                     return
+                await prepare(content)
                 await target.send_all(content)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # End the other direction as well.
@@ -142,6 +158,27 @@
             _reset(target)
 
 
+@attrs.define
+class _LateCopy:
+    """The refusal of one connection that comes a second time."""
+
+    _client: trio.SocketStream
+    _content: bytes = b''
+
+    async def keep(self, link: Link, content: bytes) -> None:
+        """Keep an answer for later if it is a refusal."""
+        is_copied = link.fault is LinkFault.LATE_COPIES
+        if is_copied and content.startswith(REFUSAL):
+            self._content = content
+
+    async def send(self, _request: bytes) -> None:
+        """Send the copy where the answer to the next request is due."""
+        if self._content:
+            copy = self._content
+            self._content = b''
+            await self._client.send_all(copy)
+
+
 @attrs.define
 class LinkGroup:
     """Links to one server that have the same fault."""
--- a/tests/soak_edge/faults.py
+++ b/tests/soak_edge/faults.py
@@ -2,12 +2,15 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
+import httpx
 import trio
 
 from chestnutshift.registry import Registry
 from tests.soak_edge.deployment import SoakDeployment
 from tests.links import LinkFault
+from tests.platform.samples import registration
 from tests.soak_edge.vms import SoakVm
 
 Fault = Callable[[SoakDeployment], Awaitable[None]]
@@ -24,7 +27,20 @@
     LinkFault.DOWN,
     LinkFault.ONE_WAY,
     LinkFault.SILENT,
+    LinkFault.LATE_COPIES,
 )
+# What another writer may write among the upstreams.
+HOSTILE_FIELDS = (
+    ('status.cold_left', '3000000000ms'),
+    ('status.cold_left', f'{"9" * 400}s'),
+    ('status.seq', 2**70),
+    ('info.slots', 10**400),
+    ('info.service', '\ud800'),
+    ('addr', f'127.0.0.1:{"1" * 5000}'),
+    ('addr', '127.0.0.1\0:80'),
+    ('born', -1),
+)
+HEAD_B = (14_000, 20_000)
 
 # The shapes in which VMs are cut off from upstreams.
 CUT_FAULTS = (
@@ -126,6 +142,28 @@
     deployment.write_again()
 
 
+@FAULTS.register('hostile_row')
+async def write_hostile_row(deployment: SoakDeployment) -> None:
+    """Have another writer list something that is no upstream."""
+    content = registration(*deployment.rng.choice(HOSTILE_FIELDS))
+    deployment.store.write('servers', 'agent-7', content)
+    await trio.sleep(deployment.rng.uniform(*FAULT_DURATION_S))
+    deployment.store.remove('servers', 'agent-7')
+
+
+@FAULTS.register('long_head')
+async def send_long_head(deployment: SoakDeployment) -> None:
+    """Send a VM a request whose head is about as long as is permitted."""
+    vm = deployment.rng.choice(deployment.vms)
+    method = deployment.rng.choice(('HEAD', 'GET'))
+    extra = 'y' * deployment.rng.randint(*HEAD_B)
+    with suppress(httpx.HTTPError):
+        async with httpx.AsyncClient(verify=False) as client:
+            await client.request(
+                method, f'{vm.callers_url}/a/1', headers={'x-long': extra}
+            )
+
+
 @FAULTS.register('name_limit')
 async def name_limit(deployment: SoakDeployment) -> None:
     """Have an upstream name a limit for a while."""
--- a/tests/soak_edge/runner.py
+++ b/tests/soak_edge/runner.py
@@ -20,6 +20,7 @@
     find_exceeded_limits,
     find_unequal_service,
 )
+from tests.soak_edge.vms import SoakVm
 
 CALLER_COUNT = 8
 CALLERS_PER_VM = 3
@@ -103,6 +104,9 @@
                 )
                 outcome.problems += await _run_wishes(deployment, callers)
             else:
+                # Every other of these seeds, midway through its answer.
+                for upstream in deployment.upstreams.values():
+                    upstream.crashes_midway = seed % 4 == 0
                 await _run_crashing_request(callers)
             await trio.sleep(DRAIN_S)
             nursery.cancel_scope.cancel()
@@ -117,6 +121,8 @@
     outcome.problems += find_crash_repeats(
         deployment.crash_arrivals, deployment.crash_ends
     )
+    for vm in deployment.vms:
+        outcome.problems += _own_faults(vm)
     outcome.statuses.update(
         str(request.status) for request in deployment.sent_requests
     )
@@ -124,6 +130,17 @@
     return outcome
 
 
+def _own_faults(vm: SoakVm) -> list[str]:
+    """Return a line for each own end of a process, and one for its faults."""
+    problems = [
+        f'{vm.name} ended by itself with code {code}' for code in vm.own_ends
+    ]
+    faults = vm.faults()
+    if faults:
+        problems.append(f'{vm.name} logged {len(faults)} faults: {faults[0]}')
+    return problems
+
+
 async def _run_load_and_faults(
     deployment: SoakDeployment,
     callers: Callers,
--- a/tests/soak_edge/upstreams.py
+++ b/tests/soak_edge/upstreams.py
@@ -18,6 +18,7 @@
 PROCESSING_S = (0.005, 0.08)
 SLOW_PROBABILITY = 0.03
 SLOW_PROCESSING_S = 2.0
+LONG_ANSWER_B = 400_000
 
 
 @attrs.frozen
@@ -57,8 +58,9 @@
 
     Answers name rate_limit, in requests per second, unless it is None, and say
     that it leaves if is_leaving is set. Refusals ask for a pause of pause_s.
-    on_crash is called with the name when a crashing request arrives. arrivals
-    and told are recorded where VMs have links of their own.
+    on_crash is called with the name when a crashing request arrives, or midway
+    through its answer if crashes_midway is set. arrivals and told are recorded
+    where VMs have links of their own.
     """
 
     name: str
@@ -68,6 +70,7 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     pause_s: float = 0
+    crashes_midway: bool = False
     arrivals: list[Arrival] = attrs.field(factory=list)
     told: list[Told] = attrs.field(factory=list)
 
@@ -94,6 +97,9 @@
             Arrival(self.name, vm, request_id, time.monotonic())
         )
         if CRASH_MARK in scope['path']:
+            if self.crashes_midway:
+                await _begin_long_answer(send, id_header)
+                await trio.sleep(PROCESSING_S[0])
             self.on_crash(self.name)
             await trio.sleep_forever()
         draw = self.rng.random()
@@ -151,6 +157,19 @@
         return headers
 
 
+async def _begin_long_answer(send: Any, id_header: Header) -> None:
+    """Send so much of an answer that a VM passes it on."""
+    headers = [
+        id_header,
+        (b'x-chestnutshift-server-seal', b's'),
+        (b'content-length', b'%d' % LONG_ANSWER_B),
+    ]
+    start = {'status': 200, 'headers': headers}
+    await send({'type': 'http.response.start', **start})
+    part = {'body': b'l' * (LONG_ANSWER_B - 1), 'more_body': True}
+    await send({'type': 'http.response.body', **part})
+
+
 @attrs.frozen
 class VmUpstream:
     """ASGI application of an upstream on the link of one VM."""
--- a/tests/soak_edge/vms.py
+++ b/tests/soak_edge/vms.py
@@ -41,6 +41,7 @@
 ZONE_REGIONS = (('a1', 'a'), ('b1', 'b'))
 # Addresses derive from the process id, so concurrent soaks use different ones.
 OCTET_RANGE = 250
+FAULT_NAME = '"edge.fault"'
 ROOT = pathlib.Path(__file__).parents[2]
 
 
@@ -54,6 +55,8 @@
     settings: pathlib.Path
     log: pathlib.Path
     is_stopping: bool = False
+    # Exit codes of processes that ended by themselves.
+    own_ends: list[int] = attrs.field(factory=list)
     _process: subprocess.Popen | None = None
 
     @property
@@ -70,6 +73,7 @@
         """Start the process unless it is running."""
         if self.is_running:
             return
+        self._record_own_end()
         environment = os.environ | {
             'CHESTNUTSHIFT_SETTINGS': str(self.settings),
         }
@@ -95,10 +99,24 @@
         """Kill the process and wait until it has exited."""
         if self._process is None:
             return
+        self._record_own_end()
         self._process.kill()
         with trio.CancelScope(shield=True):
             await trio.to_thread.run_sync(self._process.wait)
 
+    def faults(self) -> list[str]:
+        """Return the faults of the program in the log, one line each."""
+        text = self.log.read_text(encoding='utf-8', errors='replace')
+        return [line for line in text.splitlines() if FAULT_NAME in line]
+
+    def _record_own_end(self) -> None:
+        """Record that the process has ended, if nobody stopped or killed it."""
+        if self._process is None or self.is_stopping:
+            return
+        code = self._process.poll()
+        if code is not None and code != -signal.SIGKILL:
+            self.own_ends.append(code)
+
 
 def make_vm(number: int, store_port: int, folder: pathlib.Path) -> SoakVm:
     """Write a VM's settings, and return the VM without starting it."""
