--- /dev/null
+++ b/tests/fleet/test_old_build.py
@@ -0,0 +1,61 @@
+"""VMs of the build of d04350d and of this one understand each other."""
+
+import io
+import json
+import pathlib
+import subprocess
+import sys
+import tarfile
+import tempfile
+
+from tests.fleet import build_exchange
+
+ROOT = pathlib.Path(__file__).parents[2]
+OLD_BUILD = 'd04350d'
+SCRIPT = pathlib.Path(build_exchange.__file__)
+TIMEOUT_S = 60
+
+
+def _extract(folder: str) -> None:
+    """Write the program of the old build to the folder."""
+    archive = subprocess.run(
+        ['git', 'archive', OLD_BUILD, 'chestnutshift'],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    ).stdout
+    with tarfile.open(fileobj=io.BytesIO(archive)) as files:
+        files.extractall(folder, filter='data')
+
+
+def _run_old(command: str, written: object = None) -> object:
+    """Run a command of the exchange with the old build."""
+    with tempfile.TemporaryDirectory() as folder:
+        _extract(folder)
+        ended = subprocess.run(
+            [sys.executable, str(SCRIPT), command],
+            cwd=folder,
+            env={'PYTHONPATH': folder},
+            input=json.dumps(written).encode(),
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+    assert not ended.returncode, ended.stderr.decode()
+    return json.loads(ended.stdout)
+
+
+def test_messages_of_the_old_build() -> None:
+    """This build reads them, and its hashes and fingerprints are the same."""
+    written = _run_old('write')
+    own = build_exchange.write()
+    assert written['hashes'] == own['hashes']
+    assert build_exchange.read(written) == build_exchange.read(own)
+
+
+def test_messages_for_the_old_build() -> None:
+    """It reads those of this build, also with figures beyond a field."""
+    own = build_exchange.write()
+    assert _run_old('read', own) == build_exchange.read(own)
+    beyond = {**own, 'datagrams': build_exchange.write_out_of_range()}
+    assert _run_old('read', beyond) == build_exchange.read(beyond)
