A crash that looks like an orderly end does not complete an answer

Cause, second of two, by a trace of the VM's own connections: a killed process whose kernel holds no unread bytes ends its connections orderly, and resets them at the next bytes (end of stream at 16,594 bytes sent, EPIPE 4 to 17 ms later). A VM that is busy sends slowly, so nothing is unread. My first mend took EPIPE for the mark of a sound upstream.

An upstream that closes its socket while the request still comes is broken now: by the pages, an answer that is reset on the way is not complete.

--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -15,6 +15,7 @@
 
 from chestnutshift.conf import defaults
 from chestnutshift.exceptions import CodedError
+from chestnutshift.upstreams.connection_end import SendProgress, find_reset
 
 READ_B = 65_536
 # Interim (1xx) answers that may come before the final one.
@@ -138,8 +139,9 @@
         self._received_at = self._sent_at
         self._sent_b = 0
         self._has_ended = False
-        # Why sending failed, unless the upstream had ended its side before.
-        self._send_failure: ExchangeBrokenError | None = None
+        self._progress = SendProgress(self._sent_at)
+        # Whether the answer ends when the upstream closes the connection.
+        self._is_open_ended = False
         enable_tcp_keepalive(stream.socket, options.unacknowledged_ms)
 
     @property
@@ -217,6 +219,7 @@
             event = self._next_event()
         headers = list(event.headers)
         has_end = _has_end(method, event.status_code, headers)
+        self._is_open_ended = not has_end
         if not has_end and not self._options.ends_by_close:
             raise ExchangeBrokenError(
                 'the answer has neither Content-Length nor Transfer-Encoding',
@@ -251,13 +254,16 @@
 
     async def _send(self, content: bytes) -> None:
         self._sent_b += len(content)
+        self._progress.is_sending = True
         try:
             await self._stream.send_all(content)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             failure = _failure_of(error)(f'sending the request failed: {error}')
-            if _errno_of(error) != errno.EPIPE:
-                self._send_failure = failure
+            self._progress.failure = failure
             raise failure from error
+        finally:
+            self._progress.is_sending = False
+        self._progress.written_at = trio.current_time()
 
     def _next_event(self) -> h11.Event:
         try:
@@ -271,13 +277,6 @@
             ) from error
 
     async def _read(self) -> None:
-        """Read once; raises ExchangeBrokenError.
-
-        The kernel reports an error of the connection once. Where the task that
-        sends has got it, this one reads an end that is not an orderly one, and
-        an answer without a length would look complete. EPIPE alone follows an
-        orderly end: the upstream has closed its side and reads no more.
-        """
         try:
             content = await self._stream.receive_some(READ_B)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -285,30 +284,36 @@
                 f'receiving the answer failed: {error}',
             ) from error
         self._has_ended = not content
-        if self._has_ended and self._send_failure is not None:
-            failure = self._send_failure
-            raise type(failure)(failure.detail) from failure
         if content:
             self._received_at = trio.current_time()
+        elif self._is_open_ended:
+            await _check_end(self._progress, self._stream.socket, self._h11)
         self._h11.receive_data(content)
 
 
+async def _check_end(
+    progress: SendProgress, sock: trio.socket.SocketType, parser: h11.Connection
+) -> None:
+    """Raise ExchangeBrokenError if the end is that of a crash or a cut."""
+    reset = await find_reset(
+        progress, sock, lambda: parser.our_state is h11.DONE
+    )
+    if isinstance(reset, ExchangeBrokenError):
+        raise type(reset)(reset.detail) from reset
+    if reset is not None:
+        raise ExchangeLostError(f'reset after its end: {reset}')
+
+
 def _failure_of(
     error: trio.BrokenResourceError | trio.ClosedResourceError,
 ) -> type[ExchangeBrokenError]:
     """Return the error to raise: a link that is cut times out instead."""
-    if _errno_of(error) in _RESET_ERRNOS:
+    cause = error.__cause__
+    if isinstance(cause, OSError) and cause.errno in _RESET_ERRNOS:
         return ExchangeLostError
     return ExchangeBrokenError
 
 
-def _errno_of(
-    error: trio.BrokenResourceError | trio.ClosedResourceError,
-) -> int | None:
-    cause = error.__cause__
-    return cause.errno if isinstance(cause, OSError) else None
-
-
 def _is_final(event: h11.Event) -> bool:
     """Return whether the event is the head of a final (not 1xx) answer."""
     if not isinstance(event, h11.InformationalResponse):
--- a/tests/upstreams/test_connection_ends.py
+++ b/tests/upstreams/test_connection_ends.py
@@ -3,6 +3,7 @@
 import errno
 import os
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 
 import attrs
 import trio
@@ -24,6 +25,7 @@
 CHUNK_B = 65_536
 # More than the buffers of a connection hold, so that sending blocks.
 CHUNKS = 400
+SLOW_CHUNK_S = 0.04
 TIMEOUT_S = 10.0
 REQUEST = OutboundRequest(
     b'POST',
@@ -58,7 +60,7 @@
 
 
 async def _exchange(
-    script: Script, reader: _Reader
+    script: Script, reader: _Reader, body: AsyncIterator[bytes] | None = None
 ) -> ExchangeBrokenError | None:
     """Stream a long body to a scripted upstream; return how it failed."""
     failure = None
@@ -70,7 +72,9 @@
         with trio.fail_after(TIMEOUT_S):
             connection = await pool.acquire()
             try:
-                await pool.exchange(connection, REQUEST, _chunks(), reader.read)
+                await pool.exchange(
+                    connection, REQUEST, body or _chunks(), reader.read
+                )
             except ExchangeBrokenError as error:
                 failure = error
         nursery.cancel_scope.cancel()
@@ -94,14 +98,40 @@
 
 
 async def _end_orderly(stream: trio.SocketStream) -> None:
-    """Close the sending side, then the socket with the body unread."""
+    """Close the sending side, and read the rest of the body."""
+    await _begin_early(stream)
+    await stream.send_all(b'second')
+    await stream.send_eof()
+    with suppress(trio.BrokenResourceError):
+        while await stream.receive_some(READ_B):
+            await trio.lowlevel.checkpoint()
+
+
+async def _end_unread(stream: trio.SocketStream) -> None:
+    """Close the sending side, and leave the rest of the body unread."""
+    await _begin_early(stream)
+    await stream.send_all(b'second')
+    await stream.send_eof()
+    await trio.sleep_forever()
+
+
+async def _crash_with_nothing_unread(stream: trio.SocketStream) -> None:
+    """End as a process does that is killed when it has read all that came.
+
+    Its kernel ends the connection orderly, and resets it at the next bytes.
+    """
     await _begin_early(stream)
     await stream.send_all(b'second')
     await stream.send_eof()
-    await trio.sleep(0.05)
     stream.socket.close()
 
 
+async def _slow_chunks() -> AsyncIterator[bytes]:
+    for _ in range(CHUNKS):
+        await trio.sleep(SLOW_CHUNK_S)
+        yield b'd'
+
+
 # A reset that the sending task was told of let a cut answer look complete.
 @params(0, 0.4)
 @trio_test
@@ -111,12 +141,23 @@
     assert isinstance(failure, ExchangeLostError)
 
 
+# A crash at a moment without unread bytes let a cut answer look complete.
 @params(0, 0.4)
 @trio_test
-async def test_orderly_end_of_an_early_unsized_answer(pause_s):
-    """It is complete, although the upstream reads no more of the body."""
+async def test_crash_that_looks_like_an_orderly_end(pause_s):
+    """The answer is not complete: the rest of the request is reset."""
+    failure = await _exchange(
+        _crash_with_nothing_unread, _Reader(pause_s), _slow_chunks()
+    )
+    assert isinstance(failure, ExchangeLostError)
+
+
+@params((_end_orderly, 0), (_end_orderly, 0.4), (_end_unread, 0))
+@trio_test
+async def test_orderly_end_of_an_early_unsized_answer(script, pause_s):
+    """It is complete, whether or not the upstream reads the rest."""
     reader = _Reader(pause_s)
-    assert await _exchange(_end_orderly, reader) is None
+    assert await _exchange(script, reader) is None
     assert reader.content == b'firstsecond'
 
 
