Answers without a length to short requests are not held up

After a request that was sent in one write nothing is left that could be reset, so its answer ends with the connection at once, as before.

--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -189,6 +189,7 @@
         body: bytes,
     ) -> None:
         """Send a request together with its buffered body."""
+        self._progress.is_streamed = False
         head = self._begin(request)
         content = self._h11.send(h11.Data(data=body)) if body else b''
         ending = self._h11.send(h11.EndOfMessage())
@@ -200,6 +201,7 @@
         body: AsyncIterator[bytes],
     ) -> None:
         """Send a request and stream its body as it arrives."""
+        self._progress.is_streamed = True
         await self._send(self._begin(request))
         async for chunk in body:
             await self._send(self._h11.send(h11.Data(data=chunk)))
--- a/chestnutshift/upstreams/connection_end.py
+++ b/chestnutshift/upstreams/connection_end.py
@@ -26,19 +26,24 @@
 class SendProgress:
     """What is known of sending on one connection; times are trio's, in seconds.
 
-    written_at is when a send last succeeded, is_sending whether one is under
-    way, and failure how one has failed.
+    written_at is when a send last succeeded, is_streamed whether the request is
+    sent in parts, is_sending whether one is under way, and failure how one has
+    failed.
     """
 
     written_at: float
+    is_streamed: bool = False
     is_sending: bool = False
     failure: Exception | None = None
 
     def proves_end(
         self, ended_at: float, now: float, *, is_request_sent: bool
     ) -> bool:
-        """Return whether a reset after an end at ended_at would have come."""
-        if now - ended_at >= UNPROVEN_END_MAX_S:
+        """Return whether a reset after an end at ended_at would have come.
+
+        After a request that was sent at once, nothing is left to be reset.
+        """
+        if not self.is_streamed or now - ended_at >= UNPROVEN_END_MAX_S:
             return True
         if is_request_sent:
             return now - self.written_at >= RESET_S
--- a/tests/upstreams/test_connection_ends.py
+++ b/tests/upstreams/test_connection_ends.py
@@ -18,6 +18,7 @@
     UpstreamAnswer,
     UpstreamConnection,
 )
+from chestnutshift.upstreams.connection_end import RESET_S
 from chestnutshift.upstreams.connections import UpstreamConnections
 from tests.links import LINGER_ZERO
 
@@ -60,7 +61,9 @@
 
 
 async def _exchange(
-    script: Script, reader: _Reader, body: AsyncIterator[bytes] | None = None
+    script: Script,
+    reader: _Reader,
+    body: AsyncIterator[bytes] | bytes | None = None,
 ) -> ExchangeBrokenError | None:
     """Stream a long body to a scripted upstream; return how it failed."""
     failure = None
@@ -161,6 +164,22 @@
     assert reader.content == b'firstsecond'
 
 
+@trio_test
+async def test_unsized_answer_to_a_short_request():
+    """It is not held up: nothing is sent any more that could be reset."""
+
+    async def answer_and_close(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some(READ_B)
+            await stream.send_all(UNSIZED)
+
+    began_at = trio.current_time()
+    reader = _Reader(0)
+    assert await _exchange(answer_and_close, reader, b'short') is None
+    assert reader.content == b'first'
+    assert trio.current_time() - began_at < RESET_S
+
+
 @attrs.define
 class _FailingStream:
     """A stream on which sending fails first, and reading then finds an end."""
