Tests: one world with an upstream that serves its own connections

Four test modules set up the same listener and row; running_edge_at does it, and the pattern of a request's id stands with the stand-ins. Two comments say who hears of a fault in a row, and of a reset that the sending task met.

--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -69,7 +69,8 @@
         except MalformedError as error:
             return Change(row.key, None, problem=error.detail)
         except Exception as error:
-            # One row must not hide the others.
+            # One row must not hide the others. Whoever applies the view logs
+            # and counts the fault.
             return Change(row.key, None, problem=repr(error), fault=error)
 
 
--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -258,7 +258,8 @@
         try:
             await self._connection.send_streamed(self._request, self._body)
         except ExchangeBrokenError:
-            # The upstream reads no more; it may have answered early.
+            # The upstream reads no more; it may have answered early. The
+            # connection tells the reading task if the answer's end is a reset.
             return
         except CodedError as error:
             self._failure = error
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import math
+import re
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
@@ -19,6 +20,8 @@
     header_limit_b=HEADER_LIMIT_MAX_B, grace_s=0, half_close_is_disconnect=True
 )
 SLOW_S = 0.6
+# Finds the request's id in the bytes of its head.
+REQUEST_ID = re.compile(rb'x-chestnutshift-request-id: (\S+)', re.IGNORECASE)
 Row = dict[str, Any]
 Header = tuple[bytes, bytes]
 
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -1,6 +1,5 @@
 """Upstreams whose bytes do not end until the connection is closed."""
 
-import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from unittest.mock import patch
@@ -12,10 +11,15 @@
 
 from chestnutshift.edge import attempts
 from tests.callers.clients import get
-from tests.edge.stand_ins import UpstreamStandIn
-from tests.edge.world import SEARCH, World, running_edge, until
+from tests.edge.stand_ins import REQUEST_ID
+from tests.edge.world import (
+    RAW_UPSTREAM,
+    SEARCH,
+    World,
+    running_edge_at,
+    until,
+)
 
-REQUEST_ID = re.compile(rb'x-chestnutshift-request-id: (\S+)', re.IGNORECASE)
 HEAD = (
     b'HTTP/1.1 %b\r\nx-chestnutshift-request-id: %b\r\n'
     b'x-chestnutshift-server-seal: s\r\n%b\r\n'
@@ -67,14 +71,8 @@
 ) -> AsyncIterator[tuple[World, EndlessUpstream]]:
     """Run a VM with one endless upstream."""
     endless = EndlessUpstream(status, headers, block)
-    async with running_edge() as world, trio.open_nursery() as nursery:
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        nursery.start_soon(trio.serve_listeners, endless.serve, listeners)
-        port = listeners[0].socket.getsockname()[1]
-        world.register(UpstreamStandIn('i-endless'), port)
-        await until(lambda: len(list(world.state.directory)) == 1)
+    async with running_edge_at(endless.serve) as world:
         yield world, endless
-        nursery.cancel_scope.cancel()
 
 
 # Interim heads without end kept a request and its upstream busy for ever.
@@ -149,7 +147,7 @@
         endless.status = b''
         await world.ask()
         endless.status = b'200 OK'
-        upstream = world.state.directory.find('i-endless')
+        upstream = world.state.directory.find(RAW_UPSTREAM)
         await until(lambda: upstream.condition.value == 'ready')
         await until(lambda: endless.closed >= 2)
         assert endless.sent_b < 20_000_000
--- a/tests/edge/test_late_copies.py
+++ b/tests/edge/test_late_copies.py
@@ -6,19 +6,16 @@
 import copy
 import re
 from collections import Counter
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import attrs
 import trio
 from trio.testing import trio_test
 
 from chestnutshift.steering.upstreams import Condition
-from tests.edge.stand_ins import UpstreamStandIn
-from tests.edge.world import World, running_edge, until
+from tests.edge.stand_ins import REQUEST_ID
+from tests.edge.world import World, running_edge_at, until
 from tests.platform.samples import ROUTE_TABLE
 
-REQUEST_ID = re.compile(rb'x-chestnutshift-request-id: (\S+)', re.IGNORECASE)
 LENGTH = re.compile(rb'content-length: (\d+)', re.IGNORECASE)
 REFUSAL = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
@@ -103,26 +100,13 @@
         return SUCCESS % named[1]
 
 
-@asynccontextmanager
-async def repeating_world(
-    upstream: RepeatingUpstream,
-) -> AsyncIterator[World]:
-    """Run a VM with one upstream, and requests that may run once."""
+def _unsafe_routes() -> dict[str, object]:
+    """Return routes whose requests may run once, and be tried again."""
     routes = copy.deepcopy(ROUTE_TABLE['routes'])
     search = routes['rows'][0]
     search[routes['cols'].index('kind')] = 'unsafe'
     search[routes['cols'].index('attempts')] = ATTEMPTS_MAX
-    async with (
-        running_edge(routes=routes) as world,
-        trio.open_nursery() as nursery,
-    ):
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
-        port = listeners[0].socket.getsockname()[1]
-        world.register(UpstreamStandIn('i-repeating'), port)
-        await until(lambda: len(list(world.state.directory)) == 1)
-        yield world
-        nursery.cancel_scope.cancel()
+    return routes
 
 
 async def _post(world: World, upstream: RepeatingUpstream, number: int) -> bool:
@@ -142,7 +126,9 @@
 async def test_late_copy_of_a_refusal() -> None:
     """No request runs twice, and none is refused that has run."""
     upstream = RepeatingUpstream(refuses_requests=True)
-    async with repeating_world(upstream) as world:
+    async with running_edge_at(
+        upstream.serve, routes=_unsafe_routes()
+    ) as world:
         for number in range(REQUESTS):
             assert await _post(world, upstream, number)
     assert sum(upstream.runs.values())
@@ -163,7 +149,9 @@
 async def test_late_copy_of_a_refused_check() -> None:
     """No request runs twice, and none is refused that has run."""
     upstream = RepeatingUpstream(refuses_checks=True)
-    async with repeating_world(upstream) as world:
+    async with running_edge_at(
+        upstream.serve, routes=_unsafe_routes()
+    ) as world:
         for number in range(REQUESTS):
             await _check(world, upstream)
             assert await _post(world, upstream, number)
--- a/tests/edge/test_stalled_uploads.py
+++ b/tests/edge/test_stalled_uploads.py
@@ -11,8 +11,7 @@
 from chestnutshift.edge import ports
 from chestnutshift.edge.pending_requests import BODY_BUFFER_MAX_B
 from tests.callers.clients import Caller, calling, get
-from tests.edge.stand_ins import UpstreamStandIn
-from tests.edge.world import SEARCH, World, running_edge, until
+from tests.edge.world import SEARCH, World, running_edge_at, until
 from tests.platform.samples import ROUTE_TABLE
 
 LIMIT_B = 2 * BODY_BUFFER_MAX_B
@@ -73,16 +72,7 @@
 async def test_upload_that_an_upstream_works_on(rest: bytes) -> None:
     """A body that stops, is malformed or too long is not said not to run."""
     upstream = ReadingUpstream()
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     with patch.object(ports, 'make_limits', _short_body_timeout):
-        async with (
-            running_edge(limits=LIMITS) as world,
-            trio.open_nursery() as nursery,
-        ):
-            nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
-            port = listeners[0].socket.getsockname()[1]
-            world.register(UpstreamStandIn('i-1'), port)
-            await until(lambda: len(list(world.state.directory)) == 1)
+        async with running_edge_at(upstream.serve, limits=LIMITS) as world:
             status = await _upload(world, upstream, rest)
-            assert status not in {408, 421, 429, 503}
-            nursery.cancel_scope.cancel()
+    assert status not in {408, 421, 429, 503}
--- a/tests/edge/test_streams_and_followers.py
+++ b/tests/edge/test_streams_and_followers.py
@@ -9,9 +9,8 @@
 
 from chestnutshift.edge.attempts import ANSWER_BUFFER_B
 from tests.callers.clients import calling, get
-from tests.edge.stand_ins import UpstreamStandIn
-from tests.edge.test_endless_answers import REQUEST_ID
-from tests.edge.world import World, running_edge, until
+from tests.edge.stand_ins import REQUEST_ID
+from tests.edge.world import World, running_edge_at, until
 
 LENGTH_B = ANSWER_BUFFER_B + 200_000
 SENT_B = ANSWER_BUFFER_B + 100_000
@@ -51,14 +50,8 @@
 @asynccontextmanager
 async def _download_world() -> AsyncIterator[tuple[World, DownloadUpstream]]:
     upstream = DownloadUpstream()
-    async with running_edge() as world, trio.open_nursery() as nursery:
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
-        port = listeners[0].socket.getsockname()[1]
-        world.register(UpstreamStandIn('i-download'), port)
-        await until(lambda: len(list(world.state.directory)) == 1)
+    async with running_edge_at(upstream.serve) as world:
         yield world, upstream
-        nursery.cancel_scope.cancel()
 
 
 def _request(target: str) -> bytes:
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -4,7 +4,7 @@
 import os
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
@@ -41,6 +41,9 @@
 BOOK = '/a/b/1'
 TIMEOUT_S = 20.0
 PORTS = (12_000, 30_000)
+RAW_UPSTREAM = 'i-raw'
+
+Serve = Callable[[trio.SocketStream], Awaitable[None]]
 
 
 @attrs.define
@@ -133,6 +136,21 @@
         assert world.expects_faults or not _faults(state)
 
 
+@asynccontextmanager
+async def running_edge_at(
+    serve: Serve, **tables: object
+) -> AsyncIterator[World]:
+    """Run an edge VM with one upstream that serves its connections itself."""
+    async with running_edge(**tables) as world, trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=ADDRESS)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        world.register(UpstreamStandIn(RAW_UPSTREAM), port)
+        await until(lambda: len(list(world.state.directory)) == 1)
+        yield world
+        nursery.cancel_scope.cancel()
+
+
 def _faults(state: EdgeState) -> list[Event]:
     return state.event_log.select(EventFilter(number=events.FAULT.number))
 
