Observability: which table refused, what peers name, and what repeats cost

Change: request.turned_down has newest_table and proof_age_s; table.behind and two gauges tell for how long peers name a newer table; repeats_total counts decisions to send again by what they cost; request.sent tells how often the request was sent before. What a VM knows for and against its table has moved from EdgeState into TableTrust, without a change of what it decides.

--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -98,7 +98,7 @@
 
 def check_trust(state: EdgeState, now: float) -> None:
     """Raise RefusalError if this VM cannot tell which keys are valid."""
-    if state.is_trusted(now):
+    if state.trust.accepts_keys(now):
         return
     # With a stale route table a key that it lists may have been withdrawn,
     # and one that it lacks may have been added.
--- a/chestnutshift/edge/attempt_observer.py
+++ b/chestnutshift/edge/attempt_observer.py
@@ -170,7 +170,7 @@
         started_at: float,
         now: float,
     ) -> None:
-        self._state.metrics.attempts.labels(
+        self._state.metrics.attempts.ended.labels(
             admitted.service, end.kind.value
         ).inc()
         if end.is_withheld:
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -101,6 +101,12 @@
     'table.in_force',
     'A newer route table is in force on this VM.',
 )
+TABLE_BEHIND = define(
+    8045,
+    'table.behind',
+    'Peers name a newer route table than this VM has, which lasts.',
+    logging.WARNING,
+)
 EVACUATIONS_CHANGED = define(
     8021,
     'evacuations.changed',
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -109,7 +109,9 @@
             retry_after_s=problem.retry_after_s,
             after_s=round(boot_time() - started_at, 3),
             route=writer.route,
-            table=self._state.table.version if self._state.table else 0,
+            table=self._state.table_version,
+            newest_table=self._state.trust.peer_tables.newest,
+            proof_age_s=round(self._state.freshness.age_s(boot_time()), 3),
         )
         await writer.write_problem(problem)
 
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -36,6 +36,27 @@
         )
 
 
+class AttemptMetrics:
+    """Metrics of attempts at upstreams and of decisions to repeat them."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Create the counters in the registry."""
+        counter = functools.partial(
+            Counter, namespace=PREFIX, registry=registry
+        )
+        self.ended = counter(
+            'attempts_total',
+            'Attempts at upstreams by service and how they ended.',
+            ('service', 'outcome'),
+        )
+        self.repeats = counter(
+            'repeats_total',
+            'Decisions to send a request again, by service: charged to the '
+            "fleet's budget, denied by it, or why they are free.",
+            ('service', 'decision'),
+        )
+
+
 class CrossingMetrics:
     """Metrics of requests that VMs pass on to each other."""
 
@@ -110,6 +131,14 @@
         self.table_version = gauge(
             'table_version', 'Version of the route table in force.'
         )
+        self.newest_table = gauge(
+            'table_version_of_peers',
+            'Newest version of a route table that peers name.',
+        )
+        self.table_behind = gauge(
+            'table_behind_seconds',
+            'How long peers have named a newer route table than this VM has.',
+        )
         self.peers = gauge('peers_heard', 'Peers heard lately.')
         self.in_flight = gauge(
             'upstream_requests_in_flight',
@@ -143,12 +172,7 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
-        self.attempts = self._counter(
-            'attempts_total',
-            'Attempts at upstreams by service and how they ended.',
-            'service',
-            'outcome',
-        )
+        self.attempts = AttemptMetrics(self.registry)
         self.health_checks = self._counter(
             'health_checks_total',
             'Health checks of upstreams in doubt by outcome.',
--- a/chestnutshift/edge/metrics_page.py
+++ b/chestnutshift/edge/metrics_page.py
@@ -33,7 +33,9 @@
     _update_memory(state)
     gauges = state.metrics.state
     gauges.proof_age.set(state.freshness.age_s(now))
-    gauges.table_version.set(state.table.version if state.table else 0)
+    gauges.table_version.set(state.table_version)
+    gauges.newest_table.set(state.trust.peer_tables.newest)
+    gauges.table_behind.set(state.trust.behind_s(now))
     gauges.peers.set(len(state.fleet.live_peers(now)))
     gauges.timer_delay.set(state.delay_s)
     gauges.in_flight.set(
--- a/chestnutshift/edge/peer_updates.py
+++ b/chestnutshift/edge/peer_updates.py
@@ -14,6 +14,7 @@
     """Update the state that is derived from the peers' heartbeats."""
     fleet = state.fleet
     fleet.drop_unlisted(now)
+    state.trust.expire_named(now)
     _divide_limits(state, now)
     rates = {}
     if state.table is not None:
--- a/chestnutshift/edge/peers.py
+++ b/chestnutshift/edge/peers.py
@@ -109,7 +109,7 @@
         self._number += 1
         state = self._state
         age_s = state.freshness.age_s(now)
-        is_proven = math.isfinite(age_s) and state.is_trusted(now)
+        is_proven = math.isfinite(age_s) and state.trust.accepts_keys(now)
         services = state.table.services if state.table else ()
         return Heartbeat(
             vm=state.settings.vm,
@@ -117,7 +117,7 @@
             number=self._number,
             sent_at=now,
             phase=state.phase,
-            table_version=state.table.version if state.table else 0,
+            table_version=state.table_version,
             proof_age_s=age_s if is_proven else None,
             demand=state.shares.reported_demand,
             in_flight=state.upstream_reports.in_flight(),
--- a/chestnutshift/edge/reasons.py
+++ b/chestnutshift/edge/reasons.py
@@ -23,16 +23,15 @@
 
 def stale_keys(state: EdgeState, now: float) -> str:
     """Return why it is not certain that the route table is the newest."""
-    if state.is_waiting_for_peers(now):
+    if state.trust.is_waiting_for_peers(now):
         return (
             'this VM has just started, and its peers have not told yet whether '
             'they know a newer route table'
         )
-    version = state.table.version if state.table else 0
     age_s = state.freshness.age_s(now)
     return (
-        f'the proof that route table {version} is the newest is {age_s:.1f} s '
-        'old, so the key may have been withdrawn'
+        f'the proof that route table {state.table_version} is the newest is '
+        f'{age_s:.1f} s old, so the key may have been withdrawn'
     )
 
 
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -199,6 +199,8 @@
             slots=upstream.slots,
             is_cold=upstream.is_cold(now),
             waited_s=round(now - pending.started_at, 3),
+            sent_count=pending.sent_count,
+            unreached_count=pending.unreached_count,
         )
         ran_before = pending.ran
         pending.writer.upstream = upstream.name
--- a/chestnutshift/edge/retry_decider.py
+++ b/chestnutshift/edge/retry_decider.py
@@ -41,12 +41,27 @@
         if not _can_resend(pending, now):
             return False
         if end.peer and end.kind in _NOT_RUN:
-            return not end.code or end.code in PEER_REFUSALS_RETRIED
+            may_retry = not end.code or end.code in PEER_REFUSALS_RETRIED
+            return self._count_free(pending, 'peer', may_retry=may_retry)
         if end.kind in _UNREACHED:
             tried = pending.unreached_count + pending.sent_count
-            return tried < ATTEMPTS_TOTAL_MAX
+            return self._count_free(
+                pending, end.kind.value, may_retry=tried < ATTEMPTS_TOTAL_MAX
+            )
         return self._may_repeat(pending, end, now)
 
+    def _count_free(
+        self, pending: PendingRequest, reason: str, *, may_retry: bool
+    ) -> bool:
+        """Count a repeat that is not charged; return whether it follows."""
+        if may_retry:
+            self._count(pending, reason)
+        return may_retry
+
+    def _count(self, pending: PendingRequest, decision: str) -> None:
+        service = pending.admitted.service
+        self._state.metrics.attempts.repeats.labels(service, decision).inc()
+
     def _may_repeat(
         self, pending: PendingRequest, end: AttemptEnd, now: float
     ) -> bool:
@@ -63,7 +78,11 @@
         if pending.sent_count >= route.attempts_max:
             return False
         vms = count_share_holders(self._state.fleet, now)
-        return self._state.retries.take(pending.admitted.service, vms, now)
+        is_allowed = self._state.retries.take(
+            pending.admitted.service, vms, now
+        )
+        self._count(pending, 'charged' if is_allowed else 'denied')
+        return is_allowed
 
 
 def _can_resend(pending: PendingRequest, now: float) -> bool:
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -10,6 +10,7 @@
 from chestnutshift.crashes.register import CrashRegister
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings, MemoryBudget
+from chestnutshift.edge.table_trust import TableTrust
 from chestnutshift.edge.upstream_reports import UpstreamReports
 from chestnutshift.events.log import EventLog
 from chestnutshift.fleet.deciders import Deciders
@@ -25,7 +26,6 @@
 from chestnutshift.steering.freshness import TableFreshness
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
 from chestnutshift.steering.service_time import ServiceTimeEstimate
-from chestnutshift.steering.store_clock import StoreClock
 from chestnutshift.steering.upstream_rates import UpstreamRates
 
 POLICY = 'soonest'
@@ -67,7 +67,6 @@
     phase: MemberPhase = MemberPhase.STARTING
     table: RouteTable | None = None
     index: RouteIndex | None = None
-    store_clock: StoreClock = attrs.field(factory=StoreClock)
     splitter: Splitter = attrs.field(factory=Splitter)
     # How late this VM's timers fire, as a moving average in seconds.
     delay_s: float = 0
@@ -79,11 +78,6 @@
     upstreams_changes: ChangeTracker = attrs.field(factory=ChangeTracker)
     # Set when the store is found to lack this VM's row.
     registration_lost: trio.Event = attrs.field(factory=trio.Event)
-    # Until when the store may lack a route table that peers know (boot time).
-    older_copy_until: float = -math.inf
-    # Until when this VM, which has just started, waits for its peers to tell
-    # whether they know a newer route table (boot time).
-    hears_peers_by: float = -math.inf
     # The newest era that the store named.
     store_era: int = 0
     # The settings as last read; some take effect only after a restart.
@@ -94,6 +88,7 @@
     upstream_reports: UpstreamReports = attrs.field(init=False)
     policy: ChoicePolicy = attrs.field(init=False)
     fleet: FleetView = attrs.field(init=False)
+    trust: TableTrust = attrs.field(init=False)
     deciders: Deciders = attrs.field(init=False)
     shares: AccountShares = attrs.field(init=False)
     retries: FleetRetryBudget = attrs.field(init=False)
@@ -111,6 +106,11 @@
         """The settings as last read."""
         return self._settings_read or self.settings
 
+    @property
+    def table_version(self) -> int:
+        """The version of the route table in force, 0 for none."""
+        return self.table.version if self.table else 0
+
     def __attrs_post_init__(self) -> None:
         """Create the parts that depend on the settings."""
         settings = self.settings
@@ -123,6 +123,7 @@
             settings.region,
         )
         self.fleet = FleetView(settings.vm)
+        self.trust = TableTrust(self)
         self.deciders = Deciders(settings.vm, settings.region)
         self.shares = _make_shares(self)
         self.retries = FleetRetryBudget(
@@ -155,35 +156,6 @@
             self.freshness.bound_s = settings.bounds.withdrawal_s
         return changed
 
-    def is_trusted(self, now: float) -> bool:
-        """Return whether keys may be accepted: proof is fresh or not needed."""
-        if not self.settings.bounds.bounds_withdrawals:
-            return True
-        if not self.freshness.is_fresh(now) or self.is_waiting_for_peers(now):
-            return False
-        return not self.peers_know_newer_table(now)
-
-    def is_waiting_for_peers(self, now: float) -> bool:
-        """Return whether peers have not had time to be heard since the start.
-
-        The store may just have returned from an older copy.
-        """
-        return now < self.hears_peers_by and self.fleet.is_waiting(now)
-
-    def peers_know_newer_table(self, now: float) -> bool:
-        """Return whether peers know a newer route table than the store.
-
-        A store that returned from an older copy lacks the newest table until
-        the operator writes it again.
-        """
-        if now >= self.older_copy_until:
-            return False
-        table = self.table
-        return table is None or any(
-            heartbeat.table_version > table.version
-            for heartbeat in self.fleet.heartbeats(now)
-        )
-
     def is_isolated(self, now: float) -> bool:
         """Return whether reports on upstreams may not reach this VM.
 
@@ -203,7 +175,7 @@
         """Return whether this VM is ready for callers."""
         if self.phase is not MemberPhase.SERVING or self.table is None:
             return False
-        return not self.table.needs_keys or self.is_trusted(now)
+        return not self.table.needs_keys or self.trust.accepts_keys(now)
 
     def adopt(self, table: RouteTable) -> bool:
         """Put a route table in force if it is newer; tell whether it was."""
@@ -250,6 +222,7 @@
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Record a peer's heartbeat and apply its reports on upstreams."""
         if self.fleet.record_heartbeat(heartbeat, now):
+            self.trust.record_named(heartbeat.table_version, now)
             self.upstream_reports.apply(heartbeat, now)
             self.crashes.apply(heartbeat.suspects, now)
 
--- a/chestnutshift/edge/state_updater.py
+++ b/chestnutshift/edge/state_updater.py
@@ -11,6 +11,7 @@
 from chestnutshift.fleet.store_polling import StorePosition
 from chestnutshift.fleet.view import FleetView
 from chestnutshift.routes.model import RouteTable
+from chestnutshift.steering.store_clock import StoreClock
 from chestnutshift.steering.upstreams import Registration
 
 
@@ -20,6 +21,7 @@
 
     _state: EdgeState
     _evacuations: Evacuations = attrs.field(factory=Evacuations)
+    _store_clock: StoreClock = attrs.field(factory=StoreClock)
     # The newest position of the views of each table.
     _positions: dict[str, StorePosition] = attrs.field(factory=dict)
     # Malformed operator rows: their content is unknown, so no proof counts.
@@ -34,6 +36,7 @@
         self._state.operators_changes.record_answer(
             view.changed_position, view.position
         )
+        trust = self._state.trust
         self._prepare_for_copy(view, now)
         if view.is_whole:
             self._evacuations.clear_requested()
@@ -48,9 +51,7 @@
                 self._adopt(change.state)
             else:
                 self._evacuations.update(change.key, change.state)
-        if not self._malformed_keys and not self._state.peers_know_newer_table(
-            now
-        ):
+        if not self._malformed_keys and not trust.store_lacks_newest(now):
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
@@ -105,9 +106,9 @@
         is_first = 'operators' not in self._positions
         is_copy = self._is_copy('operators', view)
         if is_first:
-            self._state.hears_peers_by = now + self._state.fleet.silence_s
+            self._state.trust.hears_peers_by = now + self._state.fleet.silence_s
         if is_first or is_copy:
-            self._state.older_copy_until = now + bounds.withdrawal_s
+            self._state.trust.older_copy_until = now + bounds.withdrawal_s
         if is_copy:
             self._evacuations.hold(now + bounds.evacuation_s)
 
@@ -144,8 +145,9 @@
         """Return a time at or before the store's answer."""
         if view.store_now is None:
             return view.requested_at
-        clock = self._state.store_clock
-        return clock.sent_at_bound(view.store_now, view.requested_at, now)
+        return self._store_clock.sent_at_bound(
+            view.store_now, view.requested_at, now
+        )
 
     def _adopt(self, table: RouteTable) -> None:
         before = self._state.table
--- /dev/null
+++ b/chestnutshift/edge/table_trust.py
@@ -0,0 +1,78 @@
+"""Whether this VM's route table is the newest, as far as it can tell."""
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from chestnutshift.fleet.peer_tables import PeerTables
+
+if TYPE_CHECKING:
+    from chestnutshift.edge.state import EdgeState
+
+
+@attrs.define(eq=False)
+class TableTrust:
+    """The evidence for and against the route table in force.
+
+    For it speaks a proof by the store, against it a newer version that peers
+    name. Times are boot times in seconds.
+    """
+
+    _state: 'EdgeState' = attrs.field(repr=False)
+    peer_tables: PeerTables = attrs.field(factory=PeerTables)
+    # Until when the store may lack a route table that peers know.
+    older_copy_until: float = -math.inf
+    # Until when this VM, which has just started, waits for its peers to tell
+    # whether they know a newer route table.
+    hears_peers_by: float = -math.inf
+
+    def accepts_keys(self, now: float) -> bool:
+        """Return whether keys may be accepted: proof is fresh or not needed."""
+        state = self._state
+        if not state.settings.bounds.bounds_withdrawals:
+            return True
+        if not state.freshness.is_fresh(now) or self.is_waiting_for_peers(now):
+            return False
+        return not self.store_lacks_newest(now)
+
+    def is_waiting_for_peers(self, now: float) -> bool:
+        """Return whether peers have not had time to be heard since the start.
+
+        The store may just have returned from an older copy.
+        """
+        return now < self.hears_peers_by and self._state.fleet.is_waiting(now)
+
+    def store_lacks_newest(self, now: float) -> bool:
+        """Return whether peers know a newer route table than the store.
+
+        A store that returned from an older copy lacks the newest table until
+        the operator writes it again.
+        """
+        if now >= self.older_copy_until:
+            return False
+        state = self._state
+        return state.table is None or any(
+            heartbeat.table_version > state.table.version
+            for heartbeat in state.fleet.heartbeats(now)
+        )
+
+    def behind_s(self, now: float) -> float:
+        """Return for how long peers have named a newer table, 0 for none."""
+        return self.peer_tables.behind_s(self._state.table_version, now)
+
+    def record_named(self, version: int, now: float) -> None:
+        """Record the version that a peer's heartbeat names."""
+        self.peer_tables.record(version, self._state.table_version, now)
+
+    def expire_named(self, now: float) -> None:
+        """Forget a version that no peer has named for long."""
+        state = self._state
+        self.peer_tables.expire(
+            (
+                heartbeat.table_version
+                for heartbeat in state.fleet.heartbeats(now)
+            ),
+            max(state.settings.bounds.withdrawal_s, state.fleet.silence_s),
+            now,
+        )
--- a/chestnutshift/edge/upkeep.py
+++ b/chestnutshift/edge/upkeep.py
@@ -15,6 +15,8 @@
 from chestnutshift.fleet.heartbeats import MemberPhase
 
 UPKEEP_PERIOD_S = 0.25
+# A newer route table normally reaches all VMs within less.
+TABLE_BEHIND_LOGGED_S = 1.0
 
 
 @attrs.define
@@ -27,6 +29,8 @@
     _pool: UpstreamPool
     _peer_pool: PeerPool
     _was_ready: bool = False
+    # The newest route table that was logged as not known here.
+    _behind_logged: int = 0
     _memory_watch: MemoryWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -41,6 +45,7 @@
             'upkeep_crashes': self._review_crashes,
             'upkeep_pools': self._close_pools,
             'upkeep_memory': self._watch_memory,
+            'upkeep_table': self._log_table_behind,
             'upkeep_phase': self._update_phase,
         }
         jobs = [Job(self._state, name, job) for name, job in work.items()]
@@ -70,6 +75,21 @@
     async def _watch_memory(self, now: float) -> None:
         self._memory_watch.check(now)
 
+    async def _log_table_behind(self, now: float) -> None:
+        state = self._state
+        newest = state.trust.peer_tables.newest
+        behind_s = state.trust.behind_s(now)
+        if newest == self._behind_logged or behind_s < TABLE_BEHIND_LOGGED_S:
+            return
+        self._behind_logged = newest
+        state.event_log.emit(
+            events.TABLE_BEHIND,
+            version=state.table_version,
+            newest=newest,
+            behind_s=round(behind_s, 3),
+            proof_age_s=round(state.freshness.age_s(now), 3),
+        )
+
     async def _update_phase(self, now: float) -> None:
         state = self._state
         if state.phase is MemberPhase.STARTING and state.table:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -111,14 +111,14 @@
     """Without proof of the newest route table any key gets 503, not 401."""
     async with running_edge('serve') as world:
         world.store.is_down = True
-        await until(lambda: not world.state.is_trusted(boot_time()))
+        await until(lambda: not world.state.trust.accepts_keys(boot_time()))
         for key in ('k1', 'no'):
             answer = await world.ask(key=key)
             assert answer.status_code == 503
         ready = await world.call(world.state.settings.readiness, '/-/readyz')
         assert ready.status_code == 503
         world.store.is_down = False
-        await until(lambda: world.state.is_trusted(boot_time()))
+        await until(lambda: world.state.trust.accepts_keys(boot_time()))
         assert (await world.ask()).status_code == 200
 
 
--- a/tests/edge/test_state_updater.py
+++ b/tests/edge/test_state_updater.py
@@ -112,15 +112,15 @@
     whole = make_operators_view(row, is_whole=True, requested_at=100)
     StateUpdater(state).apply_operators(whole, now=100)
     state.fleet.keep_only((), 100)
-    assert state.is_trusted(100)
+    assert state.trust.accepts_keys(100)
     state.fleet.add_member(make_member('vm-2'), 100)
     heartbeat = Heartbeat(
         'vm-2', 1, 1, 95, MemberPhase.SERVING, table.version + 1
     )
     state.record_heartbeat(heartbeat, 100)
-    assert not state.is_trusted(100)
+    assert not state.trust.accepts_keys(100)
     state.adopt(attrs.evolve(table, version=table.version + 1))
-    assert state.is_trusted(100)
+    assert state.trust.accepts_keys(100)
 
 
 def test_evacuation_that_ends_after_a_return() -> None:
@@ -150,8 +150,10 @@
     row = Change('config', decode_route_table(route_table()))
     whole = make_operators_view(row, is_whole=True, requested_at=100)
     StateUpdater(state).apply_operators(whole, now=100)
-    assert not state.is_trusted(100)
-    assert state.is_trusted(100 + state.settings.bounds.withdrawal_s / 2)
+    assert not state.trust.accepts_keys(100)
+    assert state.trust.accepts_keys(
+        100 + state.settings.bounds.withdrawal_s / 2
+    )
 
 
 def test_vm_that_starts_alone() -> None:
@@ -160,9 +162,9 @@
     row = Change('config', decode_route_table(route_table()))
     whole = make_operators_view(row, is_whole=True, requested_at=100)
     StateUpdater(state).apply_operators(whole, now=100)
-    assert not state.is_trusted(100)
+    assert not state.trust.accepts_keys(100)
     state.fleet.keep_only((), 100)
-    assert state.is_trusted(100)
+    assert state.trust.accepts_keys(100)
 
 
 def test_vm_that_hears_its_peers() -> None:
@@ -178,6 +180,6 @@
     whole = make_operators_view(row, is_whole=True, requested_at=100)
     StateUpdater(state).apply_operators(whole, now=100)
     state.record_heartbeat(HEARTBEAT, 100.2)
-    assert not state.is_trusted(100.2)
+    assert not state.trust.accepts_keys(100.2)
     state.fleet.add_member(make_member('vm-3', incarnation=2), 100.3)
-    assert state.is_trusted(100.3)
+    assert state.trust.accepts_keys(100.3)
