CONFIG: no route or key is refused by a table that may be older

What callers saw: 404 for a route, or 401 for a key, that had been added and confirmed more than 2.5 s before, at one VM; its peers served both.

Cause: a refusal needed no evidence. 404 was decided by whatever table a VM had, 401 by one whose proof may be 4.3 s old (or none, where withdrawals have no bound). A VM that starts as the store returns from an older copy, or that missed a version, refused what only its older table lacks, until the operator wrote again, while heartbeats of its peers named the newer version.

Change: what the table lacks is refused with 404 or 401 only if no peer names a newer version, the peers had time to be heard, and the proof is at most table_s (config) old: a version confirmed longer ago would be in force. Else 503 at once, table.unproven, with 0.3 s. Such a refusal has the store polled, by all VMs together for a tenth of its reads, so that paths that nobody added stay cheap.

--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -34,6 +34,12 @@
     'this VM cannot tell whether the key is still valid',
     retry_after_s=0.3,
 )
+TABLE_UNPROVEN = Problem(
+    503,
+    'table.unproven',
+    'a newer route table may have what this VM does not know',
+    retry_after_s=0.3,
+)
 
 
 @attrs.frozen
@@ -83,7 +89,7 @@
         raise RefusalError(NO_TABLE)
     route = index.find(request.host, request.path)
     if route is None:
-        raise RefusalError(NO_ROUTE)
+        raise unknown(state, NO_ROUTE, now)
     account = None
     if table.needs_keys and not route.is_open:
         account = authenticate(state, request, now)
@@ -96,6 +102,18 @@
     )
 
 
+def unknown(state: EdgeState, problem: Problem, now: float) -> RefusalError:
+    """Return the refusal of what the route table lacks.
+
+    The problem if the table is proven, else one after which to come back.
+    """
+    if state.trust.may_refuse(now):
+        return RefusalError(problem)
+    state.trust.ask_for_proof()
+    detail = f'{problem.detail}; {reasons.unproven_table(state, now)}'
+    return RefusalError(attrs.evolve(TABLE_UNPROVEN, detail=detail))
+
+
 def check_trust(state: EdgeState, now: float) -> None:
     """Raise RefusalError if this VM cannot tell which keys are valid."""
     if state.trust.accepts_keys(now):
@@ -114,8 +132,8 @@
     """Return the account of the request's key; raises RefusalError."""
     check_trust(state, now)
     if request.key is None:
-        raise RefusalError(KEY_MISSING)
+        raise unknown(state, KEY_MISSING, now)
     account = state.table.account_by_key.get(request.key)
     if account is None:
-        raise RefusalError(KEY_UNKNOWN)
+        raise unknown(state, KEY_UNKNOWN, now)
     return account
--- a/chestnutshift/edge/crossings.py
+++ b/chestnutshift/edge/crossings.py
@@ -11,6 +11,7 @@
     NO_TABLE,
     Admitted,
     check_trust,
+    unknown,
 )
 from chestnutshift.edge.dialect import InboundRequest
 from chestnutshift.edge.state import EdgeState
@@ -121,11 +122,11 @@
         raise RefusalError(TABLE_OLDER)
     route = index.find(request.host, request.path)
     if route is None:
-        raise RefusalError(NO_ROUTE)
+        raise unknown(state, NO_ROUTE, now)
     account = None
     if table.needs_keys and not route.is_open:
         check_trust(state, now)
-        account = _account(state, received)
+        account = _account(state, received, now)
     return Admitted(
         request,
         route,
@@ -135,7 +136,7 @@
     )
 
 
-def _account(state: EdgeState, received: Received) -> Account:
+def _account(state: EdgeState, received: Received, now: float) -> Account:
     """Return the account if a key of it is the one that the peer saw."""
     name = received.crossing.account
     for key, account in state.table.account_by_key.items():
@@ -152,7 +153,7 @@
             # The account may have several keys.
             continue
         return account
-    raise RefusalError(KEY_UNKNOWN)
+    raise unknown(state, KEY_UNKNOWN, now)
 
 
 def _service(state: EdgeState, route: Route, progress: Progress) -> str:
--- a/chestnutshift/edge/reasons.py
+++ b/chestnutshift/edge/reasons.py
@@ -35,6 +35,18 @@
     )
 
 
+def unproven_table(state: EdgeState, now: float) -> str:
+    """Return why a newer route table than the one in force may exist."""
+    version, trust = state.table_version, state.trust
+    if trust.is_behind:
+        newest = trust.peer_tables.newest
+        return f'route table {version} is in force, and peers name {newest}'
+    if trust.is_waiting_for_peers(now):
+        return 'this VM has just started, and has not heard its peers yet'
+    age_s = state.freshness.age_s(now)
+    return f'the proof of route table {version} is {age_s:.1f} s old'
+
+
 def busy(choice: Choice, allowed_s: float, now: float) -> str:
     """Return the best upstream's expected and permitted response time."""
     upstream = choice.upstream
--- a/chestnutshift/edge/retry_decider.py
+++ b/chestnutshift/edge/retry_decider.py
@@ -19,6 +19,7 @@
         'upstreams.none',
         'table.none',
         'table.older',
+        'table.unproven',
         'keys.stale',
         'crossing.refused',
     )
--- a/chestnutshift/edge/store_polling.py
+++ b/chestnutshift/edge/store_polling.py
@@ -86,7 +86,9 @@
         for poller in (self._operators, self._upstreams, self._members):
             poller.poll_if_outdated(now)
         is_due = not self._is_watcher() and is_proof_due(age_s, bound_s)
+        is_due = is_due or state.trust.is_proof_due(now)
         if state.operators_changes.is_due(now, is_proof_due=is_due):
+            state.trust.record_poll(now)
             self._operators.poll_now(now)
         if state.upstreams_changes.is_due(now):
             self._upstreams.poll_now(now)
--- a/chestnutshift/edge/table_trust.py
+++ b/chestnutshift/edge/table_trust.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from chestnutshift.edge.state import EdgeState
 
+# Fraction of the store's reads that refusals may cause.
+PROOF_READS_RATIO = 0.1
+
 
 @attrs.define(eq=False)
 class TableTrust:
@@ -26,6 +29,14 @@
     # Until when this VM, which has just started, waits for its peers to tell
     # whether they know a newer route table.
     hears_peers_by: float = -math.inf
+    # Whether a request was refused for want of a proof since the last poll.
+    _wants_proof: bool = False
+    _polled_at: float = -math.inf
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether peers name a newer route table."""
+        return self.peer_tables.newest > self._state.table_version
 
     def accepts_keys(self, now: float) -> bool:
         """Return whether keys may be accepted: proof is fresh or not needed."""
@@ -36,6 +47,38 @@
             return False
         return not self.store_lacks_newest(now)
 
+    def may_refuse(self, now: float) -> bool:
+        """Return whether to refuse what the route table in force lacks.
+
+        A newer one may have it. An older table must be out of force table_s
+        after the store confirmed the newer one, so its proof must be younger.
+        """
+        if self.is_waiting_for_peers(now) or self.is_behind:
+            return False
+        state = self._state
+        return state.freshness.age_s(now) <= state.settings.bounds.table_s
+
+    def ask_for_proof(self) -> None:
+        """Note that a request is refused for want of a proof."""
+        self._wants_proof = not self.is_behind
+
+    def is_proof_due(self, now: float) -> bool:
+        """Return whether to poll the store since refusals want a proof.
+
+        Strangers can have every VM ask, and all VMs share the store's reads.
+        """
+        if not self._wants_proof:
+            return False
+        state = self._state
+        reads_rate = state.settings.store.reads_rate * PROOF_READS_RATIO
+        interval_s = len(state.fleet.names) / reads_rate
+        return now - self._polled_at >= interval_s
+
+    def record_poll(self, now: float) -> None:
+        """Record that the store is polled at once."""
+        self._wants_proof = False
+        self._polled_at = now
+
     def is_waiting_for_peers(self, now: float) -> bool:
         """Return whether peers have not had time to be heard since the start.
 
--- a/chestnutshift/fleet/peer_tables.py
+++ b/chestnutshift/fleet/peer_tables.py
@@ -23,7 +23,8 @@
         """Record the version that a peer's heartbeat names."""
         if version < self.newest:
             return
-        if version > own_version >= self.newest:
+        was_behind = own_version < self.newest
+        if version > own_version and not was_behind:
             self._behind_since = now
         self.newest = version
         self._named_at = now
--- a/tests/edge/linked_fleet.py
+++ b/tests/edge/linked_fleet.py
@@ -104,6 +104,33 @@
     vms: list[LinkedVm] = attrs.field(factory=list)
     tries: list[FirstTry] = attrs.field(factory=list)
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    # Runs the VMs.
+    _nursery: trio.Nursery | None = None
+
+    def run(self, vm: LinkedVm) -> None:
+        """Start a VM of the fleet."""
+        self.vms.append(vm)
+        self._nursery.start_soon(vm.run)
+
+    def restart(self, vm: LinkedVm) -> LinkedVm:
+        """Kill a VM and start it again, on other ports; return its run."""
+        vm.scope.cancel()
+        self.vms.remove(vm)
+        before = vm.state.settings
+        settings = attrs.evolve(
+            make_settings(before.store.endpoint.port),
+            vm=before.vm,
+            failure_domain=before.failure_domain,
+            region=before.region,
+        )
+        state = EdgeState(settings, vm.state.incarnation + 1, EventLog(vm.name))
+        again = LinkedVm(state, vm.links)
+        self.run(again)
+        return again
+
+    def write_table(self, **tables: object) -> None:
+        """Write a route table as the operator, with some fields replaced."""
+        self.store.write('op', 'config', _route_table(tables))
 
     def is_settled(self, upstream_count: int) -> bool:
         """Return whether all VMs are ready, and know peers and upstreams."""
@@ -204,15 +231,17 @@
     with _kept_signal_handlers():
         async with AsyncExitStack() as stack:
             names = [f'i-{number}' for number in range(upstream_count)]
+            nursery = await stack.enter_async_context(trio.open_nursery())
             fleet = LinkedFleet(
-                StoreStandIn(), {name: UpstreamStandIn(name) for name in names}
+                StoreStandIn(),
+                {name: UpstreamStandIn(name) for name in names},
+                nursery=nursery,
             )
-            fleet.store.write('op', 'config', _route_table(tables))
+            fleet.write_table(**tables)
             ports = {}
             for name, upstream in fleet.upstreams.items():
                 ports[name] = await stack.enter_async_context(served(upstream))
                 fleet.store.write('servers', name, _registration(name))
-            nursery = await stack.enter_async_context(trio.open_nursery())
             for number in range(vm_count):
                 links = {name: Link(port) for name, port in ports.items()}
                 for link in links.values():
@@ -225,9 +254,7 @@
                     },
                 )
                 store_port = await stack.enter_async_context(served(view))
-                vm = LinkedVm(_make_state(number, store_port), links)
-                fleet.vms.append(vm)
-                nursery.start_soon(vm.run)
+                fleet.run(LinkedVm(_make_state(number, store_port), links))
             await until(lambda: fleet.is_settled(len(names)))
             yield fleet
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/edge/test_older_tables.py
@@ -0,0 +1,97 @@
+"""VMs whose route table is older than the one that is in force."""
+
+from typing import Any
+
+import trio
+
+from chestnutshift.edge.state import EdgeState
+from tests.edge.linked_fleet import (
+    COLUMNS,
+    HOST,
+    READ,
+    ROUTES,
+    LinkedFleet,
+    LinkedVm,
+    running_fleet,
+)
+from tests.edge.world import until
+from tests.virtual_time import in_virtual_time
+
+ADDED = '/added/1'
+ADDED_ROUTE = ('added', '/added/', 'safe', '2500ms', '600ms', 2, 2, 's1', [])
+ADDED_KEY = 'k9'
+NEWER: dict[str, Any] = {
+    'version': '0000000d',
+    'routes': {
+        'cols': list(COLUMNS),
+        'rows': [
+            [*row[:-2], HOST, *row[-2:]] for row in (*ROUTES, ADDED_ROUTE)
+        ],
+    },
+    'tenants': {
+        'cols': ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'],
+        'rows': [['konya', ['k1', ADDED_KEY], 1, 156, 160]],
+    },
+}
+NEWER_VERSION = 13
+# How long a version has been in force before the store loses it.
+IN_FORCE_S = 4.0
+# When the operator writes again what the store has lost.
+REWRITTEN_AFTER_S = 9.0
+PAUSE_S = 0.1
+REFUSALS = frozenset((401, 403, 404))
+
+
+def has_newer(state: EdgeState) -> bool:
+    """Return whether the newer table is in force on the VM."""
+    return state.table_version == NEWER_VERSION
+
+
+async def put_newer_in_force(fleet: LinkedFleet) -> None:
+    """Write the newer table; it has been in force everywhere for long."""
+    fleet.write_table(**NEWER)
+    await until(lambda: all(has_newer(vm.state) for vm in fleet.vms))
+    await trio.sleep(IN_FORCE_S)
+
+
+async def ask_all(
+    fleet: LinkedFleet, vms: list[LinkedVm], duration_s: float
+) -> list[tuple[str, int]]:
+    """Use the added route and key at VMs; return who answered what."""
+    answers = []
+    end = trio.current_time() + duration_s
+    while trio.current_time() < end:
+        for vm in vms:
+            if vm.state.table is None:
+                continue
+            for path, key in ((ADDED, 'k1'), (READ, ADDED_KEY)):
+                answer = await fleet.ask(vm, path, key=key)
+                answers.append((vm.name, answer.status_code))
+        await trio.sleep(PAUSE_S)
+    return answers
+
+
+async def lose_newer(fleet: LinkedFleet) -> LinkedVm:
+    """Let the store lose the newer table as a VM starts; return the VM."""
+    fleet.store.keep_copy()
+    await put_newer_in_force(fleet)
+    fleet.store.return_from_copy()
+    started = fleet.restart(fleet.vms[0])
+    await until(lambda: started.state.table is not None)
+    return started
+
+
+# CONFIG: callers got 404 for a route, and 401 for a key, which had been added
+# and confirmed seconds before; only an older route table lacked them.
+@in_virtual_time
+async def test_nothing_added_is_refused_after_a_start() -> None:
+    """The store lacks the newest table until the operator writes it again."""
+    async with running_fleet() as fleet:
+        await lose_newer(fleet)
+        answers = await ask_all(fleet, fleet.vms, REWRITTEN_AFTER_S)
+        assert not {status for _, status in answers} & REFUSALS
+        fleet.write_table(**NEWER)
+        await until(lambda: all(has_newer(vm.state) for vm in fleet.vms))
+        await trio.sleep(1)
+        answers = await ask_all(fleet, fleet.vms, 1)
+        assert {status for _, status in answers} == {200}
