CONFIG: a newer table that peers name counts until this VM has it

What callers saw: a key that had been taken away more than 5 s before was accepted by a VM that started as the store returned from an older copy.

Cause: the newer version that peers name counted for 5 s (revoke) after the first reading, or after the store's return. Then the store's answers proved the older table again, though peers still named the newer one.

Evidence: test_withdrawn_key_until_it_is_written fails on (answered 200 after 5 s).

Change: the store's answers prove no table while a peer names a newer one, at any time; within those 5 s keys are refused at once as before, later the last proof ends by its age.

Result: the tests of older tables and of the state updater pass.

--- a/chestnutshift/edge/state_updater.py
+++ b/chestnutshift/edge/state_updater.py
@@ -51,7 +51,9 @@
                 self._adopt(change.state)
             else:
                 self._evacuations.update(change.key, change.state)
-        if not self._malformed_keys and not trust.store_lacks_newest(now):
+        # A store that returned from an older copy lacks the newest table until
+        # the operator writes it again, and proves none.
+        if not self._malformed_keys and not trust.is_behind:
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
--- a/chestnutshift/edge/table_trust.py
+++ b/chestnutshift/edge/table_trust.py
@@ -24,7 +24,8 @@
 
     _state: 'EdgeState' = attrs.field(repr=False)
     peer_tables: PeerTables = attrs.field(factory=PeerTables)
-    # Until when the store may lack a route table that peers know.
+    # Until when a newer table that peers name may be one that the store lost.
+    # At other times it is on its way to this VM, and proofs end soon.
     older_copy_until: float = -math.inf
     # Until when this VM, which has just started, waits for its peers to tell
     # whether they know a newer route table.
@@ -45,7 +46,8 @@
             return True
         if not state.freshness.is_fresh(now) or self.is_waiting_for_peers(now):
             return False
-        return not self.store_lacks_newest(now)
+        may_lack_newest = now < self.older_copy_until
+        return not (may_lack_newest and self.is_behind)
 
     def may_refuse(self, now: float) -> bool:
         """Return whether to refuse what the route table in force lacks.
@@ -86,20 +88,6 @@
         """
         return now < self.hears_peers_by and self._state.fleet.is_waiting(now)
 
-    def store_lacks_newest(self, now: float) -> bool:
-        """Return whether peers know a newer route table than the store.
-
-        A store that returned from an older copy lacks the newest table until
-        the operator writes it again.
-        """
-        if now >= self.older_copy_until:
-            return False
-        state = self._state
-        return state.table is None or any(
-            heartbeat.table_version > state.table.version
-            for heartbeat in state.fleet.heartbeats(now)
-        )
-
     def behind_s(self, now: float) -> float:
         """Return for how long peers have named a newer table, 0 for none."""
         return self.peer_tables.behind_s(self._state.table_version, now)
--- a/tests/edge/test_older_tables.py
+++ b/tests/edge/test_older_tables.py
@@ -47,9 +47,9 @@
     return state.table_version == NEWER_VERSION
 
 
-async def put_newer_in_force(fleet: LinkedFleet) -> None:
+async def put_newer_in_force(fleet: LinkedFleet, newer: dict[str, Any]) -> None:
     """Write the newer table; it has been in force everywhere for long."""
-    fleet.write_table(**NEWER)
+    fleet.write_table(**newer)
     await until(lambda: all(has_newer(vm.state) for vm in fleet.vms))
     await trio.sleep(IN_FORCE_S)
 
@@ -71,16 +71,25 @@
     return answers
 
 
-async def lose_newer(fleet: LinkedFleet) -> LinkedVm:
+async def lose_newer(
+    fleet: LinkedFleet, newer: dict[str, Any] = NEWER
+) -> LinkedVm:
     """Let the store lose the newer table as a VM starts; return the VM."""
     fleet.store.keep_copy()
-    await put_newer_in_force(fleet)
+    await put_newer_in_force(fleet, newer)
     fleet.store.return_from_copy()
     started = fleet.restart(fleet.vms[0])
     await until(lambda: started.state.table is not None)
     return started
 
 
+def without_key(key: str) -> dict[str, Any]:
+    """Return the newer table after a key was taken away."""
+    keys = [kept for kept in ('k1', 'k2') if kept != key]
+    rows = [['konya', keys, 1, 156, 160]]
+    return NEWER | {'tenants': NEWER['tenants'] | {'rows': rows}}
+
+
 # CONFIG: callers got 404 for a route, and 401 for a key, which had been added
 # and confirmed seconds before; only an older route table lacked them.
 @in_virtual_time
@@ -95,3 +104,16 @@
         await trio.sleep(1)
         answers = await ask_all(fleet, fleet.vms, 1)
         assert {status for _, status in answers} == {200}
+
+
+# CONFIG: a key that had been taken away was accepted again, 5 s after a store
+# returned from an older copy: a newer table that peers named counted no longer.
+@in_virtual_time
+async def test_withdrawn_key_until_it_is_written() -> None:
+    """A VM that starts on the copy does not run it, however long that lasts."""
+    async with running_fleet() as fleet:
+        started = await lose_newer(fleet, without_key('k2'))
+        end = trio.current_time() + REWRITTEN_AFTER_S
+        while trio.current_time() < end:
+            assert (await fleet.ask(started, key='k2')).status_code != 200
+            await trio.sleep(PAUSE_S)
