CONFIG: requests go by a newer table that peers have named for a while

What callers saw: requests ran at the service that their route had before a change, more than 2.5 s after it was confirmed, at a VM that lacked the newer table while its peers had it: the same cause as refusals by an older table, without a refusal.

Cause: a VM went by its own table, whatever peers named, as long as its keys were trusted (4.3 s), and without end on open routes.

Evidence: test_requests_go_by_a_newer_table and test_older_table_after_peers_refused (the store turns one VM away while a route moves) fail on: the request ran at the old service.

Change: once peers have named a newer table for 0.4 of config (1 s), requests are passed on to one that has it, over the hop that exists. If such peers refuse, the request is refused (table.outdated); it does not run by the older table then. Without any such peer the older table is still better than none.

--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -110,12 +110,15 @@
     # Requests in flight that were passed on, by VM.
     _in_flight: Counter[str] = attrs.field(factory=Counter)
 
-    def choose(self, pending: PendingRequest, now: float) -> Peer | None:
+    def choose(
+        self, pending: PendingRequest, now: float, *, is_newer: bool = False
+    ) -> Peer | None:
         """Return a peer that can send the request, None if there is none.
 
-        The nearest come first, and of two of these the less busy. A request
-        crosses between VMs once only. One with home regions goes to VMs
-        there, as these get its body.
+        With is_newer, it has a newer route table than this VM. The nearest
+        come first, and of two of these the less busy. A request crosses between
+        VMs once only. One with home regions goes to VMs there, as these get its
+        body.
         """
         admitted = pending.admitted
         if admitted.progress is not None or admitted.has_no_home:
@@ -123,6 +126,8 @@
         if len(pending.peers_tried) >= PEERS_MAX:
             return None
         able = self._able(pending, now)
+        if is_newer:
+            able = self._newer(able)
         if not able:
             return None
         nearest = min(map(self._distance, able))
@@ -191,6 +196,12 @@
         ]
         return idle or able
 
+    def _newer(self, peers: Iterable[Peer]) -> list[Peer]:
+        version = self._state.table_version
+        return [
+            peer for peer in peers if peer.heartbeat.table_version > version
+        ]
+
     def _distance(self, peer: Peer) -> int:
         settings = self._state.settings
         if peer.member.failure_domain == settings.failure_domain:
--- a/chestnutshift/edge/refusals.py
+++ b/chestnutshift/edge/refusals.py
@@ -18,6 +18,7 @@
 # Largest fraction that is added to a Retry-After at random, so that refused
 # callers do not retry simultaneously.
 RETRY_AFTER_JITTER = 0.5
+OUTDATED_CODE = 'table.outdated'
 CUT_OFF_DETAIL = 'no upstream answers this VM, and no peer can send the request'
 # When to come back to a VM that is cut off.
 CUT_OFF_WAIT_S = 1.0
@@ -39,6 +40,11 @@
             pending, CUT_OFF_CODE, CUT_OFF_DETAIL, CUT_OFF_WAIT_S
         )
 
+    def outdated(self, pending: PendingRequest, now: float) -> RefusalError:
+        """Refuse since peers with a newer route table can't take it."""
+        detail = reasons.unproven_table(self._state, now)
+        return self._unserved(pending, OUTDATED_CODE, detail, 0)
+
     def none_usable(self, pending: PendingRequest, now: float) -> RefusalError:
         """Refuse since no upstream may get the request now."""
         directory = self._state.directory
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -101,7 +101,15 @@
         return end
 
     def _peer_instead(self, pending: PendingRequest, now: float) -> Peer | None:
-        """Return a peer if upstreams seem to be out of this VM's reach."""
+        """Return a peer if this VM should not send the request itself.
+
+        Either its route table is outdated, or upstreams seem to be out of its
+        reach.
+        """
+        if self._state.trust.is_outdated(now):
+            peer = self._peers.choose(pending, now, is_newer=True)
+            if peer is not None:
+                return peer
         is_connected = self._state.directory.reach.reach(now) is Reach.CONNECTED
         if is_connected and pending.unreached_count < UNREACHED_MAX:
             return None
@@ -137,6 +145,9 @@
         choice = None
         if self._is_out_of_reach(pending, now):
             raise self._refusals.cut_off(pending)
+        if pending.peers_tried and state.trust.is_outdated(now):
+            # Without such a peer the older table is better than none.
+            raise self._refusals.outdated(pending, now)
         if not admitted.has_no_home:
             choice = state.policy.choose(
                 pending.profile(estimate.answer_b),
--- a/chestnutshift/edge/table_trust.py
+++ b/chestnutshift/edge/table_trust.py
@@ -12,6 +12,9 @@
 
 # Fraction of the store's reads that refusals may cause.
 PROOF_READS_RATIO = 0.1
+# For how long, as a fraction of the time within which a newer table must be in
+# force, a VM may still go by its own once peers name a newer one.
+OUTDATED_RATIO = 0.4
 
 
 @attrs.define(eq=False)
@@ -88,6 +91,11 @@
         """
         return now < self.hears_peers_by and self._state.fleet.is_waiting(now)
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether requests should go by a peer's newer route table."""
+        bound_s = self._state.settings.bounds.table_s
+        return self.behind_s(now) > OUTDATED_RATIO * bound_s
+
     def behind_s(self, now: float) -> float:
         """Return for how long peers have named a newer table, 0 for none."""
         return self.peer_tables.behind_s(self._state.table_version, now)
--- a/tests/edge/linked_fleet.py
+++ b/tests/edge/linked_fleet.py
@@ -67,6 +67,7 @@
 
     state: EdgeState
     links: dict[str, Link]
+    store: StoreView
     # Cancelled when the VM is killed.
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _stopping: trio.Event = attrs.field(factory=trio.Event)
@@ -124,7 +125,7 @@
             region=before.region,
         )
         state = EdgeState(settings, vm.state.incarnation + 1, EventLog(vm.name))
-        again = LinkedVm(state, vm.links)
+        again = LinkedVm(state, vm.links, vm.store)
         self.run(again)
         return again
 
@@ -132,6 +133,10 @@
         """Write a route table as the operator, with some fields replaced."""
         self.store.write('op', 'config', _route_table(tables))
 
+    def register(self, name: str, service: str = 's1') -> None:
+        """Write the row of an upstream."""
+        self.store.write('servers', name, _registration(name, service))
+
     def is_settled(self, upstream_count: int) -> bool:
         """Return whether all VMs are ready, and know peers and upstreams."""
         now = boot_time()
@@ -241,7 +246,7 @@
             ports = {}
             for name, upstream in fleet.upstreams.items():
                 ports[name] = await stack.enter_async_context(served(upstream))
-                fleet.store.write('servers', name, _registration(name))
+                fleet.register(name)
             for number in range(vm_count):
                 links = {name: Link(port) for name, port in ports.items()}
                 for link in links.values():
@@ -254,7 +259,8 @@
                     },
                 )
                 store_port = await stack.enter_async_context(served(view))
-                fleet.run(LinkedVm(_make_state(number, store_port), links))
+                state = _make_state(number, store_port)
+                fleet.run(LinkedVm(state, links, view))
             await until(lambda: fleet.is_settled(len(names)))
             yield fleet
             nursery.cancel_scope.cancel()
@@ -266,10 +272,10 @@
     return json.dumps(table | tables).encode()
 
 
-def _registration(name: str) -> bytes:
+def _registration(name: str, service: str) -> bytes:
     number = int(name.split('-')[1])
     zone = DOMAINS[number % len(DOMAINS)][0]
-    info = REGISTRATION['info'] | {'zone': zone}
+    info = REGISTRATION['info'] | {'zone': zone, 'service': service}
     status = REGISTRATION['status'] | {'cold_left': '0ms'}
     row = REGISTRATION | {'addr': '127.0.0.1:1', 'info': info, 'status': status}
     return json.dumps(row).encode()
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -191,18 +191,24 @@
         return {}
 
 
-@attrs.frozen
+@attrs.define
 class StoreView:
     """ASGI application of the store as one VM sees it.
 
     addresses are those at which this VM reaches the upstreams, by id.
+    is_refusing tells that the store turns this VM away.
     """
 
     _store: StoreStandIn
     addresses: Mapping[str, str]
+    is_refusing: bool = False
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one call of the VM."""
+        if self.is_refusing:
+            await read_body(receive)
+            await answer(send, 503, b'')
+            return
         await self._store.answer_call(scope, receive, send, self._translate)
 
     def _translate(self, row: Row) -> Row:
--- a/tests/edge/test_older_tables.py
+++ b/tests/edge/test_older_tables.py
@@ -5,6 +5,7 @@
 import trio
 
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.fleet.store_polling import POLL_TIMEOUT_S
 from tests.edge.linked_fleet import (
     COLUMNS,
     HOST,
@@ -106,6 +107,14 @@
         assert {status for _, status in answers} == {200}
 
 
+def with_moved_read() -> dict[str, Any]:
+    """Return the newer table after the first route moved to another service."""
+    moved = ('read', *ROUTES[0][1:-2], 's2', [])
+    routes = (moved, *ROUTES[1:])
+    rows = [[*row[:-2], HOST, *row[-2:]] for row in routes]
+    return NEWER | {'routes': NEWER['routes'] | {'rows': rows}}
+
+
 # CONFIG: a key that had been taken away was accepted again, 5 s after a store
 # returned from an older copy: a newer table that peers named counted no longer.
 @in_virtual_time
@@ -117,3 +126,46 @@
         while trio.current_time() < end:
             assert (await fleet.ask(started, key='k2')).status_code != 200
             await trio.sleep(PAUSE_S)
+
+
+async def keep_from_newer(fleet: LinkedFleet, vm: LinkedVm) -> None:
+    """Move a route, and have the store turn one VM away meanwhile."""
+    await refuse_store(vm)
+    fleet.write_table(**with_moved_read())
+    peers = [peer for peer in fleet.vms if peer is not vm]
+    await until(lambda: all(has_newer(peer.state) for peer in peers))
+    await trio.sleep(vm.state.settings.bounds.table_s)
+
+
+async def refuse_store(vm: LinkedVm) -> None:
+    """Have the store turn a VM away, once its open polls have ended."""
+    vm.store.is_refusing = True
+    await trio.sleep(POLL_TIMEOUT_S)
+
+
+# CONFIG: a request ran at the service that its route had before, at a VM that
+# the store kept from the newer table while its peers had it.
+@in_virtual_time
+async def test_requests_go_by_a_newer_table() -> None:
+    """The VM passes them on to peers that have the table."""
+    async with running_fleet() as fleet:
+        moved = fleet.upstreams['i-0']
+        fleet.register('i-0', 's2')
+        await keep_from_newer(fleet, fleet.vms[-1])
+        before = fleet.arrivals
+        for number in range(4):
+            answer = await fleet.ask(fleet.vms[-1])
+            assert answer.status_code == 200
+            assert len(moved.received) == number + 1
+        assert fleet.arrivals == before + 4
+
+
+# CONFIG: the same where no peer can serve it by the newer table.
+@in_virtual_time
+async def test_older_table_after_peers_refused() -> None:
+    """The request is refused; it does not run by the older table."""
+    async with running_fleet() as fleet:
+        await keep_from_newer(fleet, fleet.vms[-1])
+        answer = await fleet.ask(fleet.vms[-1])
+        assert answer.status_code == 503
+        assert not fleet.arrivals
