BUDGET: a request that is sent on after a 421 is charged

What upstreams saw: arrivals of the same requests far beyond the ratio and slack, wherever addresses are used again or upstreams have started again under new ids before the store told so (crashes, releases, addresses that are used again).

Cause: a 421 was taken for an upstream that was not reached. It counted neither as sent nor as unreached, so that a request went on to one upstream after the other without a charge or a limit; but it had arrived, and was rejected.

Change: the next attempt after a 421 is taken from the budget. Without one the request is refused, as not run.

--- a/chestnutshift/edge/retry_decider.py
+++ b/chestnutshift/edge/retry_decider.py
@@ -25,7 +25,6 @@
     )
 )
 _NOT_RUN = frozenset((EndKind.NOT_SENT, EndKind.NOT_RUN))
-_UNREACHED = frozenset((EndKind.NOT_SENT, EndKind.MISDIRECTED))
 
 
 @attrs.frozen
@@ -44,11 +43,14 @@
         if end.peer and end.kind in _NOT_RUN:
             may_retry = not end.code or end.code in PEER_REFUSALS_RETRIED
             return self._count_free(pending, 'peer', may_retry=may_retry)
-        if end.kind in _UNREACHED:
+        if end.kind is EndKind.NOT_SENT:
             tried = pending.unreached_count + pending.sent_count
             return self._count_free(
                 pending, end.kind.value, may_retry=tried < ATTEMPTS_TOTAL_MAX
             )
+        if end.kind is EndKind.MISDIRECTED:
+            # Another upstream has the address, and the request has arrived.
+            return self._take(pending, now)
         return self._may_repeat(pending, end, now)
 
     def _count_free(
@@ -78,6 +80,10 @@
             return False
         if pending.sent_count >= route.attempts_max:
             return False
+        return self._take(pending, now)
+
+    def _take(self, pending: PendingRequest, now: float) -> bool:
+        """Take another arrival from the budget; return whether it allows it."""
         vms = count_share_holders(self._state.fleet, now)
         is_allowed = self._state.retries.take(
             pending.admitted.service, vms, now
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -282,6 +282,13 @@
         mark = (b'x-chestnutshift-not-executed', b'1')
         await answer(send, 503, b'', request_id, mark, *self.headers)
 
+    async def _misdirect(
+        self, send: Any, request_id: Header, _text: bytes
+    ) -> None:
+        """Answer as an upstream that has the address of another now."""
+        another = (b'x-chestnutshift-instance-id', b'another')
+        await answer(send, 421, b'', request_id, another)
+
     async def _crossed(
         self, send: Any, _request_id: Header, _text: bytes
     ) -> None:
--- /dev/null
+++ b/tests/edge/test_repeats.py
@@ -0,0 +1,53 @@
+"""Arrivals at upstreams beyond the first of each request, over all VMs."""
+
+from collections import Counter
+
+import trio
+
+from tests.edge.linked_fleet import (
+    READ,
+    LinkedFleet,
+    LinkedVm,
+    running_fleet,
+)
+from tests.virtual_time import in_virtual_time
+
+RETRY_RATIO = 0.2
+RETRY_SLACK = 64
+REQUESTS = 40
+PAUSE_S = 0.05
+UPSTREAMS = 8
+
+
+async def ask_often(
+    fleet: LinkedFleet, vms: list[LinkedVm], path: str = READ
+) -> int:
+    """Send requests to the VMs within a window; return how many."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(REQUESTS):
+            for vm in vms:
+                nursery.start_soon(fleet.ask, vm, path)
+            await trio.sleep(PAUSE_S)
+    return REQUESTS * len(vms)
+
+
+def count_repeats(fleet: LinkedFleet) -> int:
+    """Return the arrivals beyond the first of each request."""
+    arrivals = Counter(
+        headers['x-chestnutshift-request-id']
+        for upstream in fleet.upstreams.values()
+        for headers in upstream.received
+    )
+    return arrivals.total() - len(arrivals)
+
+
+# BUDGET: upstreams whose addresses others had now got requests sent on to
+# them, one after the other, without a charge for any.
+@in_virtual_time
+async def test_misdirected_requests_are_charged() -> None:
+    """An arrival that is rejected with 421 counts like any other."""
+    async with running_fleet(upstream_count=UPSTREAMS) as fleet:
+        for upstream in fleet.upstreams.values():
+            upstream.behaviour = 'misdirect'
+        requests = await ask_often(fleet, fleet.vms)
+        assert count_repeats(fleet) <= RETRY_RATIO * requests + RETRY_SLACK
