BUDGET: a VM that starts uses no slack in its first window

What upstreams saw: more repeats in 10 s than ratio and slack allow, where VMs restart in series (kills, rolling restarts, upgrades).

Cause: the counts live in the process. Each run of a VM had its whole part of the slack, 3.7 of 64, and knew nothing of what the run before had sent within the window.

Change: no slack until a window after a run's first request. What it earns by its own requests is unaffected; the run before earned what it sent.

--- a/chestnutshift/steering/retry_budget.py
+++ b/chestnutshift/steering/retry_budget.py
@@ -2,9 +2,11 @@
 
 The budget of a sliding window is a ratio of the requests plus a fixed slack.
 The ratio needs no division among VMs, as each VM counts its own requests; the
-slack is divided by the number of VMs.
+slack is divided by the number of VMs. A VM that starts does not know how much
+of it its last run has used, and uses none in its first window.
 """
 
+import math
 from collections import deque
 
 import attrs
@@ -48,9 +50,12 @@
         """Start with empty windows."""
         self._bounds = bounds
         self._windows: dict[str, _Window] = {}
+        # When the first request was counted.
+        self._began_at = math.inf
 
     def count_request(self, service: str, now: float) -> None:
         """Count a request's first attempt."""
+        self._began_at = min(self._began_at, now)
         self._window(service, now).requests.append(now)
 
     def take(self, service: str, vms: int, now: float) -> bool:
@@ -60,12 +65,17 @@
         """
         window = self._window(service, now)
         earned = self._bounds.ratio * len(window.requests) * EARNED_FRACTION
-        slack = self._bounds.slack / vms * SLACK_FRACTION
-        if len(window.retries) + 1 > earned + slack:
+        if len(window.retries) + 1 > earned + self._slack(vms, now):
             return False
         window.retries.append(now)
         return True
 
+    def _slack(self, vms: int, now: float) -> float:
+        """Return this VM's part of the slack."""
+        if now - self._began_at < self._bounds.window_s:
+            return 0
+        return self._bounds.slack / vms * SLACK_FRACTION
+
     def _window(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
         window.expire(now - self._bounds.window_s)
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -1,11 +1,19 @@
 """Fleet-wide bounds hold although VMs divide them without communicating."""
 
+import itertools
+
+from nose2.tools import params
+
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
 from chestnutshift.steering.upstream_rates import UpstreamRates
 from tests.steering.factories import NOW, SERVICE, make_directory, register
+from tests.steering.retry_model import play_restarts
 
 VMS = [f'vm-{number}' for number in range(12)]
 BOUNDS = RetryBounds(window_s=10, ratio=0.2, slack=64)
+# Restarts of each VM in a window, and requests per second of all VMs.
+RESTARTS = (0, 1, 2, 4)
+RATES = (20, 60, 250)
 
 
 def most_in_a_second(times: list[float]) -> int:
@@ -29,9 +37,22 @@
     assert retries > 100
 
 
+# BUDGET: each run of a VM had its whole part of the slack, and knew nothing of
+# what the run before it had sent within the window.
+@params(*itertools.product(range(3), RESTARTS, RATES))
+def test_restarts_give_no_budget_back(
+    seed: int, restarts: int, rate: float
+) -> None:
+    """VMs restart so often in a window while every attempt fails."""
+    model = play_restarts(seed, restarts, rate)
+    assert model.repeats
+    assert model.most_over() <= 0
+
+
 def test_budget_recovers_after_the_window() -> None:
     """Retries that are older than the window do not count."""
     budget = FleetRetryBudget(BOUNDS)
+    budget.count_request(SERVICE, NOW - 20)
     for _ in range(64):
         budget.take(SERVICE, 12, NOW)
     assert not budget.take(SERVICE, 12, NOW + 9)
