BUDGET: a VM's part of the slack grows a window after others have left

What upstreams saw: more repeats in 10 s than allowed, after most VMs of a fleet were taken away for good.

Cause: the slack was divided by the VMs of the moment. As soon as rows were gone from the store, the rest had larger parts, while what the others had sent was still within the window.

Change: the slack is divided by the most VMs that there were within the window.

--- a/chestnutshift/edge/peer_updates.py
+++ b/chestnutshift/edge/peer_updates.py
@@ -33,6 +33,7 @@
     }
     state.live_peer_names = tuple(demands)
     share_holders = count_share_holders(fleet, now)
+    state.retries.record_vms(share_holders, now)
     candidates = candidates_by_region(
         [peer.member for peer in fleet.serving(now)],
         state.settings,
--- a/chestnutshift/edge/retry_decider.py
+++ b/chestnutshift/edge/retry_decider.py
@@ -6,7 +6,6 @@
 from chestnutshift.edge.crash_guard import CrashGuard
 from chestnutshift.edge.pending_requests import PendingRequest
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.fleet.share_holders import count_share_holders
 
 # Attempts of a request, sent or not, after which one that was not sent is not
 # retried.
@@ -84,10 +83,7 @@
 
     def _take(self, pending: PendingRequest, now: float) -> bool:
         """Take another arrival from the budget; return whether it allows it."""
-        vms = count_share_holders(self._state.fleet, now)
-        is_allowed = self._state.retries.take(
-            pending.admitted.service, vms, now
-        )
+        is_allowed = self._state.retries.take(pending.admitted.service, now)
         self._count(pending, 'charged' if is_allowed else 'denied')
         return is_allowed
 
--- a/chestnutshift/steering/retry_budget.py
+++ b/chestnutshift/steering/retry_budget.py
@@ -52,28 +52,39 @@
         self._windows: dict[str, _Window] = {}
         # When the first request was counted.
         self._began_at = math.inf
+        # When the fleet last had that many VMs.
+        self._vms_at: dict[int, float] = {}
 
     def count_request(self, service: str, now: float) -> None:
         """Count a request's first attempt."""
         self._began_at = min(self._began_at, now)
         self._window(service, now).requests.append(now)
 
-    def take(self, service: str, vms: int, now: float) -> bool:
-        """Count a retry if the budget allows it; tell whether it does.
+    def record_vms(self, vms: int, now: float) -> None:
+        """Record the number of VMs that may hold a part of the slack."""
+        since = now - self._bounds.window_s
+        self._vms_at = {
+            count: at for count, at in self._vms_at.items() if at >= since
+        }
+        self._vms_at[vms] = now
 
-        The slack is divided by vms, the number of VMs in the fleet.
-        """
+    def take(self, service: str, now: float) -> bool:
+        """Count a retry if the budget allows it; tell whether it does."""
         window = self._window(service, now)
         earned = self._bounds.ratio * len(window.requests) * EARNED_FRACTION
-        if len(window.retries) + 1 > earned + self._slack(vms, now):
+        if len(window.retries) + 1 > earned + self._slack(now):
             return False
         window.retries.append(now)
         return True
 
-    def _slack(self, vms: int, now: float) -> float:
-        """Return this VM's part of the slack."""
+    def _slack(self, now: float) -> float:
+        """Return this VM's part of the slack.
+
+        VMs that have left may have used theirs within the window.
+        """
         if now - self._began_at < self._bounds.window_s:
             return 0
+        vms = max(self._vms_at, default=1)
         return self._bounds.slack / vms * SLACK_FRACTION
 
     def _window(self, service: str, now: float) -> _Window:
--- a/tests/steering/retry_model.py
+++ b/tests/steering/retry_model.py
@@ -28,18 +28,25 @@
     def __attrs_post_init__(self) -> None:
         """Start the VMs."""
         self.budgets = [FleetRetryBudget(BOUNDS) for _ in range(VM_COUNT)]
+        self.record_vms(VM_COUNT)
+
+    def record_vms(self, vms: int) -> None:
+        """Tell all VMs how many there are."""
+        for budget in self.budgets:
+            budget.record_vms(vms, self.now)
 
     def restart(self, vm: int) -> None:
         """Start a VM anew; it has forgotten what it sent."""
         self.budgets[vm] = FleetRetryBudget(BOUNDS)
+        self.budgets[vm].record_vms(VM_COUNT, self.now)
 
-    def serve(self, vm: int, attempts: int = 3, vms: int = VM_COUNT) -> None:
+    def serve(self, vm: int, attempts: int = 3) -> None:
         """Have a VM serve a request of which every attempt fails."""
         budget = self.budgets[vm]
         self.requests.append(self.now)
         budget.count_request(SERVICE, self.now)
         for _ in range(attempts - 1):
-            if budget.take(SERVICE, vms, self.now):
+            if budget.take(SERVICE, self.now):
                 self.repeats.append(self.now)
 
     def most_over(self) -> float:
@@ -74,6 +81,7 @@
     step_s = 1 / rate
     while model.now < 60:
         model.now += step_s
+        model.record_vms(VM_COUNT)
         if rng.random() < restarts * VM_COUNT / BOUNDS.window_s * step_s:
             model.restart(rng.randrange(VM_COUNT))
         model.serve(rng.randrange(VM_COUNT))
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -1,13 +1,14 @@
 """Fleet-wide bounds hold although VMs divide them without communicating."""
 
 import itertools
+import random
 
 from nose2.tools import params
 
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
 from chestnutshift.steering.upstream_rates import UpstreamRates
 from tests.steering.factories import NOW, SERVICE, make_directory, register
-from tests.steering.retry_model import play_restarts
+from tests.steering.retry_model import VM_COUNT, RetryModel, play_restarts
 
 VMS = [f'vm-{number}' for number in range(12)]
 BOUNDS = RetryBounds(window_s=10, ratio=0.2, slack=64)
@@ -28,11 +29,12 @@
     budgets = [FleetRetryBudget(BOUNDS) for _ in VMS]
     retries = 0
     for budget in budgets:
+        budget.record_vms(len(VMS), NOW)
         for number in range(100):
             now = NOW + number / 20
             budget.count_request(SERVICE, now)
-            retries += budget.take(SERVICE, len(VMS), now)
-            retries += budget.take(SERVICE, len(VMS), now)
+            retries += budget.take(SERVICE, now)
+            retries += budget.take(SERVICE, now)
     assert retries <= 0.2 * 100 * len(VMS) + 64
     assert retries > 100
 
@@ -53,10 +55,11 @@
     """Retries that are older than the window do not count."""
     budget = FleetRetryBudget(BOUNDS)
     budget.count_request(SERVICE, NOW - 20)
+    budget.record_vms(12, NOW)
     for _ in range(64):
-        budget.take(SERVICE, 12, NOW)
-    assert not budget.take(SERVICE, 12, NOW + 9)
-    assert budget.take(SERVICE, 12, NOW + 10.1)
+        budget.take(SERVICE, NOW)
+    assert not budget.take(SERVICE, NOW + 9)
+    assert budget.take(SERVICE, NOW + 10.1)
 
 
 def test_vms_together_keep_to_the_cold_rate() -> None:
@@ -125,3 +128,23 @@
                 sent.append(now)
     assert 3 <= most_in_a_second(sent) <= 6.1 * 1.5 + 5
     assert len(sent) <= 6.1 * 9 + 12
+
+
+# BUDGET: a VM's part of the slack grew at once when others were taken away,
+# though what those had sent was still within the window.
+@params(*itertools.product(range(3), (1, 2, 3, 6)))
+def test_vms_taken_away_leave_no_slack(seed: int, left: int) -> None:
+    """Most VMs are taken away after all have used their parts."""
+    rng = random.Random(seed)
+    model = RetryModel()
+    for vm in range(VM_COUNT):
+        model.serve(vm, attempts=1)
+    model.now += 30
+    model.record_vms(VM_COUNT)
+    for _ in range(2 * VM_COUNT):
+        model.serve(rng.randrange(VM_COUNT), attempts=9)
+    model.now += 1
+    model.record_vms(left)
+    for _ in range(VM_COUNT):
+        model.serve(rng.randrange(left), attempts=60)
+    assert model.most_over() <= 0
