BUDGET: a request that was given up unanswered does not arrive later

What upstreams saw: when a cut healed, copies of requests that had been given up and repeated elsewhere arrived all at once, in one window.

Cause: such a connection was closed in order. The kernel goes on delivering what it holds then, and a cut that lasts less than its patience only delays it. The repeat was charged in the window of the decision, the copy arrived in another.

Change: a connection on which nothing has come since the request began is reset, which discards what the kernel holds. The request counts as possibly run as before.

--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -7,6 +7,7 @@
 
 import errno
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 
@@ -29,6 +30,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_MS = 5000
+# struct linger: on, with a timeout of 0 s.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _RESET_ERRNOS = frozenset((errno.ECONNRESET, errno.EPIPE))
 
 Headers = list[tuple[bytes, bytes]]
@@ -146,6 +149,8 @@
         self._received_at = self._sent_at
         self._sent_b = 0
         self._has_ended = False
+        # Whether nothing has come since the last request began.
+        self._is_unanswered = False
         self._progress = SendProgress(self._sent_at)
         # Whether the answer ends when the upstream closes the connection.
         self._is_open_ended = False
@@ -187,7 +192,16 @@
         return True
 
     def close(self) -> None:
-        """Close at once, which the upstream treats as a cancellation."""
+        """Close at once, which the upstream treats as a cancellation.
+
+        What a cut holds up of a request without an answer must not arrive
+        later, when the request may run elsewhere: a reset discards it.
+        """
+        if self._is_unanswered:
+            with suppress(OSError):
+                self._stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
         self._stream.socket.close()
 
     async def send_buffered(
@@ -260,6 +274,7 @@
 
     def _begin(self, request: OutboundRequest) -> bytes:
         self._sent_at = trio.current_time()
+        self._is_unanswered = True
         return self._h11.send(
             h11.Request(
                 method=request.method,
@@ -304,6 +319,7 @@
         self._has_ended = not content
         if content:
             self._received_at = trio.current_time()
+            self._is_unanswered = False
         elif self._is_open_ended:
             await _check_end(self._progress, self._stream.socket, self._h11)
         self._h11.receive_data(content)
--- a/tests/edge/test_repeats.py
+++ b/tests/edge/test_repeats.py
@@ -10,6 +10,7 @@
     LinkedVm,
     running_fleet,
 )
+from tests.links import LinkFault
 from tests.virtual_time import in_virtual_time
 
 RETRY_RATIO = 0.2
@@ -51,3 +52,20 @@
             upstream.behaviour = 'misdirect'
         requests = await ask_often(fleet, fleet.vms)
         assert count_repeats(fleet) <= RETRY_RATIO * requests + RETRY_SLACK
+
+
+# BUDGET: requests that had been given up in a cut, and were repeated by peers,
+# arrived all the same when it healed, all in one window.
+@in_virtual_time
+async def test_what_a_cut_held_up_does_not_arrive() -> None:
+    """VMs lose their upstreams for a while, and nothing is reset."""
+    async with running_fleet(upstream_count=UPSTREAMS) as fleet:
+        requests = await ask_often(fleet, fleet.vms)
+        for vm in fleet.vms[:2]:
+            vm.cut(LinkFault.HELD_UP)
+        requests += await ask_often(fleet, fleet.vms)
+        before = count_repeats(fleet)
+        for vm in fleet.vms[:2]:
+            vm.cut(LinkFault.NONE)
+        await trio.sleep(1)
+        assert count_repeats(fleet) == before
--- a/tests/links.py
+++ b/tests/links.py
@@ -25,6 +25,9 @@
     ONE_WAY = 'one_way'
     # Nothing is forwarded, and connections stay open.
     SILENT = 'silent'
+    # Nothing is forwarded; what is held up arrives later, unless its sender
+    # has reset the connection meanwhile.
+    HELD_UP = 'held_up'
     # The port refuses new connections, and open ones are reset.
     REFUSED = 'refused'
     # The port refuses new connections, and open ones live on.
@@ -37,6 +40,7 @@
 REFUSAL = b'HTTP/1.1 503'
 ADDRESS = '127.0.0.1'
 _REFUSING = frozenset((LinkFault.REFUSED, LinkFault.CLOSED_TO_NEW))
+_SILENT = frozenset((LinkFault.SILENT, LinkFault.HELD_UP))
 _RESETTING = frozenset((LinkFault.RESET, LinkFault.DOWN, LinkFault.REFUSED))
 
 
@@ -127,10 +131,10 @@
             _reset(server)
 
     def _forwards_requests(self) -> bool:
-        return self.fault is not LinkFault.SILENT
+        return self.fault not in _SILENT
 
     def _forwards_answers(self) -> bool:
-        return self.fault not in {LinkFault.SILENT, LinkFault.ONE_WAY}
+        return self.fault not in {*_SILENT, LinkFault.ONE_WAY}
 
     async def _forward(
         self,
@@ -147,6 +151,7 @@
                     await trio.sleep(DELAY_S)
                 while not may_forward():
                     await self._changed.wait()
+                    _raise_if_reset(source)
                 if not content:
                     await target.send_eof()
                     return
@@ -195,6 +200,13 @@
             link.set_fault(fault)
 
 
+def _raise_if_reset(stream: trio.SocketStream) -> None:
+    """Raise OSError if the other side has reset the connection."""
+    error = stream.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, 'the connection was reset')
+
+
 def _bound_socket(port: int) -> socket.socket:
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
