--- a/tests/fleet/test_old_build.py
+++ b/tests/fleet/test_old_build.py
@@ -15,7 +15,7 @@
 from tests.fleet import build_exchange
 
 ROOT = pathlib.Path(__file__).parents[2]
-OLD_BUILDS = ('d04350d', '6759eb4')
+OLD_BUILDS = ('d04350d', '6759eb4', 'c81730d')
 SCRIPT = pathlib.Path(build_exchange.__file__)
 TIMEOUT_S = 60
 # Fields of heartbeats that the old build lacks.
