--- a/tests/steering/retry_model.py
+++ b/tests/steering/retry_model.py
@@ -10,6 +10,7 @@
 SERVICE = 's1'
 VM_COUNT = 12
 BOUNDS = RetryBounds(window_s=10, ratio=0.2, slack=64)
+PLAYED_S = 60
 
 
 @attrs.define
@@ -21,6 +22,7 @@
     """
 
     now: float = 0
+    vm_count: int = VM_COUNT
     requests: list[float] = attrs.field(factory=list)
     repeats: list[float] = attrs.field(factory=list)
     budgets: list[FleetRetryBudget] = attrs.field(init=False)
@@ -28,21 +30,15 @@
     def __attrs_post_init__(self) -> None:
         """Start the VMs."""
         self.budgets = [FleetRetryBudget(BOUNDS) for _ in range(VM_COUNT)]
-        self.record_vms(VM_COUNT)
-
-    def record_vms(self, vms: int) -> None:
-        """Tell all VMs how many there are."""
-        for budget in self.budgets:
-            budget.record_vms(vms, self.now)
 
     def restart(self, vm: int) -> None:
         """Start a VM anew; it has forgotten what it sent."""
         self.budgets[vm] = FleetRetryBudget(BOUNDS)
-        self.budgets[vm].record_vms(VM_COUNT, self.now)
 
     def serve(self, vm: int, attempts: int = 3) -> None:
         """Have a VM serve a request of which every attempt fails."""
         budget = self.budgets[vm]
+        budget.record_vms(self.vm_count, self.now)
         self.requests.append(self.now)
         budget.count_request(SERVICE, self.now)
         for _ in range(attempts - 1):
@@ -79,10 +75,22 @@
     rng = random.Random(seed)
     model = RetryModel()
     step_s = 1 / rate
-    while model.now < 60:
+    while model.now < PLAYED_S:
         model.now += step_s
-        model.record_vms(VM_COUNT)
         if rng.random() < restarts * VM_COUNT / BOUNDS.window_s * step_s:
             model.restart(rng.randrange(VM_COUNT))
         model.serve(rng.randrange(VM_COUNT))
     return model
+
+
+def play_move(seed: int, left: int, after_s: float, rate: float) -> RetryModel:
+    """Play callers that move to VMs that are left, after_s into failures."""
+    rng = random.Random(seed)
+    model = RetryModel()
+    fails_from = PLAYED_S / 2
+    while model.now < PLAYED_S:
+        model.now += 1 / rate
+        has_moved = model.now >= fails_from + after_s
+        vm = rng.randrange(left if has_moved else VM_COUNT)
+        model.serve(vm, attempts=3 if model.now >= fails_from else 1)
+    return model
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -8,7 +8,12 @@
 from chestnutshift.steering.retry_budget import FleetRetryBudget, RetryBounds
 from chestnutshift.steering.upstream_rates import UpstreamRates
 from tests.steering.factories import NOW, SERVICE, make_directory, register
-from tests.steering.retry_model import VM_COUNT, RetryModel, play_restarts
+from tests.steering.retry_model import (
+    VM_COUNT,
+    RetryModel,
+    play_move,
+    play_restarts,
+)
 
 VMS = [f'vm-{number}' for number in range(12)]
 BOUNDS = RetryBounds(window_s=10, ratio=0.2, slack=64)
@@ -140,11 +145,20 @@
     for vm in range(VM_COUNT):
         model.serve(vm, attempts=1)
     model.now += 30
-    model.record_vms(VM_COUNT)
     for _ in range(2 * VM_COUNT):
         model.serve(rng.randrange(VM_COUNT), attempts=9)
     model.now += 1
-    model.record_vms(left)
+    model.vm_count = left
     for _ in range(VM_COUNT):
         model.serve(rng.randrange(left), attempts=60)
     assert model.most_over() <= 0
+
+
+# BUDGET: VMs that ended, and those to which their callers moved, both spent in
+# one window what requests had earned in different ones.
+@params(*itertools.product(range(2), (1, 6, 8), (0, 2, 5, 8)))
+def test_callers_that_move(seed: int, left: int, after_s: float) -> None:
+    """A part of the VMs is lost some seconds after every attempt fails."""
+    model = play_move(seed, left, after_s, rate=256)
+    assert len(model.repeats) > 256
+    assert model.most_over() <= 0
