--- a/chestnutshift/steering/retry_budget.py
+++ b/chestnutshift/steering/retry_budget.py
@@ -3,7 +3,7 @@
 The budget of a sliding window is a ratio of the requests plus a fixed slack.
 The ratio needs no division among VMs, as each VM counts its own requests; the
 slack is divided by the number of VMs. A VM that starts does not know how much
-of it its last run has used, and uses none in its first window.
+of it its last run has used, and uses next to none in its first window.
 
 What requests earn must be spent soon. Otherwise two VMs could spend what they
 earned in different windows within one: the callers of a VM that ends move to
@@ -25,6 +25,8 @@
 # Fraction of the slack that is used; the rest allows for VMs that join or
 # leave the fleet.
 SLACK_FRACTION = 0.7
+# Retries that a VM may borrow from the slack in its first window.
+SLACK_AT_START = 1.0
 
 
 @attrs.frozen
@@ -125,10 +127,11 @@
 
         VMs that have left may have used theirs within the window.
         """
-        if now - self._began_at < self._bounds.window_s:
-            return 0
         vms = max(self._vms_at, default=1)
-        return self._bounds.slack / vms * SLACK_FRACTION
+        slack = self._bounds.slack / vms * SLACK_FRACTION
+        if now - self._began_at < self._bounds.window_s:
+            return min(slack, SLACK_AT_START)
+        return slack
 
     def _account(self, service: str, now: float) -> _Account:
         account = self._accounts.get(service)
