CONFIG: no peer proves a route table while another names a newer one

A peer that does not hear of the newer table, and reads the same older copy of the store, is sure of it; its proof kept the older table fresh at a VM that did hear, so that withdrawn keys would have been accepted. test_peers_prove_no_older_table failed before. Not seen at callers.

--- a/chestnutshift/edge/peer_updates.py
+++ b/chestnutshift/edge/peer_updates.py
@@ -20,7 +20,8 @@
     if state.table is not None:
         services = state.table.services.values()
         rates = {service.name: service.cold_rate for service in services}
-        state.record_proof(fleet.proof(state.table.version), now)
+        if not state.trust.is_behind:
+            state.record_proof(fleet.proof(state.table.version), now)
     state.upstream_rates.update(sender_names(fleet, now), rates, now)
     state.upstream_reports.apply_in_flight(fleet.heartbeats(now))
 
--- a/tests/edge/test_table_trust.py
+++ b/tests/edge/test_table_trust.py
@@ -4,6 +4,7 @@
 
 from chestnutshift.edge.admission import admit
 from chestnutshift.edge.dialect import InboundRequest
+from chestnutshift.edge.peer_updates import apply_heartbeats
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.fleet.heartbeats import Heartbeat, MemberPhase
 from chestnutshift.forwarding.problems import RefusalError
@@ -86,6 +87,26 @@
     assert not state.trust.is_proof_due(NOW)
 
 
+# CONFIG: a peer that did not hear of the newer table, and read the same older
+# copy of the store, would have proven the older table to a VM that did hear.
+def test_peers_prove_no_older_table() -> None:
+    """The proof of one peer does not count while another names a newer one."""
+    state = make_proven_state()
+    state.fleet.add_member(make_member('vm-3'), NOW)
+    proof = Heartbeat('vm-3', 1, 1, 1, MemberPhase.SERVING, state.table_version)
+    proof = attrs.evolve(proof, echoed_at=NOW + 4, proof_age_s=0)
+    state.record_heartbeat(proof, NOW + 4)
+    hear_version(state, state.table_version + 1, NOW + 4)
+    apply_heartbeats(state, NOW + 4)
+    assert state.freshness.age_s(NOW + 4) == 4
+    newest = attrs.evolve(state.table, version=state.table_version + 1)
+    state.adopt(newest)
+    again = attrs.evolve(proof, number=2, table_version=newest.version)
+    state.record_heartbeat(again, NOW + 4)
+    apply_heartbeats(state, NOW + 4)
+    assert state.freshness.age_s(NOW + 4) == 0
+
+
 # A stranger could have every VM poll the store for each of its requests.
 def test_refusals_ask_the_store_seldom() -> None:
     """All VMs together use a tenth of the reads that the store permits."""
