--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -198,6 +198,7 @@
         later, when the request may run elsewhere: a reset discards it.
         """
         if self._is_unanswered:
+            # One that the other side has reset already can't be set.
             with suppress(OSError):
                 self._stream.socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
