Observability: whether an aborted answer had begun, and bytes behind the last one

Nothing told an answer that was cut midway from one of which no byte had been sent, nor a request that crossed the close of its connection: the log had the reason answer_broken and a count. request.aborted has has_begun, after_s, timeout_s, route and the version of the table; the new counter connections_discarded_bytes_total has what arrived after the last answer, by the reason for the connection's end. tests.edge.test_ends asks for both.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -186,7 +186,7 @@
         if self._reader.is_dropped:
             return
         with trio.move_on_after(self.limits.linger_s):
-            await self.read_ahead.drain()
+            await self.read_ahead.drain(self.end.count_discarded)
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         """Start the requests as they arrive, until the last one.
--- a/chestnutshift/callers/ends.py
+++ b/chestnutshift/callers/ends.py
@@ -31,17 +31,23 @@
     """Why a connection ended, filled while it is served.
 
     lost_count counts requests without an answer; one that was begun and is
-    incomplete counts as none.
+    incomplete counts as none. discarded_b are the bytes that arrived after the
+    last answer and were not read as requests.
     """
 
     reason: EndReason = EndReason.CLOSED
     lost_count: int = 0
+    discarded_b: int = 0
 
     @property
     def has_losses(self) -> bool:
         """Whether a caller that had not left lost requests."""
         return self.lost_count > 0 and self.reason is not EndReason.CALLER_LEFT
 
+    def count_discarded(self, more_b: int) -> None:
+        """Count bytes that are not read as a request."""
+        self.discarded_b += more_b
+
     def record_break(self, *, has_caller_left: bool) -> None:
         """Record that an answer could not be completed."""
         self.reason = EndReason.ANSWER_BROKEN
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -39,6 +39,9 @@
 # The name of the ASGI extension that waits until the answer is written. Its
 # application then knows that nothing of it is held any more.
 WRITTEN_EXTENSION = 'chestnutshift.written'
+# The name of the ASGI extension that tells whether bytes of the answer were
+# handed to the connection. Until then another answer can take its place.
+BEGUN_EXTENSION = 'chestnutshift.begun'
 
 BODILESS_STATUSES = frozenset((204, 304))
 _CLOSE = (b'connection', b'close')
@@ -69,7 +72,8 @@
 class CallerExchange:
     """Reads the body of one request and writes its answer in its turn.
 
-    done is set once the answer is complete, or has failed.
+    done is set once the answer is complete, or has failed. has_begun tells
+    whether bytes of the answer were handed to the connection.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         self._unanswered = unanswered
         self.scope = trio.CancelScope()
         self.done = trio.Event()
+        self.has_begun = False
         self._previous = previous
         self._is_abandoned = False
         self._connection = connection
@@ -164,6 +169,7 @@
                 ),
                 FOLLOWED_EXTENSION: partial(self._unanswered.is_followed, self),
                 WRITTEN_EXTENSION: self.write_held,
+                BEGUN_EXTENSION: lambda: self.has_begun,
             },
             'state': {},
         }
@@ -237,6 +243,7 @@
         self._pending = b''
         if not pending or self._is_abandoned:
             return
+        self.has_begun = True
         try:
             await self._connection.write(pending)
         except CallerDisconnectedError:
--- a/chestnutshift/callers/read_ahead.py
+++ b/chestnutshift/callers/read_ahead.py
@@ -94,11 +94,10 @@
         self._room.unpark()
         return chunk
 
-    async def drain(self) -> None:
-        """Discard all bytes until the caller closes its side."""
-        has_more = True
-        while has_more:
-            has_more = bool(await self.take())
+    async def drain(self, count: Callable[[int], None]) -> None:
+        """Discard and count all bytes until the caller closes its side."""
+        while chunk := await self.take():
+            count(len(chunk))
 
     def settle(self) -> None:
         """Note that nothing is left of the bytes that were taken last."""
--- a/chestnutshift/edge/answer_writer.py
+++ b/chestnutshift/edge/answer_writer.py
@@ -1,6 +1,7 @@
 """Write the answer to a caller's request."""
 
 import json
+import math
 
 import attrs
 
@@ -16,8 +17,9 @@
     """Writer of the answer to one request.
 
     request_id, account and route identify the request once they are known,
-    upstream where it is at work; is_started tells whether the head of the
-    answer was sent, is_for_peer whether a peer passed the request on.
+    timeout_s is how long it may take, upstream where it is at work. is_started
+    tells whether the head of the answer was sent, is_for_peer whether a peer
+    passed the request on.
     """
 
     _send: Send
@@ -25,6 +27,7 @@
     request_id: str = ''
     account: str = ''
     route: str = ''
+    timeout_s: float = math.inf
     upstream: str = ''
     is_started: bool = False
     is_for_peer: bool = False
--- a/chestnutshift/edge/connection_ends.py
+++ b/chestnutshift/edge/connection_ends.py
@@ -9,6 +9,7 @@
     """Count the end of a connection; log it if requests were lost."""
     metrics = state.metrics.connections
     metrics.ended.labels(end.reason.value).inc()
+    metrics.discarded.labels(end.reason.value).inc(end.discarded_b)
     if not end.has_losses:
         return
     metrics.requests_lost.inc(end.lost_count)
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -1,6 +1,7 @@
 """Forward callers' requests to upstreams."""
 
 import functools
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -8,6 +9,7 @@
 import trio
 
 from chestnutshift.callers.exchange import (
+    BEGUN_EXTENSION,
     DEPARTURE_EXTENSION,
     FOLLOWED_EXTENSION,
     STREAM_EXTENSION,
@@ -78,14 +80,29 @@
             raise
         except StreamCutError as error:
             # Returning before the body is complete aborts the connection.
-            self._state.event_log.emit(
-                events.REQUEST_ABORTED,
-                request=writer.request_id,
-                detail=str(error),
-            )
+            self._log_aborted(writer, error, scope['extensions'], now)
         except CodedError as error:
             await self._refuse(writer, error, now)
 
+    def _log_aborted(
+        self,
+        writer: AnswerWriter,
+        error: StreamCutError,
+        extensions: Mapping[str, Any],
+        started_at: float,
+    ) -> None:
+        timeout_s = writer.timeout_s
+        self._state.event_log.emit(
+            events.REQUEST_ABORTED,
+            request=writer.request_id,
+            detail=str(error),
+            has_begun=extensions[BEGUN_EXTENSION](),
+            after_s=round(boot_time() - started_at, 3),
+            timeout_s=timeout_s if math.isfinite(timeout_s) else None,
+            route=writer.route,
+            table=self._state.table_version,
+        )
+
     async def _refuse(
         self,
         writer: AnswerWriter,
@@ -128,6 +145,7 @@
         self._state.admitted_at = now
         writer.route = admitted.route.name
         writer.account = admitted.account_name
+        writer.timeout_s = request_timeout_s(admitted)
         memory = Reservation(self._state.memory, admitted.route.priority, now)
         pending = PendingRequest(
             admitted,
@@ -138,7 +156,7 @@
             ),
             writer,
             now,
-            now + request_timeout_s(admitted),
+            now + writer.timeout_s,
             scope['extensions'][DEPARTURE_EXTENSION],
             scope['extensions'][FOLLOWED_EXTENSION],
             memory,
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -98,6 +98,12 @@
             'requests_lost_total',
             'Requests without an answer whose caller had not left.',
         )
+        self.discarded = counter(
+            'connections_discarded_bytes_total',
+            'Bytes after the last answer of a connection, which no request '
+            'was read from, by the reason for its end.',
+            ('reason',),
+        )
 
 
 class MemoryMetrics:
--- a/tests/edge/test_ends.py
+++ b/tests/edge/test_ends.py
@@ -94,3 +94,36 @@
             await process.run()
     ended = _logged(state, events.ENDED)[0]
     assert 'a fault' in ended.facts['trace']
+
+
+# Nothing told an answer that was cut from one of which no byte had been sent.
+@trio_test
+async def test_facts_of_an_answer_that_breaks_off() -> None:
+    """They tell that it had begun, how old it was and its timeout."""
+    async with _requested('break_off') as (world, caller):
+        with suppress(trio.BrokenResourceError):
+            await caller.read_end()
+        await until(lambda: bool(_logged(world.state, events.REQUEST_ABORTED)))
+        facts = _logged(world.state, events.REQUEST_ABORTED)[0].facts
+        assert facts['has_begun']
+        assert facts['after_s'] < facts['timeout_s']
+
+
+# Nothing told of a request that crossed the close of its connection.
+@trio_test
+async def test_request_behind_the_last_answer() -> None:
+    """Its bytes are counted, by the reason for the end."""
+    async with running_edge('serve') as world:
+        async with calling(world.state.settings.callers.port) as caller:
+            await caller.send(raw_head('CONNECT', SEARCH))
+            assert (await caller.answer()).status == 501
+            await caller.send(raw_head('GET', SEARCH))
+        await until(
+            lambda: bool(
+                _count(
+                    world,
+                    'connections_discarded_bytes_total',
+                    reason=EndReason.REFUSED.value,
+                )
+            )
+        )
