LOST: a complete answer is delivered after its deadline too

Callers saw: neither an answer nor a refusal, but a reset, for a request that its upstream had answered in time. The deadline's cancel scope stayed around the writing: where the answer and the deadline came due in the same tick of the event loop, the first checkpoint of the writing raised, and the answer was dropped. An upstream that keeps the deadline that it is told answers at that very moment; a change of the route table that shortens timeouts, and the long tick that installs it, make the two meet.

To obtain an answer and to deliver it are two steps now, and the deadline bounds the first alone. The last part of a streamed answer belongs to the second step as well. A slow reader is bounded as before by the budget of memory and by what it leaves unacknowledged.

--- a/chestnutshift/edge/answer_writer.py
+++ b/chestnutshift/edge/answer_writer.py
@@ -54,10 +54,9 @@
         )
 
     async def write_reply(self, reply: Reply) -> None:
-        """Send a buffered answer; a streamed one was sent as it arrived."""
-        if reply.is_streamed:
-            return
-        await self.start(reply.status, reply.headers)
+        """Send an answer, or the last part of one that was streamed."""
+        if not reply.is_streamed:
+            await self.start(reply.status, reply.headers)
         await self.write_part(reply.body, is_last=True)
 
     async def write_problem(self, problem: Problem) -> None:
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -77,9 +77,10 @@
 
 @attrs.frozen
 class Reply:
-    """An upstream's answer for the caller; body is empty if streamed.
+    """An upstream's answer for the caller.
 
-    length_b is the length of the body, also of a streamed one.
+    body is the last part if the parts before it were streamed; length_b is the
+    length of the whole body.
     """
 
     status: int
@@ -191,22 +192,28 @@
         self._length_b += len(part.content)
         if self._length_b > UNSIZED_MAX_B and not answer.is_sized:
             raise ExchangeBrokenError('the answer does not end')
+        if part.is_last:
+            # Nothing may end a complete answer: it is written without a limit
+            # of time, by whoever gets it.
+            self._memory.add(Kind.ANSWER, ANSWER_COPIES * len(part.content))
+            self._chunks.append(part.content)
+            return True
         if self.is_streaming:
-            await self._stream(part.content, part.is_last)
-            return part.is_last
+            await self._stream(part.content)
+            return False
         if self._may_buffer(part):
             self._chunks.append(part.content)
-            return part.is_last
+            return False
         self.is_streaming = True
         headers = self._dialect.caller_headers(answer.headers)
         await self._start_answer(answer.status, headers)
         self._chunks.append(part.content)
-        await self._stream(self._take_chunks(), part.is_last)
-        return part.is_last
+        await self._stream(self._take_chunks())
+        return False
 
-    async def _stream(self, content: bytes, is_last: bool) -> None:
+    async def _stream(self, content: bytes) -> None:
         self._memory.add(Kind.ANSWER, ANSWER_COPIES * len(content))
-        await self._write_part(content, is_last)
+        await self._write_part(content, is_last=False)
         self._memory.release(Kind.ANSWER)
 
     def _may_buffer(self, part: AnswerPart) -> bool:
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -19,7 +19,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.answer_writer import AnswerWriter
-from chestnutshift.edge.attempts import StreamCutError
+from chestnutshift.edge.attempts import Reply, StreamCutError
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.gates import Gate
 from chestnutshift.edge.memory_use import ReservedBody
@@ -165,15 +165,21 @@
         )
         try:
             memory.reserve(Kind.REQUEST, REQUEST_B, now)
-            await self._serve_in_time(pending, scope['extensions'])
+            reply = await self._obtain_in_time(pending, scope['extensions'])
+            await self._deliver(pending, reply)
             await scope['extensions'][WRITTEN_EXTENSION]()
         finally:
             memory.close()
 
-    async def _serve_in_time(
+    async def _obtain_in_time(
         self, pending: PendingRequest, extensions: Mapping[str, Any]
-    ) -> None:
-        """Serve an admitted request until its deadline, or it gives way."""
+    ) -> Reply:
+        """Return an answer that is complete before the deadline.
+
+        Its delivery has no deadline. Raises RefusalError, MemoryFullError if
+        the request has given way, and StreamCutError if the deadline passes
+        after a part of the answer was sent.
+        """
         left_s = pending.deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope:
             pending.memory.end = functools.partial(_give_way, pending, scope)
@@ -182,10 +188,7 @@
             await extensions[STREAM_EXTENSION]()
             await pending.body.buffer(BODY_BUFFER_MAX_B)
             await self._gate.prepare(pending)
-            await self._run(pending)
-        if not scope.cancelled_caught:
-            return
-        # Raises MemoryFullError if it has given way.
+            return await self._run(pending)
         pending.memory.keep()
         if pending.writer.has_begun():
             raise StreamCutError(
@@ -193,14 +196,18 @@
             )
         raise RefusalError(_deadline_problem(pending))
 
-    async def _run(self, pending: PendingRequest) -> None:
-        """Run the request; raises RefusalError with a true word on its run.
+    async def _deliver(self, pending: PendingRequest, reply: Reply) -> None:
+        await pending.writer.write_reply(reply)
+        self._request_runner.record_delivery(pending, reply.status, boot_time())
+
+    async def _run(self, pending: PendingRequest) -> Reply:
+        """Return an answer; raises RefusalError with a true word on its run.
 
         The caller's body may stop, or turn out to be malformed, while an
         upstream is at work on its beginning.
         """
         try:
-            await self._request_runner.run(pending)
+            return await self._request_runner.run(pending)
         except CallerDisconnectedError:
             raise
         except CodedError as error:
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -13,6 +13,7 @@
     AnswerCollector,
     AttemptEnd,
     EndKind,
+    Reply,
     StreamCutError,
     UpstreamPool,
     attempt,
@@ -50,7 +51,7 @@
 
 @attrs.define
 class RequestRunner:
-    """Tries upstreams until one answers, and passes its answer on."""
+    """Tries upstreams until one answers."""
 
     _state: EdgeState
     _dialect: Dialect
@@ -61,22 +62,51 @@
     _retries: RetryDecider
     _refusals: Refusals
 
-    async def run(self, pending: PendingRequest) -> None:
-        """Try upstreams until one answers; raises RefusalError if none does."""
+    async def run(self, pending: PendingRequest) -> Reply:
+        """Return an upstream's answer; raises RefusalError if there is none.
+
+        All but the last part of a long answer has been sent to the caller.
+        """
         now = boot_time()
         with self._crash_guard.admitting(pending, now):
             if pending.admitted.progress is None:
                 service = pending.admitted.service
                 self._state.retries.count_request(service, now)
-            await self._try_upstreams(pending)
+            return await self._try_upstreams(pending)
+
+    def record_delivery(
+        self, pending: PendingRequest, status: int, now: float
+    ) -> None:
+        """Count and log an answer that was written."""
+        took_s = now - pending.started_at
+        self._state.event_log.emit(
+            events.REQUEST_ENDED,
+            request=pending.admitted.request.request_id,
+            account=pending.admitted.account_name,
+            status=status,
+            after_s=round(took_s, 3),
+            objective_s=pending.admitted.route.objective_s,
+        )
+        if pending.writer.is_for_peer:
+            # The VM that the caller came to counts the request.
+            return
+        metrics = self._state.metrics
+        metrics.requests_ended.labels(
+            pending.admitted.route.name, f'{status}'
+        ).inc()
+        metrics.latency.labels(pending.admitted.service).observe(took_s)
 
-    async def _try_upstreams(self, pending: PendingRequest) -> None:
+    async def _try_upstreams(self, pending: PendingRequest) -> Reply:
         estimate = self._service_time_estimate(pending.admitted)
         while True:
             end = await self._try_once(pending, estimate)
             if not self._retries.may_retry(pending, end, boot_time()):
                 break
-        await self._finish(pending, end)
+        if end.kind is not EndKind.ANSWERED:
+            raise self._refusals.after(pending, end)
+        # It is not sent again, and the caller may read slowly.
+        pending.body.drop()
+        return end.reply
 
     async def _try_once(
         self, pending: PendingRequest, estimate: ServiceTimeEstimate
@@ -285,31 +315,3 @@
         service = self._state.table.services.get(pending.admitted.service)
         total = service.connections_max if service else 1
         return max(2, total // len(self._state.fleet.names))
-
-    async def _finish(self, pending: PendingRequest, end: AttemptEnd) -> None:
-        if end.kind is EndKind.ANSWERED:
-            # It is not sent again, and the caller may read slowly.
-            pending.body.drop()
-            await pending.writer.write_reply(end.reply)
-            self._record_metrics(pending, end.reply.status)
-            self._state.event_log.emit(
-                events.REQUEST_ENDED,
-                request=pending.admitted.request.request_id,
-                account=pending.admitted.account_name,
-                status=end.reply.status,
-                after_s=round(boot_time() - pending.started_at, 3),
-                objective_s=pending.admitted.route.objective_s,
-            )
-            return
-        raise self._refusals.after(pending, end)
-
-    def _record_metrics(self, pending: PendingRequest, status: int) -> None:
-        if pending.writer.is_for_peer:
-            # The VM that the caller came to counts the request.
-            return
-        metrics = self._state.metrics
-        metrics.requests_ended.labels(
-            pending.admitted.route.name, f'{status}'
-        ).inc()
-        took_s = boot_time() - pending.started_at
-        metrics.latency.labels(pending.admitted.service).observe(took_s)
