LOST: a peer ends what is passed on to it by the caller's VM's deadline alone

Callers of a VM that passes requests on (cut off, few upstreams in reach, an older route table) saw them end by a timeout that their VM did not know, when the peer already had a route table with a shorter one: an answer that was being streamed was reset, so that the caller got neither an answer nor a refusal; a buffered one became 502 at the VM of the caller, after it had asked for a repeat.

Cause: `request_timeout_s` takes the shorter of the time that comes with the request and the timeout of the own route table, at the port of peers too. The time that comes over the hop is what is left of both timeouts at the VM that admitted the request; the peer's table is the same or newer, never older, so its timeout can only shorten a request that was admitted before it.

Why it works: one VM decides the deadline, by the table by which it admitted the request, and refuses in its own name once it passes; it then closes the exchange with the peer, which ends the work behind the hop. What is sent over the hop is unchanged.

Not kept: a VM that lacks a newer table for over a second passes its requests on to peers that have it; a shorter timeout there ended them sooner, and does not any more.

--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -98,8 +98,14 @@
 
 
 def request_timeout_s(admitted: Admitted) -> float:
-    """Return the shorter of the caller's and the route's timeout."""
-    timeouts_s = (admitted.request.timeout_s, admitted.route.timeout_s)
+    """Return the shorter of the caller's and the route's timeout.
+
+    With a request that a peer passes on comes the time that is left of both:
+    the peer admitted it, by the route table in force there.
+    """
+    timeouts_s = [admitted.request.timeout_s]
+    if admitted.progress is None:
+        timeouts_s.append(admitted.route.timeout_s)
     return min(
         (timeout_s for timeout_s in timeouts_s if timeout_s is not None),
         default=math.inf,
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -318,6 +318,20 @@
         part = {'body': b'l' * (LONG_ANSWER_B - 1), 'more_body': True}
         await send({'type': 'http.response.body', **part})
 
+    async def _trickle(
+        self, send: Any, request_id: Header, _text: bytes
+    ) -> None:
+        """Send so much of an answer that it is passed on, the rest later."""
+        seal = (b'x-chestnutshift-server-seal', self.name.encode())
+        length = (b'content-length', b'%d' % LONG_ANSWER_B)
+        headers = [length, request_id, seal]
+        start = {'status': 200, 'headers': headers}
+        await send({'type': 'http.response.start', **start})
+        part = {'body': b'l' * (LONG_ANSWER_B - 1), 'more_body': True}
+        await send({'type': 'http.response.body', **part})
+        await trio.sleep(SLOW_S)
+        await send({'type': 'http.response.body', 'body': b'l'})
+
     async def _silent(
         self, _send: Any, _request_id: Header, _text: bytes
     ) -> None:
