A deadline that passes with an answer's last byte no longer throws it away

A caller whose upload is answered early got 504 in place of the upstream's whole answer, if its deadline passed as the last byte arrived.

Cause: `_StreamedExchange` ends the task that sends the body once the answer has been handled, and waits for it. That wait is a checkpoint inside the deadline's scope: if that scope is cancelled by then, the nursery raises Cancelled in place of the result. An exchange with a body that is sent at once has no such checkpoint.

Evidence: `tests.upstreams.test_connections`, a deadline that passes with the last byte, once with a body of one piece and once with one that goes on: at the second fails, the first holds.

Why it works: from then on the nursery is shielded, so that only its own cancellation counts in the wait. All that it waits for is the sending task, which that ends at its next checkpoint. A deadline that passes while the answer is read or streamed is raised as before.

--- a/chestnutshift/upstreams/connections.py
+++ b/chestnutshift/upstreams/connections.py
@@ -260,6 +260,9 @@
                 await self._answer()
             except CodedError as error:
                 self._failure = self._failure or error
+            # Only the sending is left to cancel: a deadline that passes
+            # meanwhile must not cancel the answer, which is complete.
+            nursery.cancel_scope.shield = True
             nursery.cancel_scope.cancel()
         if self._failure is not None:
             raise self._failure
