Requests without any timeout are sent on, not answered 500

A caller that gives no deadline, on a route without a timeout, got 500 (`request.fault`, "an internal error ended the request"), from every VM.

Cause: the time that is left is infinite for such a request; it was handed to `write_request`, whose None stood for no deadline, and `math.floor` raised OverflowError. The hop alone turned infinity into None.

Why it works: the time left is a number in one form everywhere, infinite without a deadline, and no header is written then. Upstreams and peers get what they got before for all other requests.

--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -81,17 +81,20 @@
         request: InboundRequest,
         upstream: str,
         account: str,
-        remaining_s: float | None,
+        remaining_s: float,
         body_b: int | None,
     ) -> OutboundRequest:
-        """Return the request for one upstream; body_b is None for a stream."""
+        """Return the request for one upstream; body_b is None for a stream.
+
+        remaining_s is infinite for a request without a deadline.
+        """
 
     @abc.abstractmethod
     def write_crossing(
         self,
         request: InboundRequest,
         headers: Headers,
-        remaining_s: float | None,
+        remaining_s: float,
         body_b: int | None,
     ) -> OutboundRequest:
         """Return the request for a peer, with the headers of the crossing."""
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -72,7 +72,7 @@
         request: InboundRequest,
         upstream: str,
         account: str,
-        remaining_s: float | None,
+        remaining_s: float,
         body_b: int | None,
     ) -> OutboundRequest:
         """Return the request for one upstream; body_b is None for a stream."""
@@ -85,7 +85,7 @@
         self,
         request: InboundRequest,
         headers: Headers,
-        remaining_s: float | None,
+        remaining_s: float,
         body_b: int | None,
     ) -> OutboundRequest:
         """Return the request for a peer, with the headers of the crossing."""
@@ -143,11 +143,11 @@
 def _forwarded(
     request: InboundRequest,
     headers: Headers,
-    remaining_s: float | None,
+    remaining_s: float,
     body_b: int | None,
 ) -> OutboundRequest:
     headers = [*request.headers, *headers]
-    if remaining_s is not None:
+    if math.isfinite(remaining_s):
         remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS_PER_S))
         headers.append((names.DEADLINE, b'%d' % remaining_ms))
     headers += _framing(request, body_b)
