LOST: a connection on which a request has arrived no longer gives way

What callers saw: at a port with all of its connections, the idle connection that gave way to a new one was closed without an answer to the request that had just been sent on it; the VM had read the request whole.

Cause: the choice asked only for bytes that had been read, and a VM that is behind reads a request long after it has arrived; and `drop` ended the wait for a head for good, so that what arrived between the choice and the close was read ahead and thrown away.

Why it works: the choice passes over a connection on which bytes wait in the kernel. A drop is now an idle timeout that is over at once: what has arrived by the time the reader sees it is served, and its answer announces the end. The rest arrives in the one turn of the event loop between that look and the close.

72 tests of callers and of the stops, ends and waits of the edge pass.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -96,12 +96,14 @@
     def close_after(self, exchange: CallerExchange) -> bool:
         """Return whether the answer of the exchange is the last one.
 
-        While this VM stops it is the last one, unless requests behind it have
-        arrived: their caller would get no answer to these.
+        While this VM stops, or once the connection is to give way to another,
+        it is the last one, unless requests behind it have arrived: their
+        caller would get no answer to these.
         """
         if self._unanswered[-1] is not exchange or self._refused is not None:
             return False
-        if self._stop.is_stopping and not self._reader.may_read_on(_now()):
+        is_ending = self._stop.is_stopping or self._reader.is_dropped
+        if is_ending and not self._reader.may_read_on(_now()):
             self._stop_reading()
         return self._is_closing
 
@@ -183,7 +185,7 @@
         if self._reader.is_timed_out and self.transport.is_acknowledged():
             return
         await self.transport.send_end()
-        if self._reader.is_dropped:
+        if self._reader.is_timed_out and self._reader.is_dropped:
             return
         with trio.move_on_after(self.limits.linger_s):
             await self.read_ahead.drain()
--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -196,7 +196,7 @@
             self._idle = sorted(idle, key=_idle_order, reverse=True)
         while self._idle:
             found = self._idle.pop()
-            if found in self._open and _is_idle(found, now):
+            if found in self._open and _may_close(found, now):
                 return found
         return None
 
@@ -215,6 +215,14 @@
     return now - connection.reader.idle_since >= IDLE_MIN_S
 
 
+def _may_close(connection: CallerConnection, now: float) -> bool:
+    """Return whether an idle connection may be closed in favour of another.
+
+    A VM that is behind reads a request long after it has arrived.
+    """
+    return _is_idle(connection, now) and not connection.read_ahead.has_arrived
+
+
 def _idle_order(connection: CallerConnection) -> tuple[bool, float]:
     reader = connection.reader
     return reader.has_carried, reader.idle_since
--- a/chestnutshift/callers/request_reader.py
+++ b/chestnutshift/callers/request_reader.py
@@ -50,7 +50,7 @@
         self._has_ended = False
         # Whether a request has come.
         self.has_carried = False
-        # Whether the connection is closed in favour of another.
+        # Whether the connection is to be closed in favour of another.
         self.is_dropped = False
         # Whether no request arrived in time on an idle connection.
         self.is_timed_out = False
@@ -69,9 +69,12 @@
         return math.inf if self._read_ahead.has_bytes else self._idle_since
 
     def drop(self) -> None:
-        """End the wait for a head for good; the connection is closed."""
+        """End the idle wait now, and the connection once nothing has arrived.
+
+        A request that arrives before that is served, as at an idle timeout.
+        """
         self.is_dropped = True
-        self.end()
+        self._scope.deadline = -math.inf
 
     def close_idle(self, at: float) -> None:
         """Shorten a wait as the VM stops: until that time if idle."""
@@ -185,6 +188,8 @@
     def _idle_deadline(self) -> float:
         if self._is_busy:
             return self._stop.reads_until
+        if self.is_dropped:
+            return -math.inf
         if self._stop.is_stopping:
             return self._idle_since + self._limits.stop_idle_s
         return self._idle_since + self._limits.waits.idle_s
