LOST: an idle connection is closed in the step that last looked at it

What callers saw: a request that crossed the close of an idle connection (its timeout, or the connection gave way to a new one) was read by the VM, and the connection then ended as if nothing had come.

Cause: between the last look for arrived bytes and the close, the tasks of the connection ended one after the other. In that turn of the event loop, which is long at a VM that is behind, the reading ahead took what had arrived; nothing unread was left, so the kernel sent no reset either.

Why it works: the socket is closed where the look found nothing and the answers are acknowledged, with no other task between. A request that arrives later stays unread, and the kernel answers it with a reset at once.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -104,7 +104,9 @@
             return False
         is_ending = self._stop.is_stopping or self._reader.is_dropped
         if is_ending and not self._reader.may_read_on(_now()):
-            self._stop_reading()
+            # The caller sends further requests elsewhere.
+            self._is_closing = True
+            self._reader.end()
         return self._is_closing
 
     async def run(self) -> None:
@@ -176,13 +178,18 @@
             await self.write(format_refusal(self._refused, self._reader.parser))
         await self._close()
 
-    async def _close(self) -> None:
-        """Close the sending side; keep reading so that the answer arrives.
+    def _close_idle(self) -> None:
+        """Close the connection if it is idle and its answers have arrived.
 
-        An idle connection is not read on: a request that crosses its close
-        gets a reset, by which the caller can tell that it was not read.
+        No other task runs since nothing had arrived on it. So a request that
+        crosses the close is not read and gets a reset, which tells so.
         """
         if self._reader.is_timed_out and self.transport.is_acknowledged():
+            self.transport.close()
+
+    async def _close(self) -> None:
+        """Close the sending side; keep reading so that the answer arrives."""
+        if self.transport.is_closed:
             return
         await self.transport.send_end()
         if self._reader.is_timed_out and self._reader.is_dropped:
@@ -198,6 +205,7 @@
         while not (self._unanswered and self._stop.is_late(_now())):
             head = await self._reader.next_head()
             if head is None or self._is_closing:
+                self._close_idle()
                 return
             if self.disconnect_monitor.has_caller_left:
                 self._is_broken = True
@@ -262,8 +270,3 @@
             # Requests behind it may have been passed on: they go on.
             await exchange.write_held(refusal_messages(INTERNAL_ERROR))
         return exchange.is_complete
-
-    def _stop_reading(self) -> None:
-        """Read no further request; the caller sends it elsewhere."""
-        self._is_closing = True
-        self._reader.end()
--- a/chestnutshift/callers/transport.py
+++ b/chestnutshift/callers/transport.py
@@ -55,6 +55,11 @@
         failure = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         return failure in _DISCONNECT_ERRNOS
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the socket is closed here."""
+        return self._socket.fileno() < 0
+
     @property
     def has_end_arrived(self) -> bool:
         """Whether the caller's end of the stream, or a reset, has arrived.
@@ -107,7 +112,7 @@
 
     def reset(self) -> None:
         """Reset the connection, so that the caller gets an error."""
-        if self._socket.fileno() < 0:
+        if self.is_closed:
             return
         self._socket.setsockopt(
             socket.SOL_SOCKET,
@@ -118,7 +123,7 @@
 
     def _has_arrived(self, events: int) -> bool:
         """Return whether one of the events, or a reset, has arrived."""
-        if self._socket.fileno() < 0:
+        if self.is_closed:
             return True
         poll = select.poll()
         poll.register(self._socket, events)
--- a/tests/callers/test_kept_connections.py
+++ b/tests/callers/test_kept_connections.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+import unittest
 from contextlib import AsyncExitStack
 
 import attrs
@@ -9,9 +10,13 @@
 from trio.testing import trio_test
 
 from chestnutshift.callers.limits import WaitLimits
+from chestnutshift.callers.transport import CallerTransport
+from tests.callers.arrivals import arriving_after
 from tests.callers.clients import calling, get
 from tests.callers.serving import LIMITS, echo, serving
 
+raises = unittest.TestCase().assertRaises
+
 SLOW_HEAD = 408
 IDLE_S = 0.3
 # So many that an order of tasks that hides the fault is unlikely.
@@ -120,3 +125,17 @@
         await trio.sleep(IDLE_S + 0.2)
         await caller.send(get('/2'))
         assert (await caller.answer()).body == b'GET /2 '
+
+
+# LOST: a request that arrived between the last look at an idle connection and
+# its close was read, and the connection ended as if nothing had come.
+@trio_test
+async def test_request_between_look_and_close() -> None:
+    """It is reset without being read."""
+    limits = attrs.evolve(PIPELINED, idle_s=IDLE_S)
+    async with serving(echo, limits) as port, calling(port.number) as caller:
+        await caller.send(get('/1'))
+        await caller.answer()
+        looked = arriving_after(CallerTransport, '_has_arrived', caller)
+        with looked, raises(trio.BrokenResourceError):
+            await caller.read_end()
