LOST: a request without any time limit is sent on, not answered 500

What callers saw: on a route whose timeout is omitted, each request without a deadline header got 500 request.fault. A manifest that drops a timeout begins it.

Cause: such a request has an infinite deadline. Over the hop it was left out of the head; towards an upstream it was written as a number of milliseconds, and math.floor raised OverflowError. It was the first attempt, so nothing had run, but the answer says that it may have.

Fix: PendingRequest.remaining_s returns None for no deadline, and both senders use it. A peer then goes by its own route table, as before.

--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -1,6 +1,5 @@
 """Pass requests on to peers that reach the upstreams of a service."""
 
-import math
 import random
 import secrets
 from collections import Counter
@@ -247,12 +246,8 @@
             f'{member.incarnation}',
         )
         headers.append((ACCOUNT_HEADER, admitted.account_name.encode()))
-        remaining_s = pending.deadline - now
         return self._dialect.write_crossing(
-            request,
-            headers,
-            remaining_s if math.isfinite(remaining_s) else None,
-            pending.body_b,
+            request, headers, pending.remaining_s(now), pending.body_b
         )
 
     def _collector(self, pending: PendingRequest) -> PeerAnswerCollector:
--- a/chestnutshift/edge/pending_requests.py
+++ b/chestnutshift/edge/pending_requests.py
@@ -22,15 +22,16 @@
 class PendingRequest:
     """An admitted request and the progress of its attempts.
 
-    started_at and deadline are boot times in seconds. has_caller_left tells
-    whether an answer would reach nobody, is_followed whether requests behind it
-    on its connection are at work. sent_count counts the
-    attempts that were sent, unreached_count those that were not; misdirected
-    attempts count in neither. avoided are the upstreams tried already.
-    fingerprint tells whether it is the same as another request, None if that
-    is not known; lost_count counts the attempts whose upstream broke off.
-    peers_tried are the VMs that it was passed on to, used_connections those
-    that carried its attempts. memory counts the bytes that it uses.
+    started_at and deadline are boot times in seconds, deadline infinite if
+    neither caller nor route has a timeout. has_caller_left tells whether an
+    answer would reach nobody, is_followed whether requests behind it on its
+    connection are at work. sent_count counts the attempts that were sent,
+    unreached_count those that were not; misdirected attempts count in neither.
+    avoided are the upstreams tried already. fingerprint tells whether
+    it is the same as another request, None if that is not known; lost_count
+    counts the attempts whose upstream broke off. peers_tried are the VMs that
+    it was passed on to, used_connections those that carried its attempts.
+    memory counts the bytes that it uses.
     """
 
     admitted: Admitted
@@ -96,6 +97,11 @@
         """Whether the whole body is still available for a retry."""
         return not self.body.is_streaming
 
+    def remaining_s(self, now: float) -> float | None:
+        """Return the seconds until the deadline, None if there is none."""
+        remaining_s = self.deadline - now
+        return remaining_s if math.isfinite(remaining_s) else None
+
 
 def request_timeout_s(admitted: Admitted) -> float:
     """Return the shorter of the caller's and the route's timeout."""
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -197,7 +197,7 @@
             admitted.request,
             upstream.name,
             admitted.account_name,
-            pending.deadline - now,
+            pending.remaining_s(now),
             pending.body_b,
         )
         self._state.event_log.emit(
