LOST: an attempt that is given up ends before its answer is passed on

What callers saw: a reset in place of an answer, while the VM had no room to buffer answers and was found to reach no upstream in the tick in which the answer came.

Cause: the watch cancels the scope of silent attempts. An attempt whose first bytes were read in that tick runs on, and its next checkpoint is in the middle of writing the answer's first part: is_started was set, nothing was sent, and the attempt ended as BROKEN. It could neither be sent again nor refused; the refusal raised in h11 behind the head ("can't handle event type Response when role=SERVER and state=DONE", logged as an unhandled exception), and the connection was reset.

Fix: a pending cancellation is taken before the first byte is passed on. The watch cancels no attempt after its head has come, so none can come later; the attempt ends as BROKEN with nothing begun, as it says, and an idempotent request is sent again. The same checkpoint takes a deadline that has passed by then, which is then refused.

Measured: test_late_cuts 2 passed; test_cut_off, test_streams_and_followers, test_memory_drift and test_endless_answers, 16 passed.

--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -195,6 +195,9 @@
         if self._may_buffer(part):
             self._chunks.append(part.content)
             return part.is_last
+        # Once the answer is passed on, the request can't be sent again: an
+        # attempt that is given up meanwhile ends before.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.is_streaming = True
         headers = self._dialect.caller_headers(answer.headers)
         await self._start_answer(answer.status, headers)
