LOST: nothing is written behind an answer that has begun

A caller's body that stopped, was malformed or too long after its early answer had begun got a reset, as it must; but the refusal was written behind the head, which raised in h11: an unhandled exception and request.refused in the log, no request.aborted, and a refusal in the metrics that nobody got.

--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -81,23 +81,30 @@
                 has_caller_left=scope['extensions'][DEPARTURE_EXTENSION](),
             )
             raise
-        except StreamCutError as error:
-            # Returning before the body is complete aborts the connection.
-            self._log_aborted(writer, error, now)
-        except CodedError as error:
-            await self._refuse(writer, error, now)
+        except (StreamCutError, CodedError) as error:
+            await self._end(writer, error, now)
 
-    def _log_aborted(
+    async def _end(
         self,
         writer: AnswerWriter,
-        error: StreamCutError,
+        error: StreamCutError | CodedError,
         started_at: float,
+    ) -> None:
+        """Refuse a request, unless a part of its answer has been sent."""
+        if isinstance(error, StreamCutError) or writer.has_begun():
+            # Returning before the body is complete aborts the connection.
+            self._log_aborted(writer, str(error), started_at)
+            return
+        await self._refuse(writer, error, started_at)
+
+    def _log_aborted(
+        self, writer: AnswerWriter, detail: str, started_at: float
     ) -> None:
         timeout_s = writer.timeout_s
         self._state.event_log.emit(
             events.REQUEST_ABORTED,
             request=writer.request_id,
-            detail=str(error),
+            detail=detail,
             has_begun=writer.has_begun(),
             after_s=round(boot_time() - started_at, 3),
             timeout_s=timeout_s if math.isfinite(timeout_s) else None,
