--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from chestnutshift.callers.exchange import BEGUN_EXTENSION
 from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding import events
@@ -60,7 +61,9 @@
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Serve one request: send a complete answer or reset the connection."""
         request = read_request(scope)
-        execution = RequestExecution(request, send)
+        execution = RequestExecution(
+            request, send, scope['extensions'][BEGUN_EXTENSION]
+        )
         try:
             await self._serve(execution, receive)
         except (CallerDisconnectedError, trio.Cancelled):
@@ -84,7 +87,7 @@
         error: CodedError,
     ) -> None:
         request_id = execution.request.request_id
-        if execution.started:
+        if execution.has_begun():
             # Returning before the end of the body resets the connection.
             self._event_log.emit(
                 events.ANSWER_ABORTED,
@@ -120,8 +123,9 @@
         scope = trio.CancelScope(deadline=accepted.deadline)
         with self._cancelled_on_key_refusal(accepted.identity, scope), scope:
             await self._run(accepted, execution, body)
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and not execution.finished:
             raise RefusalError(_deadline_passed(execution.ran))
+        await execution.deliver()
         self._measures.answered(
             accepted.service.name,
             accepted.account,
@@ -166,7 +170,7 @@
             return
         claim_or_verdict = await self._begin_claim(accepted, body)
         if not isinstance(claim_or_verdict, Claim):
-            await _answer_verdict(execution, claim_or_verdict)
+            await _hold_verdict(execution, claim_or_verdict)
             return
         claim_tracker = ClaimTracker(self._ledger, claim_or_verdict)
         job = Job(accepted, execution, body, claim_tracker)
@@ -215,22 +219,22 @@
         return await self._ledger.begin(operation, moment)
 
 
-async def _answer_verdict(
+async def _hold_verdict(
     execution: RequestExecution,
     verdict: Verdict,
 ) -> None:
     if not isinstance(verdict, Replay):
         raise RefusalError(problem_of_verdict(verdict))
-    await _replay_outcome(execution, verdict.outcome)
+    await _hold_outcome(execution, verdict.outcome)
 
 
-async def _replay_outcome(
+async def _hold_outcome(
     execution: RequestExecution,
     outcome: Outcome,
 ) -> None:
-    """Send the recorded outcome of an operation that has run."""
+    """Answer with the recorded outcome of an operation that has run."""
     execution.status = outcome.status
-    await execution.send_answer(
+    await execution.hold_answer(
         outcome.status,
         replay_headers(outcome),
         outcome.body or b'',
--- a/chestnutshift/forwarding/execution.py
+++ b/chestnutshift/forwarding/execution.py
@@ -64,22 +64,26 @@
 class RequestExecution:
     """The state of one request over all its attempts.
 
-    ran says whether an upstream may have run the request; started, finished
-    and status describe the answer to the caller. account is the account that
+    ran says whether an upstream may have run the request. has_begun tells
+    whether bytes of the answer were sent to the caller, finished whether it is
+    complete: its last part is sent by `deliver`. account is the account that
     the request was accepted for, and admitted says whether it was within the
     account's rate.
     """
 
     request: CallerRequest
     _send: Send
+    has_begun: Callable[[], bool]
     ran: Ran = Ran.NOT_RUN
-    started: bool = False
     finished: bool = False
     status: int = 0
     account: str = ''
     admitted: bool = False
     # Bytes sent to upstreams that did not report the request as not run.
     _possibly_run_b: int = 0
+    # The last part of a complete answer, and the rate at which it is sent.
+    _last_part: AnswerPart | None = None
+    _last_pace: Pace = unpaced
     # The values before the last attempt.
     _ran_before: Ran = Ran.NOT_RUN
     _possibly_run_before_b: int = 0
@@ -94,6 +98,8 @@
     ) -> None:
         """Make one attempt: send the request and forward the answer.
 
+        The last part of the answer is held for `deliver`.
+
         NotConnectedError, ConnectionsExhaustedError and the errors of the
         target's before_send leave `ran` unchanged. ExchangeBrokenError and
         the errors of its on_answer set it to UNKNOWN.
@@ -132,18 +138,31 @@
         request_id = self.request.request_id
         body = problem.body(request_id)
         headers = problem.headers(request_id)
-        await self.send_answer(problem.status, headers, body)
+        await self.hold_answer(problem.status, headers, body)
+        await self.deliver()
 
-    async def send_answer(
+    async def hold_answer(
         self,
         status: int,
         headers: Headers,
         body: bytes,
     ) -> None:
-        """Send the caller a complete answer that is held in memory."""
+        """Hold a complete answer for `deliver`, in place of any other."""
         length = (b'content-length', b'%d' % len(body))
         await self._start(status, [*headers, length])
-        await self._send_part(AnswerPart(body, is_last=True))
+        self._hold_last(AnswerPart(body, is_last=True), unpaced)
+
+    async def deliver(self) -> None:
+        """Send the last part of a complete answer.
+
+        To be called outside of the deadline, which bounds the time until the
+        answer is complete.
+        """
+        part = self._last_part
+        if part is not None:
+            self._last_part = None
+            await self._last_pace(len(part.content))
+            await self._send_part(part)
 
     async def _exchange(
         self,
@@ -191,19 +210,22 @@
         self.status = answer.status
         headers = caller_headers(answer.headers, self.request.request_id)
         await self._start(answer.status, headers)
-        forwarded_b = 0
-        while True:
-            forwarded_b += len(part.content)
-            target.on_chunk(part.content)
-            if part.is_last:
-                break
+        forwarded_b = len(part.content)
+        target.on_chunk(part.content)
+        while not part.is_last:
             await target.pace_answer(len(part.content))
             await self._send_part(part)
             part = await answer.receive()
+            forwarded_b += len(part.content)
+            target.on_chunk(part.content)
         self._check_complete(answer, forwarded_b)
         target.on_complete()
-        await target.pace_answer(len(part.content))
-        await self._send_part(part)
+        self._hold_last(part, target.pace_answer)
+
+    def _hold_last(self, part: AnswerPart, pace: Pace) -> None:
+        self._last_part = part
+        self._last_pace = pace
+        self.finished = True
 
     def _check_request_id(self, answer: UpstreamAnswer) -> None:
         """Reject an answer that carries the id of another request."""
@@ -229,10 +251,8 @@
                 'more_body': not part.is_last,
             },
         )
-        self.finished = part.is_last
 
     async def _start(self, status: int, headers: Headers) -> None:
-        self.started = True
         await self._send(
             {
                 'type': 'http.response.start',
--- a/chestnutshift/forwarding/request_runner.py
+++ b/chestnutshift/forwarding/request_runner.py
@@ -56,7 +56,7 @@
     _event_log: EventLog
 
     async def run(self, job: Job) -> None:
-        """Run the request until its answer has been forwarded.
+        """Run the request until its answer is complete.
 
         Raises AttemptNotRunError if it has not run, AttemptBrokenError if it
         may have run, RefusedError if no slot becomes free in time.
@@ -96,7 +96,7 @@
             trio.current_time(),
             self._rng,
         )
-        is_final = decision.denial or job.execution.started
+        is_final = decision.denial or job.execution.has_begun()
         if is_final or not job.can_resend:
             raise error
         job.retries += 1
