--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -186,7 +186,7 @@
         if self._reader.is_dropped:
             return
         with trio.move_on_after(self.limits.linger_s):
-            await self.read_ahead.drain()
+            await self.read_ahead.drain(self.end.count_discarded)
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         """Start the requests as they arrive, until the last one.
@@ -255,7 +255,7 @@
         except Exception:
             logger.exception('unhandled exception while serving a request')
             await exchange.wait_for_turn()
-            if exchange.is_started:
+            if exchange.has_begun:
                 return False
             # Requests behind it may have been passed on: they go on.
             await exchange.write_held(refusal_messages(INTERNAL_ERROR))
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -1,6 +1,7 @@
 """Forward callers' requests to upstreams."""
 
 import functools
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -8,6 +9,7 @@
 import trio
 
 from chestnutshift.callers.exchange import (
+    BEGUN_EXTENSION,
     DEPARTURE_EXTENSION,
     FOLLOWED_EXTENSION,
     STREAM_EXTENSION,
@@ -17,7 +19,7 @@
 from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.answer_writer import AnswerWriter
-from chestnutshift.edge.attempts import StreamCutError
+from chestnutshift.edge.attempts import Reply, StreamCutError
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.gates import Gate
 from chestnutshift.edge.memory_use import ReservedBody
@@ -63,7 +65,10 @@
         """Serve one request: send a complete answer or abort the connection."""
         now = boot_time()
         writer = AnswerWriter(
-            send, self._dialect, is_for_peer=self._is_for_peers
+            send,
+            self._dialect,
+            scope['extensions'][BEGUN_EXTENSION],
+            is_for_peer=self._is_for_peers,
         )
         try:
             await self._serve(writer, scope, receive, now)
@@ -78,14 +83,28 @@
             raise
         except StreamCutError as error:
             # Returning before the body is complete aborts the connection.
-            self._state.event_log.emit(
-                events.REQUEST_ABORTED,
-                request=writer.request_id,
-                detail=str(error),
-            )
+            self._log_aborted(writer, error, now)
         except CodedError as error:
             await self._refuse(writer, error, now)
 
+    def _log_aborted(
+        self,
+        writer: AnswerWriter,
+        error: StreamCutError,
+        started_at: float,
+    ) -> None:
+        timeout_s = writer.timeout_s
+        self._state.event_log.emit(
+            events.REQUEST_ABORTED,
+            request=writer.request_id,
+            detail=str(error),
+            has_begun=writer.has_begun(),
+            after_s=round(boot_time() - started_at, 3),
+            timeout_s=timeout_s if math.isfinite(timeout_s) else None,
+            route=writer.route,
+            table=self._state.table_version,
+        )
+
     async def _refuse(
         self,
         writer: AnswerWriter,
@@ -128,6 +147,7 @@
         self._state.admitted_at = now
         writer.route = admitted.route.name
         writer.account = admitted.account_name
+        writer.timeout_s = request_timeout_s(admitted)
         memory = Reservation(self._state.memory, admitted.route.priority, now)
         pending = PendingRequest(
             admitted,
@@ -138,22 +158,28 @@
             ),
             writer,
             now,
-            now + request_timeout_s(admitted),
+            now + writer.timeout_s,
             scope['extensions'][DEPARTURE_EXTENSION],
             scope['extensions'][FOLLOWED_EXTENSION],
             memory,
         )
         try:
             memory.reserve(Kind.REQUEST, REQUEST_B, now)
-            await self._serve_in_time(pending, scope['extensions'])
+            reply = await self._obtain_in_time(pending, scope['extensions'])
+            await self._deliver(pending, reply)
             await scope['extensions'][WRITTEN_EXTENSION]()
         finally:
             memory.close()
 
-    async def _serve_in_time(
+    async def _obtain_in_time(
         self, pending: PendingRequest, extensions: Mapping[str, Any]
-    ) -> None:
-        """Serve an admitted request until its deadline, or it gives way."""
+    ) -> Reply:
+        """Return an answer that is complete before the deadline.
+
+        Its delivery has no deadline. Raises RefusalError, MemoryFullError if
+        the request has given way, and StreamCutError if the deadline passes
+        after a part of the answer was sent.
+        """
         left_s = pending.deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope:
             pending.memory.end = functools.partial(_give_way, pending, scope)
@@ -162,25 +188,26 @@
             await extensions[STREAM_EXTENSION]()
             await pending.body.buffer(BODY_BUFFER_MAX_B)
             await self._gate.prepare(pending)
-            await self._run(pending)
-        if not scope.cancelled_caught:
-            return
-        # Raises MemoryFullError if it has given way.
+            return await self._run(pending)
         pending.memory.keep()
-        if pending.writer.is_started:
+        if pending.writer.has_begun():
             raise StreamCutError(
                 'the deadline passed while the answer was streamed'
             )
         raise RefusalError(_deadline_problem(pending))
 
-    async def _run(self, pending: PendingRequest) -> None:
-        """Run the request; raises RefusalError with a true word on its run.
+    async def _deliver(self, pending: PendingRequest, reply: Reply) -> None:
+        await pending.writer.write_reply(reply)
+        self._request_runner.record_delivery(pending, reply.status, boot_time())
+
+    async def _run(self, pending: PendingRequest) -> Reply:
+        """Return an answer; raises RefusalError with a true word on its run.
 
         The caller's body may stop, or turn out to be malformed, while an
         upstream is at work on its beginning.
         """
         try:
-            await self._request_runner.run(pending)
+            return await self._request_runner.run(pending)
         except CallerDisconnectedError:
             raise
         except CodedError as error:
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -1,6 +1,5 @@
 """Pass requests on to peers that reach the upstreams of a service."""
 
-import math
 import random
 import secrets
 from collections import Counter
@@ -247,11 +246,10 @@
             f'{member.incarnation}',
         )
         headers.append((ACCOUNT_HEADER, admitted.account_name.encode()))
-        remaining_s = pending.deadline - now
         return self._dialect.write_crossing(
             request,
             headers,
-            remaining_s if math.isfinite(remaining_s) else None,
+            pending.deadline - now,
             pending.body_b,
         )
 
@@ -261,6 +259,7 @@
             pending.admitted.request,
             pending.writer.start,
             pending.writer.write_part,
+            pending.writer.has_begun,
             _ignore_head,
             pending.memory,
             pending.is_followed,
