LOST: what comes behind the last request is not read, and is reset soon

What callers saw: a request that crossed an answer with `connection: close` (a refusal with the body unread, the last answer of a stop) or an idle close whose bytes were not acknowledged was read whole and thrown away. The sending side was closed at once, but the socket stayed for up to 2 s: no reset told the caller that its request had not been taken. Beside a last answer that is streamed the end came as late as that answer.

Cause: the linger read and discarded everything until the caller's end, and the reading ahead went on behind an answer that had announced the end.

Why it works: once the last request has been read to its end, reading ahead stops, and the socket is closed when the caller's host has acknowledged the answer (TIOCOUTQ). The kernel resets the connection for bytes that are unread then or come later. A refused body is read on until its end, or until it can't be parsed, as before; a request in the same read as that end is still read.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from chestnutshift.callers.closing import discard_rest, wait_until_delivered
 from chestnutshift.callers.disconnect_monitor import DisconnectMonitor
 from chestnutshift.callers.ends import ConnectionEnd, EndReason
 from chestnutshift.callers.exchange import CallerExchange, Message
@@ -107,6 +108,8 @@
             # The caller sends further requests elsewhere.
             self._is_closing = True
             self._reader.end()
+            if exchange.is_read:
+                self.disconnect_monitor.stop_reading()
         return self._is_closing
 
     async def run(self) -> None:
@@ -158,7 +161,7 @@
     async def _refuse_first(self, problem: Problem) -> None:
         with trio.move_on_after(FIRST_BYTES_S):
             await self._reader.read_first_bytes()
-        await self.write(format_refusal(problem, self._reader.parser))
+        self._refused = problem
         await self._close()
 
     async def _serve(self) -> None:
@@ -173,9 +176,6 @@
             self.end.record_break(has_caller_left=has_left)
             self.transport.reset()
             return
-        if self._refused is not None:
-            self.end.reason = EndReason.REFUSED
-            await self.write(format_refusal(self._refused, self._reader.parser))
         await self._close()
 
     def _close_idle(self) -> None:
@@ -188,14 +188,32 @@
             self.transport.close()
 
     async def _close(self) -> None:
-        """Close the sending side; keep reading so that the answer arrives."""
+        """Refuse the last request if it can't be served, and close.
+
+        Closing a socket with unread bytes resets the connection. So the rest
+        of the last request is read, and the socket is closed once the answers
+        have arrived; what comes behind that request gets the reset.
+        """
         if self.transport.is_closed:
             return
+        parser = self._reader.parser
+        if self._refused is not None:
+            self.end.reason = EndReason.REFUSED
+            await self.write(format_refusal(self._refused, parser))
+        is_read = self._refused is None and not parser.has_rest
+        if is_read:
+            self.disconnect_monitor.stop_reading()
         await self.transport.send_end()
         if self._reader.is_timed_out and self._reader.is_dropped:
             return
         with trio.move_on_after(self.limits.linger_s):
-            await self.read_ahead.drain()
+            if not is_read:
+                await discard_rest(parser, self.read_ahead)
+                self.disconnect_monitor.stop_reading()
+            await wait_until_delivered(self.transport)
+        if not self.transport.is_acknowledged():
+            self.disconnect_monitor.stop_reading()
+            await self.read_ahead.discard_arrived()
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         """Start the requests as they arrive, until the last one.
--- a/chestnutshift/callers/disconnect_monitor.py
+++ b/chestnutshift/callers/disconnect_monitor.py
@@ -34,6 +34,7 @@
         self._read_ahead = read_ahead
         self._unanswered = unanswered
         self._probe_sent: trio.Event | None = None
+        self._reading = trio.CancelScope()
 
     @property
     def has_caller_left(self) -> bool:
@@ -50,7 +51,8 @@
 
     async def run(self) -> None:
         """Read to the end, and cancel the requests on a disconnect."""
-        await self._read_to_end()
+        with self._reading:
+            await self._read_to_end()
         while True:
             if self._unanswered and not self._half_close_is_disconnect:
                 await self._probe(self._unanswered[0])
@@ -62,6 +64,10 @@
         if self._probe_sent is not None:
             await self._probe_sent.wait()
 
+    def stop_reading(self) -> None:
+        """Leave unread what arrives from now on."""
+        self._reading.cancel()
+
     async def _read_to_end(self) -> None:
         """Read ahead; watch for a departure behind bytes that wait."""
         read_ahead = self._read_ahead
--- a/chestnutshift/callers/read_ahead.py
+++ b/chestnutshift/callers/read_ahead.py
@@ -100,6 +100,13 @@
         while has_more:
             has_more = bool(await self.take())
 
+    async def discard_arrived(self) -> None:
+        """Discard unread bytes, up to READ_AHEAD_B; nothing else may read."""
+        left_b = READ_AHEAD_B
+        while left_b > 0 and not self.has_ended and self._is_readable():
+            chunk = await self._read()
+            left_b = left_b - len(chunk) if chunk else 0
+
     def settle(self) -> None:
         """Note that nothing is left of the bytes that were taken last."""
         self._memory.add(Kind.READ_AHEAD, -self._taken_b)
--- a/chestnutshift/callers/request_parser.py
+++ b/chestnutshift/callers/request_parser.py
@@ -27,6 +27,11 @@
         """Whether the request is a HEAD request, as far as it has come."""
         return self._first_bytes == _HEAD
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether the request goes on, or its end is unknown."""
+        return self.their_state in {h11.SEND_BODY, h11.ERROR}
+
     def receive_data(self, data: bytes) -> None:
         """Add bytes that were received; empty at the end of the stream."""
         if len(self._first_bytes) < len(_HEAD):
