--- a/chestnutshift/callers/read_ahead.py
+++ b/chestnutshift/callers/read_ahead.py
@@ -99,6 +99,17 @@
         while chunk := await self.take():
             count(len(chunk))
 
+    async def discard_arrived(self, count: Callable[[int], None]) -> None:
+        """Discard and count unread bytes, up to READ_AHEAD_B.
+
+        Nothing else may read.
+        """
+        left_b = READ_AHEAD_B
+        while left_b > 0 and not self.has_ended and self._is_readable():
+            chunk = await self._read()
+            count(len(chunk))
+            left_b = left_b - len(chunk) if chunk else 0
+
     def settle(self) -> None:
         """Note that nothing is left of the bytes that were taken last."""
         self._memory.add(Kind.READ_AHEAD, -self._taken_b)
