A peer in doubt by silence alone lets its checks tell before it refuses

What callers saw: 503 upstreams.cut_off, at a VM that had lost its links, though the one peer left reached all upstreams.

Cause: a VM is in doubt of its links once attempts at two upstreams have been silent for 0.6 s and none has answered since. A peer in doubt refused at once what other VMs passed on, since another VM may still serve it. But silence proves nothing (steering.reachability says so), all VMs see the same slow service, and there may be no other VM.

The change: as long as less than two upstreams have failed, a request of a peer waits for evidence: the first answer has it served, failures have it refused. 0.9 s at most, which is what the checks of a reach round take to fail; at the end of the wait, answers that have arrived are read first, so that a VM that was late does not take its own pause for silence. It sends nothing in doubt, as before, and refuses at once after failures, as before.

Cost: in a cut by silence a peer that is cut off as well refuses up to 0.9 s later than it did, until its checks have failed. Nothing on the wire changes.

--- a/chestnutshift/edge/forwarders.py
+++ b/chestnutshift/edge/forwarders.py
@@ -48,6 +48,7 @@
         dialect,
         parts.upstream_pool,
         AttemptObserver(state, parts.monitor),
+        parts.monitor,
         parts.crash_guard,
         PeerForwarder(state, dialect, parts.peer_pool),
         RetryDecider(state, parts.crash_guard),
--- a/chestnutshift/edge/reach_monitor.py
+++ b/chestnutshift/edge/reach_monitor.py
@@ -15,6 +15,10 @@
 from chestnutshift.steering.reachability import OpenAttempt, Reach
 from chestnutshift.steering.upstreams import Condition, Upstream
 
+# How long a request waits for checks to explain silence: until those have ended
+# that begin with it, which record an answer or failures.
+EXPLAINED_S = 0.9
+
 
 @attrs.frozen(eq=False)
 class WatchedAttempt:
@@ -31,6 +35,10 @@
     _state: EdgeState
     _watched: set[WatchedAttempt] = attrs.field(factory=set)
     _cut_off_at: float = 0
+    # Tasks that wait for an answer or a failure.
+    _waiting: trio.lowlevel.ParkingLot = attrs.field(
+        factory=trio.lowlevel.ParkingLot
+    )
 
     @contextmanager
     def watching(
@@ -59,6 +67,7 @@
         for upstream in reach.record_answer(now):
             if upstream.condition is Condition.UNPROVEN:
                 upstream.condition = Condition.READY
+        self._waiting.unpark_all()
         if was_cut_off:
             self._state.event_log.emit(
                 events.REACHED_AGAIN,
@@ -72,6 +81,7 @@
         """Record that an attempt or check, begun then, got no answer."""
         reach = self._state.directory.reach
         reach.record_failure(upstream, started_at, now)
+        self._waiting.unpark_all()
 
     def record_check(
         self,
@@ -86,6 +96,16 @@
         else:
             self.record_answer(now)
 
+    async def wait_while_silent(self) -> None:
+        """Wait while silence alone raises a doubt, for EXPLAINED_S at most."""
+        reach = self._state.directory.reach
+        with trio.move_on_after(EXPLAINED_S) as scope:
+            while reach.is_silence_only(boot_time()):
+                await self._waiting.park()
+        if scope.cancelled_caught:
+            # If this VM is late, answers that have arrived are read first.
+            await trio.lowlevel.checkpoint()
+
     def review(self, now: float) -> Reach:
         """Return what is known; on a new cut, cancel the silent attempts."""
         reach = self._state.directory.reach
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -21,7 +21,7 @@
 from chestnutshift.edge.dialect import Dialect
 from chestnutshift.edge.passing_on import PeerForwarder
 from chestnutshift.edge.pending_requests import PendingRequest
-from chestnutshift.edge.reach_monitor import WatchedAttempt
+from chestnutshift.edge.reach_monitor import ReachMonitor, WatchedAttempt
 from chestnutshift.edge.refusals import Refusals
 from chestnutshift.edge.retry_decider import RetryDecider
 from chestnutshift.edge.state import EdgeState
@@ -56,6 +56,7 @@
     _dialect: Dialect
     _pool: UpstreamPool
     _observer: AttemptObserver
+    _monitor: ReachMonitor
     _crash_guard: CrashGuard
     _peers: PeerForwarder
     _retries: RetryDecider
@@ -85,6 +86,9 @@
 
         Raises RefusalError if neither can take it.
         """
+        if pending.admitted.progress is not None:
+            # A refusal may be the last one, and a slow service is no cut.
+            await self._monitor.wait_while_silent()
         peer = self._peer_instead(pending, boot_time())
         if peer is not None:
             return await self._peers.send(pending, peer)
@@ -167,7 +171,7 @@
     def _is_out_of_reach(self, pending: PendingRequest, now: float) -> bool:
         """Return whether to send nothing: another VM may still serve it.
 
-        A peer's request is not tried while that is in doubt.
+        A peer's request is not tried while checks leave that in doubt.
         """
         reach = self._state.directory.reach.reach(now)
         if reach is Reach.IN_DOUBT:
--- a/chestnutshift/steering/reachability.py
+++ b/chestnutshift/steering/reachability.py
@@ -159,6 +159,15 @@
             return Reach.IN_DOUBT
         return Reach.CONNECTED
 
+    def is_silence_only(self, now: float) -> bool:
+        """Return whether silence alone raises a doubt, which proves nothing.
+
+        Checks of other upstreams will tell whether the service is slow.
+        """
+        if len(self._failed) >= DOUBT_UPSTREAMS:
+            return False
+        return self.reach(now) is Reach.IN_DOUBT
+
     def needs_check(self, now: float) -> bool:
         """Return whether other upstreams should show if any answers."""
         if self.reach(now) is not Reach.CONNECTED:
--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -243,6 +243,9 @@
     served_at: list[float] = attrs.field(factory=list)
     cancelled: int = 0
     targets: list[bytes] = attrs.field(factory=list)
+    # How long slow answers and health checks take.
+    slow_s: float = SLOW_S
+    check_s: float = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer a health check, or a request by the behaviour."""
@@ -252,6 +255,7 @@
         }
         if scope['path'] == '/healthz':
             self.checks += 1
+            await trio.sleep(self.check_s)
             cold = (b'x-chestnutshift-cold-ms', b'%d' % self.cold_ms)
             facts = (self._instance_header(), cold, *self.headers)
             await answer(send, self.check_status, b'', *facts)
@@ -275,7 +279,7 @@
         await answer(send, 200, text, *headers)
 
     async def _slow(self, send: Any, request_id: Header, text: bytes) -> None:
-        await trio.sleep(SLOW_S)
+        await trio.sleep(self.slow_s)
         await self._serve(send, request_id, text)
 
     async def _shed(self, send: Any, request_id: Header, _text: bytes) -> None:
--- a/tests/edge/test_passing_on.py
+++ b/tests/edge/test_passing_on.py
@@ -9,6 +9,7 @@
 from chestnutshift.edge import events
 from chestnutshift.edge.lookups import answer_lookup
 from chestnutshift.events.log import EventFilter
+from chestnutshift.steering.reachability import Reach
 from tests.edge.linked_fleet import (
     HOMED,
     HOMELESS,
@@ -20,6 +21,7 @@
 )
 from tests.edge.world import until
 from tests.links import LinkFault
+from tests.virtual_time import in_virtual_time
 
 LARGE_B = 900_000
 KEY = 'k1'
@@ -29,6 +31,15 @@
 # Requests before and after a peer begins to stop, and the pause between them.
 STOPPING_REQUESTS = 8
 STOPPING_PAUSE_S = 0.2
+# A service that is slow, its health checks too; and requests that come while
+# the peer has had no answer for as long as raises a doubt.
+SLOW_ANSWER_S = 1.0
+SLOW_CHECK_S = 0.3
+SLOW_REQUESTS = 8
+SILENT_S = 0.7
+SILENT_PAUSE_S = 0.02
+# How long a peer may take to find out what silence means.
+DOUBT_S = 0.9
 
 
 def _count(vm: LinkedVm, kind: object) -> int:
@@ -272,6 +283,58 @@
         assert set(statuses) == {200}
 
 
+# RECOVER: the one VM left refused with 503 what it could have served: no answer
+# had come for 0.6 s, since the service was slow.
+@in_virtual_time
+async def test_peer_of_slow_upstreams() -> None:
+    """Silence alone has it wait for checks, and then serve the request."""
+    async with running_fleet(vm_count=2) as fleet:
+        cut, peer = fleet.vms
+        await fleet.cut_off(cut)
+        for upstream in fleet.upstreams.values():
+            upstream.behaviour = 'slow'
+            upstream.slow_s = SLOW_ANSWER_S
+            upstream.check_s = SLOW_CHECK_S
+        statuses = []
+
+        async def ask(path: str, body: bytes) -> None:
+            answer = await fleet.ask(cut, path, body)
+            statuses.append(answer.status_code)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(SLOW_REQUESTS):
+                nursery.start_soon(ask, WRITE, b'x')
+            await trio.sleep(SILENT_S)
+            assert _is_in_doubt(peer)
+            for _ in range(SLOW_REQUESTS):
+                nursery.start_soon(ask, WRITE, b'x')
+                await trio.sleep(SILENT_PAUSE_S)
+        assert set(statuses) == {200}
+
+
+# The other side: a peer that is cut off itself must not hold requests for long.
+@in_virtual_time
+async def test_peer_whose_links_are_silent() -> None:
+    """It sends nothing, and refuses while there is time to ask another."""
+    async with running_fleet(vm_count=2) as fleet:
+        cut, peer = fleet.vms
+        await fleet.cut_off(cut)
+        peer.cut(LinkFault.SILENT)
+        async with trio.open_nursery() as nursery:
+            for _ in range(SLOW_REQUESTS):
+                nursery.start_soon(fleet.ask, cut, READ)
+            await trio.sleep(SILENT_S)
+            assert _is_in_doubt(peer)
+            sent = _count(peer, events.REQUEST_SENT)
+            started_at = trio.current_time()
+            answer = await fleet.ask(cut, WRITE, b'x')
+            assert trio.current_time() - started_at <= DOUBT_S + AT_ONCE_S
+            assert answer.status_code == 503
+            assert answer.json()['ran'] == 'no'
+            assert _count(peer, events.REQUEST_SENT) == sent
+            nursery.cancel_scope.cancel()
+
+
 @trio_test
 async def test_lookups_prefer_vms_that_reach_upstreams() -> None:
     """A VM that is cut off stays ready, but is named to no new caller."""
@@ -315,6 +378,10 @@
     return vm.state.directory.reach.is_cut_off
 
 
+def _is_in_doubt(vm: LinkedVm) -> bool:
+    return vm.state.directory.reach.reach(boot_time()) is Reach.IN_DOUBT
+
+
 def _knows_no_peer(vm: LinkedVm) -> bool:
     heartbeats = vm.state.fleet.heartbeats(boot_time())
     return all(heartbeat.unreached for heartbeat in heartbeats)
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -111,6 +111,24 @@
     assert not confirm(directory)
 
 
+# RECOVER: a VM took a slow service for a doubt that it should wait out.
+def test_silence_alone() -> None:
+    """Checks are waited for until an answer, or failures, explain it."""
+    _, upstreams = make_upstreams()
+    reach = UpstreamReach()
+    for upstream in upstreams.values():
+        reach.begin_attempt(upstream, 0.3, NOW)
+    assert not reach.is_silence_only(NOW + 0.5)
+    assert reach.is_silence_only(NOW + 0.7)
+    fail(reach, upstreams['listings-a1'], at=NOW + 0.7)
+    assert reach.is_silence_only(NOW + 0.7)
+    fail(reach, upstreams['listings-b1'], at=NOW + 0.7)
+    assert not reach.is_silence_only(NOW + 0.7)
+    assert reach.reach(NOW + 0.7) is Reach.IN_DOUBT
+    reach.record_answer(NOW + 0.8)
+    assert not reach.is_silence_only(NOW + 0.8)
+
+
 def test_long_requests_are_expected() -> None:
     """Requests that last for seconds raise no doubt before."""
     _, upstreams = make_upstreams()
