LOST: a length stated beside chunks is not passed on

What callers saw: a reset in place of an answer, and with it the loss of all that was pipelined on the connection, where an upstream's answer was chunked and stated a Content-Length that was not that of its body. Of a shorter one, and of a longer one, though the whole answer was buffered and no byte of it was sent.

Cause: chunks override a length that comes with them, and nothing checks it. The hop-by-hop Transfer-Encoding was dropped for the caller and the length passed on; h11 raised while it formatted the body ("Too much data for declared Content-Length") and formats nothing after that, so the 500 raised as well, out of the connection's tasks.

Why it works: the connection to the upstream leaves the length out of such a head (RFC 9112, 6.3), for the edge, for peers and for the first product. The caller's answer is chunked then, as the upstream's was.

--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -248,7 +248,7 @@
             if interim_count > INTERIM_ANSWERS_MAX:
                 raise ExchangeBrokenError('too many interim answers')
             event = self._next_event()
-        headers = list(event.headers)
+        headers = _without_void_length(list(event.headers))
         has_end = _has_end(method, event.status_code, headers)
         self._is_open_ended = not has_end
         if not has_end and not self._options.ends_by_close:
@@ -371,6 +371,16 @@
     return False
 
 
+def _without_void_length(headers: Headers) -> Headers:
+    """Return the headers without a length that chunks override.
+
+    Nothing checks it, so it must not be passed on (RFC 9112, 6.3).
+    """
+    if not any(name == b'transfer-encoding' for name, _ in headers):
+        return headers
+    return [header for header in headers if header[0] != b'content-length']
+
+
 def _has_end(method: bytes, status: int, headers: Headers) -> bool:
     if method == b'HEAD' or status in BODILESS_STATUSES:
         return True
