LOST: a part given up at the deadline is not written behind it

What callers saw: an answer that broke off at its deadline was reset only once the caller had read one part more; one that read slowly waited without a limit of time.

Cause: if the deadline has passed as a part is handed to the connection, the sending ends before the part is written, and the part stays held. Once the application had returned, all that was held was written, with no deadline.

Evidence: tests.callers.test_broken_answers, at the port with an application that is cancelled in this step: still open after 10 s before, reset at once now. In the edge it takes a part and a deadline in one tick of the event loop, and a caller that pauses; this was not played.

Why it works: once the application has returned, an answer is written whose end is known, and no other. It waits for its turn as before: the answers before one that breaks off are delivered.

Modules test_connection, test_pipelining, test_departures of the callers, test_ready_answers, test_stream_deadlines, test_late_cuts and test_late_errors of the edge: 43 passed, 0 failed.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -259,7 +259,9 @@
                     exchange.receive,
                     exchange.send,
                 )
-                await exchange.write_held()
+                await exchange.wait_for_turn()
+                if not exchange.is_streaming:
+                    await exchange.write_held()
         except CallerDisconnectedError:
             return False
         except Exception:
