LOST: an answer counts as delivered once it is written, not while it waits

What operators saw: `request.ended` ("a caller received an answer"), a request with status 200 in the metrics and its latency, for an answer that waited for those before it on a pipelined connection and was lost with them; then `request.abandoned` for the same request. A request so lost looked answered.

Why it works: the delivery is recorded once nothing of the answer is held any more. The latency of a pipelined answer now includes the wait for its turn, as its caller has it. A refusal that waits is still counted as it is handed over.

--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -173,8 +173,7 @@
         try:
             memory.reserve(Kind.REQUEST, REQUEST_B, now)
             reply = await self._obtain_in_time(pending, scope['extensions'])
-            await self._deliver(pending, reply)
-            await scope['extensions'][WRITTEN_EXTENSION]()
+            await self._deliver(pending, reply, scope['extensions'])
         finally:
             memory.close()
 
@@ -203,8 +202,15 @@
             )
         raise RefusalError(_deadline_problem(pending))
 
-    async def _deliver(self, pending: PendingRequest, reply: Reply) -> None:
+    async def _deliver(
+        self,
+        pending: PendingRequest,
+        reply: Reply,
+        extensions: Mapping[str, Any],
+    ) -> None:
         await pending.writer.write_reply(reply)
+        # It may wait for the answers before it, which may break off.
+        await extensions[WRITTEN_EXTENSION]()
         self._request_runner.record_delivery(pending, reply.status, boot_time())
 
     async def _run(self, pending: PendingRequest) -> Reply:
--- a/tests/edge/test_ends.py
+++ b/tests/edge/test_ends.py
@@ -15,9 +15,25 @@
 from chestnutshift.events.log import Event, EventFilter
 from tests.callers.clients import Caller, calling
 from tests.edge.factories import make_state
-from tests.edge.world import SEARCH, World, make_process, running_edge, until
+from tests.edge.stand_ins import REQUEST_ID
+from tests.edge.world import (
+    SEARCH,
+    World,
+    make_process,
+    running_edge,
+    running_edge_at,
+    until,
+)
 from tests.processes.world import raw_head
 
+# An upstream's answer is with the VM after this long.
+ANSWERED_S = 0.3
+READ_B = 65_536
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nx-chestnutshift-request-id: %b\r\n'
+    b'x-chestnutshift-server-seal: s\r\ncontent-length: 4\r\n\r\nbody'
+)
+
 
 def _logged(state: EdgeState, kind: EventKind) -> list[Event]:
     return state.event_log.select(EventFilter(number=kind.number))
@@ -65,6 +81,36 @@
         assert not _logged(world.state, events.CONNECTION_LOST)
 
 
+async def _serve_all_but_the_first(stream: trio.SocketStream) -> None:
+    """Answer as an upstream, but for a request with the header `first`."""
+    async with stream:
+        # An abandoned request resets it.
+        with suppress(trio.BrokenResourceError):
+            while received := await stream.receive_some(READ_B):
+                if b'first: 1' not in received:
+                    request_id = REQUEST_ID.search(received)[1]
+                    await stream.send_all(ANSWER % request_id)
+
+
+# The log and the metrics told that an answer was delivered, of which nothing
+# was sent: it still waited for those before it.
+@trio_test
+async def test_answer_that_waits_for_its_turn() -> None:
+    """It does not count as delivered if the connection ends before that."""
+    async with running_edge_at(_serve_all_but_the_first) as world:
+        async with calling(world.state.settings.callers.port) as caller:
+            first = raw_head('GET', SEARCH, ('first', '1'))
+            await caller.send(first + raw_head('GET', SEARCH))
+            await until(
+                lambda: len(_logged(world.state, events.REQUEST_SENT)) == 2
+            )
+            await trio.sleep(ANSWERED_S)
+        await until(
+            lambda: len(_logged(world.state, events.REQUEST_ABANDONED)) == 2
+        )
+        assert not _logged(world.state, events.REQUEST_ENDED)
+
+
 # Nothing told a request that a VM lost from one whose caller had left.
 @trio_test
 async def test_answer_that_breaks_off() -> None:
