The memory tests' upstream sends its answers in parts: its process is the store's

Cause, by a trace of both processes: no VM starved, the test's process did. It serves the store and the upstream in one event loop, and the upstream made each of 250 answers whole, 8 MB, and handed them over at once: 2,095 MB resident, and ticks of up to 2.8 s (0.74 s of processor time) beside load. The store ended a long poll of 2.4 s after 3.7 s, the VM gave it up after 3.4 s as it should (store "no answer in time"), and saw its next poll answered a second late or not at all. The VM's longest tick in the failing runs was 0.2 s.

The change, in the tests only: the upstream sends the same head and the same bytes in parts of 64 KB, as far as the VM takes them, as upstreams do. Nothing is asked less: the same callers, answers, limits and checks.

That it is as strict: with a budget that always has room and reads of 64 KB, the tests of slow readers of long and short answers and of unread pipelines fail with the whole and with the partial answers alike (VM's peak 223 and 222, 364 and 321, 348 and 361 MB; limits 200, 300, 200).

--- a/tests/processes/memory_loads.py
+++ b/tests/processes/memory_loads.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from tests.edge.stand_ins import answer, read_body
+from tests.edge.stand_ins import Header, answer, read_body
 from tests.processes.vms import VmProcess
 from tests.processes.world import PAGE, UPLOAD, raw_head
 
@@ -23,6 +23,8 @@
 LENGTH = re.compile(rb'content-length: (\d+)', re.IGNORECASE)
 OK = 200
 HEAD_END = b'\r\n\r\n'
+# The store answers from the same process, so that no answer may take long.
+PART = bytes(65_536)
 
 
 @attrs.define
@@ -45,7 +47,22 @@
         seal = (b'x-chestnutshift-server-seal', self.name.encode())
         request_id = b'x-chestnutshift-request-id'
         identity = (request_id, headers[request_id])
-        await answer(send, OK, bytes(self.size_b), identity, seal, name)
+        await self._stream(send, identity, seal, name)
+
+    async def _stream(self, send: Any, *headers: Header) -> None:
+        """Send an answer in parts, as far as its reader takes them."""
+        length = (b'content-length', b'%d' % self.size_b)
+        start = {'status': OK, 'headers': [length, *headers]}
+        await send({'type': 'http.response.start', **start})
+        for sent_b in range(0, self.size_b, len(PART)):
+            left_b = self.size_b - sent_b
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': PART[:left_b],
+                    'more_body': left_b > len(PART),
+                }
+            )
 
 
 @attrs.frozen
