LOST: the soak tells apart what is closed behind an announced close

A refusal whose body was not read, as a 401 or 503 at admission, announces the close though the body has arrived, and the requests that are pipelined behind it get neither an answer nor a refusal; no VM counts them. Without any VM's fault being counted, the line of the check says which close it was.

--- a/tests/soak_edge/connections.py
+++ b/tests/soak_edge/connections.py
@@ -101,13 +101,17 @@
         self, request: SentRequest, content: bytes, deadline_ms: int
     ) -> SentRequest:
         self.has_begun = bool(self._h11.trailing_data[0])
+        is_announced = self._h11.our_state is h11.MUST_CLOSE
         try:
             with trio.fail_after(deadline_ms / 1000 + PATIENCE_S):
                 await self._send_rest(content)
                 status, text = await self._answer()
         except ENDED:
             request = attrs.evolve(
-                request, is_closed=not self.has_begun, is_cut=self.has_begun
+                request,
+                is_announced=is_announced,
+                is_closed=not self.has_begun,
+                is_cut=self.has_begun,
             )
         except trio.TooSlowError:
             request = attrs.evolve(request, is_unanswered=True)
--- a/tests/soak_edge/guarantees.py
+++ b/tests/soak_edge/guarantees.py
@@ -81,6 +81,8 @@
     whole_at: float = math.inf
     # The VM closed the connection before any byte of the answer.
     is_closed: bool = False
+    # An answer before, on the same connection, had announced its close.
+    is_announced: bool = False
     # It closed it after some bytes of the answer, and before its end.
     is_cut: bool = False
     # The caller left, long after its deadline, before the answer's end.
--- a/tests/soak_edge/losses.py
+++ b/tests/soak_edge/losses.py
@@ -180,7 +180,8 @@
 
 def _unanswered_end(request: SentRequest) -> str:
     if request.is_closed:
-        return 'closed'
+        announced = 'as an answer before announced'
+        return f'closed {announced}' if request.is_announced else 'closed'
     if request.is_cut:
         return 'cut midway'
     return 'silent' if request.is_unanswered else ''
--- a/tests/soak_edge/test_guarantees.py
+++ b/tests/soak_edge/test_guarantees.py
@@ -354,6 +354,14 @@
     assert not find_unanswered([cancelled])
 
 
+def test_unanswered_behind_an_announced_close() -> None:
+    """They count as well, and are told apart."""
+    behind = attrs.evolve(LOST, is_announced=True)
+    assert 'before announced' in find_unanswered([behind])[0]
+    assert 'before announced' not in find_unanswered([LOST])[0]
+    assert find_beside(behind)
+
+
 # LOST: the metric and the event existed, and nobody asked them.
 def test_what_vms_say_that_they_lost() -> None:
     """A count, an event and a missing count are each reported."""
