--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from chestnutshift.callers.closing import discard_rest, wait_until_delivered
 from chestnutshift.callers.disconnect_monitor import DisconnectMonitor
 from chestnutshift.callers.ends import ConnectionEnd, EndReason
 from chestnutshift.callers.exchange import CallerExchange, Message
@@ -96,13 +97,19 @@
     def close_after(self, exchange: CallerExchange) -> bool:
         """Return whether the answer of the exchange is the last one.
 
-        While this VM stops it is the last one, unless requests behind it have
-        arrived: their caller would get no answer to these.
+        While this VM stops, or once the connection is to give way to another,
+        it is the last one, unless requests behind it have arrived: their
+        caller would get no answer to these.
         """
         if self._unanswered[-1] is not exchange or self._refused is not None:
             return False
-        if self._stop.is_stopping and not self._reader.may_read_on(_now()):
-            self._stop_reading()
+        is_ending = self._stop.is_stopping or self._reader.is_dropped
+        if is_ending and not self._reader.may_read_on(_now()):
+            # The caller sends further requests elsewhere.
+            self._is_closing = True
+            self._reader.end()
+            if exchange.is_read:
+                self.disconnect_monitor.stop_reading()
         return self._is_closing
 
     async def run(self) -> None:
@@ -154,7 +161,7 @@
     async def _refuse_first(self, problem: Problem) -> None:
         with trio.move_on_after(FIRST_BYTES_S):
             await self._reader.read_first_bytes()
-        await self.write(format_refusal(problem, self._reader.parser))
+        self._refused = problem
         await self._close()
 
     async def _serve(self) -> None:
@@ -169,24 +176,46 @@
             self.end.record_break(has_caller_left=has_left)
             self.transport.reset()
             return
-        if self._refused is not None:
-            self.end.reason = EndReason.REFUSED
-            await self.write(format_refusal(self._refused, self._reader.parser))
         await self._close()
 
-    async def _close(self) -> None:
-        """Close the sending side; keep reading so that the answer arrives.
+    def _close_idle(self) -> None:
+        """Close the connection if it is idle and its answers have arrived.
 
-        An idle connection is not read on: a request that crosses its close
-        gets a reset, by which the caller can tell that it was not read.
+        No other task runs since nothing had arrived on it. So a request that
+        crosses the close is not read and gets a reset, which tells so.
         """
         if self._reader.is_timed_out and self.transport.is_acknowledged():
+            self.transport.close()
+
+    async def _close(self) -> None:
+        """Refuse the last request if it can't be served, and close.
+
+        Closing a socket with unread bytes resets the connection. So the rest
+        of the last request is read, and the socket is closed once the answers
+        have arrived; what comes behind that request gets the reset.
+        """
+        if self.transport.is_closed:
             return
+        parser = self._reader.parser
+        if self._refused is not None:
+            self.end.reason = EndReason.REFUSED
+            await self.write(format_refusal(self._refused, parser))
+        is_read = self._refused is None and not parser.has_rest
+        if is_read:
+            self.disconnect_monitor.stop_reading()
         await self.transport.send_end()
-        if self._reader.is_dropped:
+        if self._reader.is_timed_out and self._reader.is_dropped:
             return
         with trio.move_on_after(self.limits.linger_s):
-            await self.read_ahead.drain(self.end.count_discarded)
+            if not is_read:
+                await discard_rest(
+                    parser, self.read_ahead, self.end.count_discarded
+                )
+                self.disconnect_monitor.stop_reading()
+            await wait_until_delivered(self.transport)
+        if not self.transport.is_acknowledged():
+            self.disconnect_monitor.stop_reading()
+            await self.read_ahead.discard_arrived(self.end.count_discarded)
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
         """Start the requests as they arrive, until the last one.
@@ -196,6 +225,7 @@
         while not (self._unanswered and self._stop.is_late(_now())):
             head = await self._reader.next_head()
             if head is None or self._is_closing:
+                self._close_idle()
                 return
             if self.disconnect_monitor.has_caller_left:
                 self._is_broken = True
@@ -249,19 +279,15 @@
                     exchange.receive,
                     exchange.send,
                 )
-                await exchange.write_held()
+                await exchange.wait_for_turn()
+                if not exchange.is_streaming:
+                    await exchange.write_held()
         except CallerDisconnectedError:
             return False
         except Exception:
             logger.exception('unhandled exception while serving a request')
             await exchange.wait_for_turn()
-            if exchange.has_begun:
-                return False
             # Requests behind it may have been passed on: they go on.
-            await exchange.write_held(refusal_messages(INTERNAL_ERROR))
+            if not exchange.has_begun:
+                await exchange.write_held(refusal_messages(INTERNAL_ERROR))
         return exchange.is_complete
-
-    def _stop_reading(self) -> None:
-        """Read no further request; the caller sends it elsewhere."""
-        self._is_closing = True
-        self._reader.end()
--- a/chestnutshift/callers/ends.py
+++ b/chestnutshift/callers/ends.py
@@ -31,8 +31,8 @@
     """Why a connection ended, filled while it is served.
 
     lost_count counts requests without an answer; one that was begun and is
-    incomplete counts as none. discarded_b are the bytes that arrived after the
-    last answer and were not read as requests.
+    incomplete counts as none. discarded_b are the bytes that were read behind
+    the beginning of the last answer, such as the body of a refused request.
     """
 
     reason: EndReason = EndReason.CLOSED
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -49,6 +49,10 @@
 # Statuses that tell a caller that its request has not run and never will.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 GATEWAY_TIMEOUT_STATUS = 504
+# How much longer than its deadline an answer that has begun may take: what an
+# upstream has sent by then is on its way, and to cut it loses the requests
+# behind it as well. It ends within half a second of the deadline all the same.
+BEGUN_EXTENSION_S = 0.3
 
 
 @attrs.define
@@ -81,23 +85,30 @@
                 has_caller_left=scope['extensions'][DEPARTURE_EXTENSION](),
             )
             raise
-        except StreamCutError as error:
-            # Returning before the body is complete aborts the connection.
-            self._log_aborted(writer, error, now)
-        except CodedError as error:
-            await self._refuse(writer, error, now)
+        except (StreamCutError, CodedError) as error:
+            await self._end(writer, error, now)
 
-    def _log_aborted(
+    async def _end(
         self,
         writer: AnswerWriter,
-        error: StreamCutError,
+        error: StreamCutError | CodedError,
         started_at: float,
+    ) -> None:
+        """Refuse a request, unless a part of its answer has been sent."""
+        if isinstance(error, StreamCutError) or writer.has_begun():
+            # Returning before the body is complete aborts the connection.
+            self._log_aborted(writer, str(error), started_at)
+            return
+        await self._refuse(writer, error, started_at)
+
+    def _log_aborted(
+        self, writer: AnswerWriter, detail: str, started_at: float
     ) -> None:
         timeout_s = writer.timeout_s
         self._state.event_log.emit(
             events.REQUEST_ABORTED,
             request=writer.request_id,
-            detail=str(error),
+            detail=detail,
             has_begun=writer.has_begun(),
             after_s=round(boot_time() - started_at, 3),
             timeout_s=timeout_s if math.isfinite(timeout_s) else None,
@@ -166,8 +177,7 @@
         try:
             memory.reserve(Kind.REQUEST, REQUEST_B, now)
             reply = await self._obtain_in_time(pending, scope['extensions'])
-            await self._deliver(pending, reply)
-            await scope['extensions'][WRITTEN_EXTENSION]()
+            await self._deliver(pending, reply, scope['extensions'])
         finally:
             memory.close()
 
@@ -176,13 +186,16 @@
     ) -> Reply:
         """Return an answer that is complete before the deadline.
 
-        Its delivery has no deadline. Raises RefusalError, MemoryFullError if
+        Its delivery has no deadline; one that has begun may end
+        BEGUN_EXTENSION_S later. Raises RefusalError, MemoryFullError if
         the request has given way, and StreamCutError if the deadline passes
         after a part of the answer was sent.
         """
         left_s = pending.deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope:
             pending.memory.end = functools.partial(_give_way, pending, scope)
+            until = scope.deadline + BEGUN_EXTENSION_S
+            pending.writer.prolong = functools.partial(_prolong, scope, until)
             if not pending.admitted.route.is_idempotent:
                 await extensions[TURN_EXTENSION]()
             await extensions[STREAM_EXTENSION]()
@@ -196,8 +209,15 @@
             )
         raise RefusalError(_deadline_problem(pending))
 
-    async def _deliver(self, pending: PendingRequest, reply: Reply) -> None:
+    async def _deliver(
+        self,
+        pending: PendingRequest,
+        reply: Reply,
+        extensions: Mapping[str, Any],
+    ) -> None:
         await pending.writer.write_reply(reply)
+        # It may wait for the answers before it, which may break off.
+        await extensions[WRITTEN_EXTENSION]()
         self._request_runner.record_delivery(pending, reply.status, boot_time())
 
     async def _run(self, pending: PendingRequest) -> Reply:
@@ -221,6 +241,10 @@
     scope.cancel()
 
 
+def _prolong(scope: trio.CancelScope, until: float) -> None:
+    scope.deadline = until
+
+
 def _true_problem(error: CodedError, ran: Ran) -> Problem:
     """Return the refusal of a request, whose status promises nothing untrue."""
     problem = problem_of(error, ran)
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -100,8 +100,8 @@
         )
         self.discarded = counter(
             'connections_discarded_bytes_total',
-            'Bytes after the last answer of a connection, which no request '
-            'was read from, by the reason for its end.',
+            'Bytes that were read behind the beginning of the last answer of '
+            'a connection, by the reason for its end.',
             ('reason',),
         )
 
