LOST: a refusal whose request has arrived whole keeps its connection

Callers saw: behind a refusal of a request with a body (401, 404, 429, 503 at admission) neither an answer nor a refusal for what was pipelined, as the answer announced the end of the connection although the body had arrived with the head; and a new connection for each refusal.

--- a/chestnutshift/callers/body_reader.py
+++ b/chestnutshift/callers/body_reader.py
@@ -1,5 +1,6 @@
 """Reads the body of one request."""
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -54,6 +55,13 @@
         more = not self._is_read
         return {'type': 'http.request', 'body': body, 'more_body': more}
 
+    def discard_arrived(self) -> None:
+        """Discard what has arrived of a body that nobody reads."""
+        if self._is_read:
+            return
+        with suppress(MalformedBodyError, CallerDisconnectedError):
+            self._read_arrived()
+
     def _read_arrived(self) -> bytes:
         chunks = []
         while True:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -42,6 +42,9 @@
 # The name of the ASGI extension that tells whether bytes of the answer were
 # handed to the connection. Until then another answer can take its place.
 BEGUN_EXTENSION = 'chestnutshift.begun'
+# The name of the ASGI extension that discards what has arrived of a body that
+# nobody reads any more. If that is all, the connection can go on.
+DISCARD_EXTENSION = 'chestnutshift.discard'
 
 BODILESS_STATUSES = frozenset((204, 304))
 _CLOSE = (b'connection', b'close')
@@ -164,6 +167,7 @@
                 FOLLOWED_EXTENSION: partial(self._unanswered.is_followed, self),
                 WRITTEN_EXTENSION: self.write_held,
                 BEGUN_EXTENSION: lambda: self.has_begun,
+                DISCARD_EXTENSION: self._body.discard_arrived,
             },
             'state': {},
         }
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -10,6 +10,7 @@
 
 from chestnutshift.callers.exchange import (
     BEGUN_EXTENSION,
+    DISCARD_EXTENSION,
     DEPARTURE_EXTENSION,
     FOLLOWED_EXTENSION,
     STREAM_EXTENSION,
@@ -87,12 +88,13 @@
             )
             raise
         except (StreamCutError, CodedError) as error:
-            await self._end(writer, error, now)
+            await self._end(writer, error, scope['extensions'], now)
 
     async def _end(
         self,
         writer: AnswerWriter,
         error: StreamCutError | CodedError,
+        extensions: Mapping[str, Any],
         started_at: float,
     ) -> None:
         """Refuse a request, unless a part of its answer has been sent."""
@@ -100,6 +102,7 @@
             # Returning before the body is complete aborts the connection.
             self._log_aborted(writer, str(error), started_at)
             return
+        extensions[DISCARD_EXTENSION]()
         await self._refuse(writer, error, started_at)
 
     def _log_aborted(
