Tests: an answer breaks off once its caller has a part of it

test_answer_that_breaks_off failed once: 20 s without an end. Cause: the stand-in resets its connection right after the last byte was handed over, and a reset takes with it what the VM has not read. If less than a VM buffers was read, nothing was passed on: the caller gets 502 and keeps its connection, which never ends. The upstream now waits until the caller has the first byte; what is asked of the VM is the same.

--- a/tests/edge/stand_ins.py
+++ b/tests/edge/stand_ins.py
@@ -221,6 +221,12 @@
         return row | {'value': base64.b64encode(content).decode()}
 
 
+def _set_event() -> trio.Event:
+    event = trio.Event()
+    event.set()
+    return event
+
+
 @attrs.define
 class UpstreamStandIn:
     """ASGI stand-in for an upstream with one of several behaviours.
@@ -246,6 +252,8 @@
     # How long slow answers and health checks take.
     slow_s: float = SLOW_S
     check_s: float = 0
+    # Set once answers may break off.
+    breaks: trio.Event = attrs.field(factory=_set_event)
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer a health check, or a request by the behaviour."""
@@ -321,6 +329,7 @@
         await send({'type': 'http.response.start', **start})
         part = {'body': b'l' * (LONG_ANSWER_B - 1), 'more_body': True}
         await send({'type': 'http.response.body', **part})
+        await self.breaks.wait()
 
     async def _trickle(
         self, send: Any, request_id: Header, _text: bytes
--- a/tests/edge/test_ends.py
+++ b/tests/edge/test_ends.py
@@ -51,6 +51,7 @@
     """Yield a world, and a caller whose request has reached an upstream."""
     async with running_edge(behaviour) as world:
         upstream = world.upstreams[0]
+        upstream.breaks = trio.Event()
         port = world.state.settings.callers.port
         async with calling(port) as caller:
             await caller.send(raw_head('GET', SEARCH))
@@ -58,6 +59,18 @@
             yield world, caller
 
 
+async def _break_off(world: World, caller: Caller) -> None:
+    """Let an answer break off that has begun, and read to its end.
+
+    A reset takes with it what the VM has not read. If that is much, nothing of
+    the answer was passed on yet, and it is refused instead.
+    """
+    assert await caller.stream.receive_some(1) == b'H'
+    world.upstreams[0].breaks.set()
+    with suppress(trio.BrokenResourceError):
+        await caller.read_end()
+
+
 @trio_test
 async def test_caller_that_leaves() -> None:
     """Its connection counts, and none of its requests as lost."""
@@ -117,8 +130,7 @@
 async def test_answer_that_breaks_off() -> None:
     """Its connection is logged with the reason, and the request counts."""
     async with _requested('break_off') as (world, caller):
-        with suppress(trio.BrokenResourceError):
-            await caller.read_end()
+        await _break_off(world, caller)
         await until(lambda: bool(_logged(world.state, events.CONNECTION_LOST)))
         lost = _logged(world.state, events.CONNECTION_LOST)[0]
         assert lost.facts == {
@@ -148,8 +160,7 @@
 async def test_facts_of_an_answer_that_breaks_off() -> None:
     """They tell that it had begun, how old it was and its timeout."""
     async with _requested('break_off') as (world, caller):
-        with suppress(trio.BrokenResourceError):
-            await caller.read_end()
+        await _break_off(world, caller)
         await until(lambda: bool(_logged(world.state, events.REQUEST_ABORTED)))
         facts = _logged(world.state, events.REQUEST_ABORTED)[0].facts
         assert facts['has_begun']
