--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -10,8 +10,8 @@
 
 from chestnutshift.callers.exchange import (
     BEGUN_EXTENSION,
-    DISCARD_EXTENSION,
     DEPARTURE_EXTENSION,
+    DISCARD_EXTENSION,
     FOLLOWED_EXTENSION,
     STREAM_EXTENSION,
     TURN_EXTENSION,
@@ -88,9 +88,9 @@
             )
             raise
         except (StreamCutError, CodedError) as error:
-            await self._end(writer, error, scope['extensions'], now)
+            await self._refuse_or_abort(writer, error, scope['extensions'], now)
 
-    async def _end(
+    async def _refuse_or_abort(
         self,
         writer: AnswerWriter,
         error: StreamCutError | CodedError,
@@ -190,10 +190,9 @@
     ) -> Reply:
         """Return an answer that is complete before the deadline.
 
-        Its delivery has no deadline; one that has begun may end
-        BEGUN_EXTENSION_S later. Raises RefusalError, MemoryFullError if
-        the request has given way, and StreamCutError if the deadline passes
-        after a part of the answer was sent.
+        One that has begun may be complete BEGUN_EXTENSION_S later. Raises
+        RefusalError, MemoryFullError if the request has given way, and
+        StreamCutError if the time is over after a part of the answer was sent.
         """
         left_s = pending.deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope:
@@ -220,7 +219,7 @@
         extensions: Mapping[str, Any],
     ) -> None:
         await pending.writer.write_reply(reply)
-        # It may wait for the answers before it, which may break off.
+        # It may wait for the answers before it, and is lost if one breaks off.
         await extensions[WRITTEN_EXTENSION]()
         self._request_runner.record_delivery(pending, reply.status, boot_time())
 
@@ -246,6 +245,7 @@
 
 
 def _prolong(scope: trio.CancelScope, until: float) -> None:
+    """Let the wait for the rest of an answer last longer."""
     scope.deadline = until
 
 
