Tests: a request after injected errors waits for the proof that one took

The injected error takes a proof of the route table with it; polls come 2.4 s apart, so the next proof may be later than the 4.3 s for which keys are accepted, and the refusal is right and true.

--- a/tests/edge/test_supervision.py
+++ b/tests/edge/test_supervision.py
@@ -118,6 +118,7 @@
             world.expects_faults = True
             for error in (*system_errors(), *_unexpected()):
                 await _inject(world, injection, error, stimulus)
+            await world.until_proven()
             assert (await world.ask()).status_code == HTTP_OK
 
 
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -11,6 +11,7 @@
 import httpx
 import trio
 
+from chestnutshift.clocks import boot_time
 from chestnutshift.edge import events
 from chestnutshift.edge.backend import Backend
 from chestnutshift.edge.process import EdgeProcess
@@ -40,6 +41,8 @@
 SEARCH = '/a/1'
 BOOK = '/a/b/1'
 TIMEOUT_S = 20.0
+# By then the store has proven the route table again.
+PROVEN_WITHIN_S = 5.0
 PORTS = (12_000, 30_000)
 RAW_UPSTREAM = 'i-raw'
 
@@ -90,6 +93,12 @@
         async with httpx.AsyncClient(verify=False, timeout=TIMEOUT_S) as client:
             return await client.get(f'http://{endpoint}{target}')
 
+    async def until_proven(self) -> None:
+        """Wait until the VM accepts keys: an error may have cost it a proof."""
+        with trio.fail_after(PROVEN_WITHIN_S):
+            while not self.state.trust.accepts_keys(boot_time()):
+                await trio.sleep(0.01)
+
     def register(self, upstream: UpstreamStandIn, port: int) -> None:
         """Register an upstream of the first service."""
         document = json.loads(json.dumps(REGISTRATION))
