Observability: what the end of a stop cuts is named, with its age and state

Cause: a cancellation reaches the record of a connection's end as an exception group, which it took for no reason at all; so the log said 'closed', and the requests that were cut were logged as if their caller had left, without the stop.

Change: the reason is 'aborted'; request.cut (8113) names each request with its upstream, whether its whole answer was ready, its age, its timeout and how long the VM had been stopping; requests_lost_total has the reason as a label; requests that were read and not served count as discarded bytes; edge.stopped has the duration of the stop.

Two checks of tests.edge.test_ends name the new fields and labels; no value is left out.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -138,6 +138,9 @@
         except OSError:
             logger.debug('caller disconnected before its connection was served')
         finally:
+            # Requests that were read and not served.
+            trailing, _ = self._reader.parser.trailing_data
+            self.end.count_discarded(len(trailing) + self.read_ahead.buffered_b)
             self.read_ahead.close()
             if is_clean_end:
                 self.transport.close()
--- a/chestnutshift/callers/ends.py
+++ b/chestnutshift/callers/ends.py
@@ -31,8 +31,8 @@
     """Why a connection ended, filled while it is served.
 
     lost_count counts requests without an answer; one that was begun and is
-    incomplete counts as none. discarded_b are the bytes that were read behind
-    the beginning of the last answer, such as the body of a refused request.
+    incomplete counts as none. discarded_b are the bytes that were not served:
+    the body of a refused request, and requests behind the last answer.
     """
 
     reason: EndReason = EndReason.CLOSED
@@ -62,12 +62,23 @@
         except OSError:
             self.reason = EndReason.CALLER_LEFT
             raise
-        except trio.Cancelled:
-            self.reason = EndReason.ABORTED
-            raise
         except Exception:
             self.reason = EndReason.FAULT
             raise
+        except BaseException as error:
+            if is_cancellation(error):
+                self.reason = EndReason.ABORTED
+            raise
+
+
+def is_cancellation(error: BaseException) -> bool:
+    """Return whether it is a cancellation, or a group of nothing else.
+
+    A nursery raises its tasks' exceptions as a group, also a single one.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        return error.split(trio.Cancelled)[1] is None
+    return isinstance(error, trio.Cancelled)
 
 
 # Told of the end of each connection.
--- a/chestnutshift/callers/read_ahead.py
+++ b/chestnutshift/callers/read_ahead.py
@@ -54,6 +54,11 @@
         """Whether bytes wait to be taken."""
         return bool(self._chunks)
 
+    @property
+    def buffered_b(self) -> int:
+        """Bytes that wait to be taken."""
+        return self._buffered_b
+
     @property
     def is_full(self) -> bool:
         """Whether reading pauses until some of the bytes are taken."""
--- a/chestnutshift/edge/answer_writer.py
+++ b/chestnutshift/edge/answer_writer.py
@@ -24,8 +24,9 @@
     request_id, account and route identify the request once they are known,
     timeout_s is how long it may take, upstream where it is at work. has_begun
     tells whether bytes of the answer were sent; until then `start` may begin
-    another one. is_for_peer tells whether a peer passed the request on.
-    prolong is called as an answer begins whose end is still to come.
+    another one. is_ready tells whether it has the whole answer, is_for_peer
+    whether a peer passed the request on. prolong is called as an answer begins
+    whose end is still to come.
     """
 
     _send: Send
@@ -37,6 +38,7 @@
     route: str = ''
     timeout_s: float = math.inf
     upstream: str = ''
+    is_ready: bool = False
     is_for_peer: bool = False
     prolong: Callable[[], None] = _do_nothing
 
@@ -65,6 +67,7 @@
 
     async def write_reply(self, reply: Reply) -> None:
         """Send an answer, or the last part of one that was streamed."""
+        self.is_ready = True
         if not reply.is_streamed:
             await self.start(reply.status, reply.headers)
         await self.write_part(reply.body, is_last=True)
--- a/chestnutshift/edge/crash_guard.py
+++ b/chestnutshift/edge/crash_guard.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from chestnutshift.crashes.evidence import ProvenEnd
+from chestnutshift.crashes.evidence import CrashEvidence, ProvenEnd
 from chestnutshift.crashes.fingerprints import fingerprint
 from chestnutshift.crashes.register import Standing
 from chestnutshift.crashes.suspects import Suspect
@@ -47,6 +47,14 @@
     _on_trial: set[int] = attrs.field(factory=set)
     # Requests that were refused at the last review, by fingerprint.
     _refused: dict[int, Suspect] = attrs.field(factory=dict)
+    _evidence: CrashEvidence = attrs.field(
+        default=attrs.Factory(
+            lambda guard: CrashEvidence(
+                guard._state.crashes, guard._state.directory
+            ),
+            takes_self=True,
+        )
+    )
 
     @contextmanager
     def admitting(self, pending: PendingRequest, now: float) -> Iterator[None]:
@@ -84,7 +92,7 @@
         now: float,
     ) -> None:
         """Record what the end of an attempt tells of request and upstream."""
-        evidence = self._state.crash_evidence
+        evidence = self._evidence
         if end.is_lost and pending.fingerprint is not None:
             pending.lost_count += 1
             evidence.record_lost(
@@ -108,16 +116,20 @@
         proof: str,
     ) -> None:
         """Record a health check; proof tells how it found the process ended."""
-        evidence = self._state.crash_evidence
+        evidence = self._evidence
         if is_alive:
             evidence.record_alive(upstream, started_at)
         elif proof:
             self._record_refused(upstream, proof)
 
+    def awaits_proof(self, upstream: Upstream, now: float) -> bool:
+        """Return whether a check may prove that the upstream has ended."""
+        return self._evidence.awaits_proof(upstream, now)
+
     def review(self, now: float) -> None:
         """Draw conclusions from registrations, and log changed verdicts."""
         state = self._state
-        self._log_proven(state.crash_evidence.review(now))
+        self._log_proven(self._evidence.review(now))
         state.crashes.expire(now)
         refused = {
             suspect.fingerprint: suspect for suspect in state.crashes.refused()
@@ -170,7 +182,7 @@
         """
         if proof == NO_LISTENER and self._state.directory.reach.is_cut_off:
             return
-        evidence = self._state.crash_evidence
+        evidence = self._evidence
         self._log_proven(evidence.record_refused(upstream, proof))
 
     def _log_proven(self, proven: list[ProvenEnd]) -> None:
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -250,6 +250,13 @@
     'request.abandoned',
     'The caller disconnected before its answer was complete.',
 )
+REQUEST_CUT = define(
+    8113,
+    'request.cut',
+    'The end of the grace period reset the connection of a request whose '
+    'caller had not left.',
+    logging.WARNING,
+)
 REQUEST_PASSED_ON = define(
     8110,
     'request.passed_on',
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -79,13 +79,8 @@
         try:
             await self._serve(writer, scope, receive, now)
         except (CallerDisconnectedError, trio.Cancelled):
-            self._state.event_log.emit(
-                events.REQUEST_ABANDONED,
-                request=writer.request_id,
-                upstream=writer.upstream,
-                after_s=round(boot_time() - now, 3),
-                has_caller_left=scope['extensions'][DEPARTURE_EXTENSION](),
-            )
+            has_left = scope['extensions'][DEPARTURE_EXTENSION]()
+            self._log_abandoned(writer, now, has_caller_left=has_left)
             raise
         except (StreamCutError, CodedError) as error:
             await self._refuse_or_abort(writer, error, scope['extensions'], now)
@@ -105,17 +100,43 @@
         extensions[DISCARD_EXTENSION]()
         await self._refuse(writer, error, started_at)
 
+    def _log_abandoned(
+        self, writer: AnswerWriter, started_at: float, *, has_caller_left: bool
+    ) -> None:
+        now = boot_time()
+        stopping_s = self._state.stop.age_s(now)
+        if has_caller_left or stopping_s is None:
+            self._state.event_log.emit(
+                events.REQUEST_ABANDONED,
+                request=writer.request_id,
+                upstream=writer.upstream,
+                after_s=round(now - started_at, 3),
+                has_caller_left=has_caller_left,
+            )
+            return
+        self._state.event_log.emit(
+            events.REQUEST_CUT,
+            request=writer.request_id,
+            account=writer.account,
+            route=writer.route,
+            upstream=writer.upstream,
+            is_ready=writer.is_ready,
+            has_begun=writer.has_begun(),
+            after_s=round(now - started_at, 3),
+            timeout_s=_finite(writer.timeout_s),
+            stopping_s=round(stopping_s, 3),
+        )
+
     def _log_aborted(
         self, writer: AnswerWriter, detail: str, started_at: float
     ) -> None:
-        timeout_s = writer.timeout_s
         self._state.event_log.emit(
             events.REQUEST_ABORTED,
             request=writer.request_id,
             detail=detail,
             has_begun=writer.has_begun(),
             after_s=round(boot_time() - started_at, 3),
-            timeout_s=timeout_s if math.isfinite(timeout_s) else None,
+            timeout_s=_finite(writer.timeout_s),
             route=writer.route,
             table=self._state.table_version,
         )
@@ -238,6 +259,11 @@
             raise RefusalError(problem) from error
 
 
+def _finite(duration_s: float) -> float | None:
+    """Return a duration as logs have it: None for an infinite one."""
+    return duration_s if math.isfinite(duration_s) else None
+
+
 def _give_way(pending: PendingRequest, scope: trio.CancelScope) -> None:
     """Drop the body of a request that is not sent, and end it."""
     pending.body.drop()
--- a/chestnutshift/edge/health_checks.py
+++ b/chestnutshift/edge/health_checks.py
@@ -87,7 +87,7 @@
             upstream
             for upstream in self._state.directory
             if upstream.condition is Condition.UNPROVEN
-            or self._state.crash_evidence.awaits_proof(upstream, now)
+            or self._crash_guard.awaits_proof(upstream, now)
             or (is_isolated and _may_be_cold(upstream, now))
             or self._must_ask_for_limit(upstream, now)
         ]
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -11,6 +11,8 @@
     generate_latest,
 )
 
+from chestnutshift.callers.ends import EndReason
+
 PREFIX = 'chestnutshift'
 LATENCY_BUCKETS_S = (
     0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10, 20,
@@ -96,8 +98,12 @@
         )
         self.requests_lost = counter(
             'requests_lost_total',
-            'Requests without an answer whose caller had not left.',
+            'Requests without an answer whose caller had not left, by the '
+            'reason for the end of their connection.',
+            ('reason',),
         )
+        for reason in EndReason:
+            self.requests_lost.labels(reason.value)
         self.discarded = counter(
             'connections_discarded_bytes_total',
             'Bytes that were read behind the beginning of the last answer of '
--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -1,11 +1,10 @@
 """The process of an edge VM: its tasks, start-up and graceful stop."""
 
-import signal
-
 import attrs
 import trio
 
 from chestnutshift.callers.connection import Application
+from chestnutshift.clocks import boot_time
 from chestnutshift.edge import descriptors, events
 from chestnutshift.edge.attempts import UpstreamPool
 from chestnutshift.edge.backend import Backend
@@ -13,7 +12,6 @@
 from chestnutshift.edge.containment import (
     keep_running,
     report_end,
-    report_failure,
 )
 from chestnutshift.edge.crash_guard import CrashGuard
 from chestnutshift.edge.exceptions import StartError
@@ -30,10 +28,10 @@
 from chestnutshift.edge.reach_checks import ReachChecker
 from chestnutshift.edge.reach_monitor import ReachMonitor
 from chestnutshift.edge.settings_watch import SettingsWatch
+from chestnutshift.edge.signals import SignalWatch
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.edge.store_polling import StorePoller
 from chestnutshift.edge.upkeep import Upkeep
-from chestnutshift.fleet.heartbeats import MemberPhase
 from chestnutshift.logs.bounded import BoundedLines
 
 
@@ -92,9 +90,10 @@
         ports = Ports(
             state, self._entry, self._make_forwarders(pool), self._stopping
         )
+        signals = SignalWatch(state, self._settings_watch, self._stopping)
         first_tasks = {
             'log': lambda: write_log(state, self._lines),
-            'signals': self._watch_signals,
+            'signals': signals.run,
         }
         async with trio.open_nursery() as nursery:
             for name, run in first_tasks.items():
@@ -106,7 +105,8 @@
             nursery.cancel_scope.cancel()
         if isinstance(opened, StartError):
             raise opened
-        self._state.event_log.emit(events.STOPPED)
+        stopped_after_s = state.stop.age_s(boot_time())
+        state.event_log.emit(events.STOPPED, after_s=stopped_after_s)
         self._lines.flush()
 
     def _raise_descriptor_limit(self) -> None:
@@ -147,22 +147,3 @@
         }
         for name, run in tasks.items():
             nursery.start_soon(keep_running, state, name, run)
-
-    async def _watch_signals(self) -> None:
-        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with trio.open_signal_receiver(*watched) as received:
-            async for number in received:
-                # A receiver that ends would leave signals to the kernel, which
-                # ends the process.
-                try:
-                    self._handle_signal(number)
-                except Exception as error:
-                    report_failure(self._state, 'signals', error)
-
-    def _handle_signal(self, number: int) -> None:
-        if number == signal.SIGHUP:
-            self._settings_watch.request()
-            return
-        self._state.phase = MemberPhase.STOPPING
-        self._stopping.set()
-        self._state.event_log.emit(events.STOPPING, signal=int(number))
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -6,10 +6,10 @@
 import attrs
 import trio
 
-from chestnutshift.crashes.evidence import CrashEvidence
 from chestnutshift.crashes.register import CrashRegister
 from chestnutshift.edge.metrics import EdgeMetrics
 from chestnutshift.edge.settings import EdgeSettings, MemoryBudget
+from chestnutshift.edge.stopping import StopSchedule
 from chestnutshift.edge.table_trust import TableTrust
 from chestnutshift.edge.upstream_reports import UpstreamReports
 from chestnutshift.events.log import EventLog
@@ -65,6 +65,7 @@
     event_log: EventLog
     metrics: EdgeMetrics = attrs.field(factory=EdgeMetrics)
     phase: MemberPhase = MemberPhase.STARTING
+    stop: StopSchedule = attrs.field(factory=StopSchedule)
     table: RouteTable | None = None
     index: RouteIndex | None = None
     splitter: Splitter = attrs.field(factory=Splitter)
@@ -95,7 +96,6 @@
     upstream_rates: UpstreamRates = attrs.field(init=False)
     freshness: TableFreshness = attrs.field(init=False)
     crashes: CrashRegister = attrs.field(init=False)
-    crash_evidence: CrashEvidence = attrs.field(init=False)
     memory: MemoryBudget = attrs.field(init=False)
     service_time_estimates: dict[tuple[str, str], ServiceTimeEstimate] = (
         attrs.field(factory=dict)
@@ -136,7 +136,6 @@
         self.upstream_rates = UpstreamRates(settings.vm, self.is_isolated)
         self.crashes = CrashRegister(settings.vm)
         self.memory = settings.make_budget()
-        self.crash_evidence = CrashEvidence(self.crashes, self.directory)
         self.freshness = TableFreshness(
             bounds.withdrawal_s,
             FRESHNESS_MARGIN_S,
--- a/tests/edge/test_ends.py
+++ b/tests/edge/test_ends.py
@@ -59,6 +59,14 @@
             yield world, caller
 
 
+def _lost_count(world: World) -> float:
+    """Return the number of lost requests, whatever the reason."""
+    return sum(
+        _count(world, 'requests_lost_total', reason=reason.value)
+        for reason in EndReason
+    )
+
+
 async def _break_off(world: World, caller: Caller) -> None:
     """Let an answer break off that has begun, and read to its end.
 
@@ -91,7 +99,7 @@
         )
         abandoned = _logged(world.state, events.REQUEST_ABANDONED)[0]
         assert abandoned.facts['has_caller_left']
-        assert _count(world, 'requests_lost_total') == 0
+        assert _lost_count(world) == 0
         assert not _logged(world.state, events.CONNECTION_LOST)
 
 
@@ -137,8 +145,12 @@
             'reason': EndReason.ANSWER_BROKEN.value,
             'requests': 1,
             'phase': 'serving',
+            'stopping_s': None,
+            'discarded_b': 0,
         }
-        assert _count(world, 'requests_lost_total') == 1
+        reason = EndReason.ANSWER_BROKEN.value
+        assert _count(world, 'requests_lost_total', reason=reason) == 1
+        assert _lost_count(world) == 1
 
 
 # The log of a process that ended by itself did not tell why.
--- a/tests/processes/vms.py
+++ b/tests/processes/vms.py
@@ -40,7 +40,7 @@
 config = "3000ms"
 revoke = "5000ms"
 strict_revoke = true
-grace = "4s"
+grace = "{grace_s}s"
 contact = "4000ms"
 drain = "3000ms"
 """
@@ -55,7 +55,8 @@
 class Launch:
     """How the process of a VM is started.
 
-    program is the folder of the checkout that runs. descriptors_max and
+    program is the folder of the checkout that runs, grace_s the grace period
+    of its settings. descriptors_max and
     memory_max_b are limits of the kernel (RLIMIT_NOFILE and RLIMIT_AS), None
     for those of this process; descriptors_soft is the soft limit of the
     former, if it is lower. closed are descriptors that are closed at the
@@ -64,6 +65,7 @@
     """
 
     program: pathlib.Path = ROOT
+    grace_s: int = 4
     memory_mb: int = 300
     descriptors: int = 4100
     descriptors_max: int | None = None
@@ -231,6 +233,7 @@
             store_port=store_port,
             memory_mb=launch.memory_mb,
             descriptors=launch.descriptors,
+            grace_s=launch.grace_s,
         )
     )
     return kind(name, address, zone, settings, folder / f'{name}.log', launch)
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -21,6 +21,8 @@
 SAFE = '/a/1'
 UNSAFE = '/b/1'
 UPLOAD = '/u/1'
+# Repeatable, slow, and with a timeout that is shorter than a grace of 6 s.
+REPORT = '/r/1'
 # Repeatable, with a long timeout.
 PAGE = '/p/1'
 BODY_MAX_B = 67_108_864
@@ -31,6 +33,7 @@
 ROUTES = (
     ('search', '/a/', 'safe', '4s', '600ms', 2, 2),
     ('book', '/b/', 'unsafe', '4s', '800ms', 1, 1),
+    ('report', '/r/', 'safe', '5s', '2s', 2, 2),
     ('page', '/p/', 'safe', '20s', '600ms', 2, 2),
     ('upload', '/u/', 'upload', '20s', '5s', 1, 1),
 )
