LOST: a VM that stops takes only what it can finish

Callers saw requests reset around a SIGTERM at a VM that had passed them on.

Requests were taken until half the grace had passed, counted from when the event loop handled the signal: a request with a timeout of 5 s then had 2.7 s, and what was sent over 3 s after the SIGTERM was cut with no excuse.

Change: before each send, to an upstream or a peer, first attempt or retry, and before a body is read, a VM that stops asks whether the request ends before it does: its deadline is before the end, or, early in the stop, three times its expected duration is. Else 503, not run, at once, so the caller goes on elsewhere (vm.stopping). A peer that passed it on tries another peer.

--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -200,6 +200,8 @@
             memory,
         )
         try:
+            # One that can't be served is refused before its body is read.
+            self._request_runner.check_stop(pending, now)
             memory.reserve(Kind.REQUEST, REQUEST_B, now)
             reply = await self._obtain_in_time(pending, scope['extensions'])
             await self._deliver(pending, reply, scope['extensions'])
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -28,12 +28,9 @@
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.starting import PortOpener
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.edge.stopping import ACCEPT_RATIO, END_RATIO
 from chestnutshift.memory.sizes import affordable_connections
 
-# Fractions of the stop's grace period after which new connections are no longer
-# accepted, and after which requests still in flight are aborted.
-ACCEPT_GRACE_RATIO = 0.5
-REQUESTS_GRACE_RATIO = 0.95
 # Idle connections stay open for requests this long after the stop began.
 STOP_IDLE_S = 1.0
 # Headers that a peer adds to a request that it passes on, in bytes.
@@ -176,7 +173,7 @@
         for listener in listeners:
             listener.begin_stop(trio.current_time())
         grace_s = self._state.settings.bounds.grace_s
-        await trio.sleep(grace_s * ACCEPT_GRACE_RATIO)
+        await trio.sleep(grace_s * ACCEPT_RATIO)
         stop_serving.set()
 
 
@@ -208,8 +205,7 @@
         ),
         refused_max=share.refused,
         batch_max=share.batch,
-        grace_s=settings.bounds.grace_s
-        * (REQUESTS_GRACE_RATIO - ACCEPT_GRACE_RATIO),
+        grace_s=settings.bounds.grace_s * (END_RATIO - ACCEPT_RATIO),
         find_waits=CallerWaits(state).find,
         stop_idle_s=STOP_IDLE_S,
         half_close_is_disconnect=True,
--- a/chestnutshift/edge/reasons.py
+++ b/chestnutshift/edge/reasons.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from chestnutshift.edge.state import EdgeState
+from chestnutshift.edge.stopping import StopSchedule
 from chestnutshift.routes.model import Account
 from chestnutshift.steering.choice import Choice, RequestProfile
 from chestnutshift.steering.directory import UpstreamDirectory
@@ -57,6 +58,15 @@
     )
 
 
+def stopping(stop: StopSchedule, deadline: float, now: float) -> str:
+    """Return how long this VM goes on, and how long the request may."""
+    return (
+        f'this VM was told to stop {now - stop.began_at:.2f} s ago and ends '
+        f'requests in {max(0, stop.ends_at - now):.2f} s; this one may take '
+        f'{max(0, deadline - now):.2f} s'
+    )
+
+
 def none_usable(
     directory: UpstreamDirectory,
     profile: RequestProfile,
--- a/chestnutshift/edge/refusals.py
+++ b/chestnutshift/edge/refusals.py
@@ -7,7 +7,7 @@
 from chestnutshift.edge import reasons
 from chestnutshift.edge.attempts import AttemptEnd
 from chestnutshift.edge.pending_requests import PendingRequest
-from chestnutshift.edge.retry_decider import CUT_OFF_CODE
+from chestnutshift.edge.retry_decider import CUT_OFF_CODE, STOPPING_CODE
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.forwarding.problems import Problem, Ran, RefusalError
 from chestnutshift.steering.choice import Choice
@@ -45,6 +45,11 @@
         detail = reasons.unproven_table(self._state, now)
         return self._unserved(pending, OUTDATED_CODE, detail, 0)
 
+    def stopping(self, pending: PendingRequest, now: float) -> RefusalError:
+        """Refuse since this VM stops before the answer may be complete."""
+        detail = reasons.stopping(self._state.stop, pending.deadline, now)
+        return self._unserved(pending, STOPPING_CODE, detail, 0)
+
     def none_usable(self, pending: PendingRequest, now: float) -> RefusalError:
         """Refuse since no upstream may get the request now."""
         directory = self._state.directory
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -63,6 +63,11 @@
     _retries: RetryDecider
     _refusals: Refusals
 
+    def check_stop(self, pending: PendingRequest, now: float) -> None:
+        """Raise RefusalError if this VM stops before an answer is likely."""
+        estimate = self._service_time_estimate(pending.admitted)
+        self._check_stop(pending, estimate.mean_s, now)
+
     async def run(self, pending: PendingRequest) -> Reply:
         """Return an upstream's answer; raises RefusalError if there is none.
 
@@ -99,9 +104,13 @@
 
     async def _try_upstreams(self, pending: PendingRequest) -> Reply:
         estimate = self._service_time_estimate(pending.admitted)
+        stop = self._state.stop
         while True:
             end = await self._try_once(pending, estimate)
-            if not self._retries.may_retry(pending, end, boot_time()):
+            now = boot_time()
+            if not stop.can_finish(now, pending.deadline, estimate.mean_s):
+                break
+            if not self._retries.may_retry(pending, end, now):
                 break
         if end.kind is not EndKind.ANSWERED:
             raise self._refusals.after(pending, end)
@@ -116,6 +125,7 @@
 
         Raises RefusalError if neither can take it.
         """
+        self.check_stop(pending, boot_time())
         if pending.admitted.progress is not None:
             # A refusal may be the last one, and a slow service is no cut.
             await self._monitor.wait_while_silent()
@@ -129,11 +139,19 @@
             if peer is None:
                 raise
             return await self._peers.send(pending, peer)
+        self._check_stop(pending, choice.expected_s, boot_time())
         end = await self._attempt(pending, choice, estimate)
         if not end.is_partial_refusal:
             pending.avoided.add(choice.upstream)
         return end
 
+    def _check_stop(
+        self, pending: PendingRequest, expected_s: float, now: float
+    ) -> None:
+        stop = self._state.stop
+        if not stop.can_finish(now, pending.deadline, expected_s):
+            raise self._refusals.stopping(pending, now)
+
     def _peer_instead(self, pending: PendingRequest, now: float) -> Peer | None:
         """Return a peer if this VM should not send the request itself.
 
--- a/chestnutshift/edge/retry_decider.py
+++ b/chestnutshift/edge/retry_decider.py
@@ -11,6 +11,7 @@
 # retried.
 ATTEMPTS_TOTAL_MAX = 3
 CUT_OFF_CODE = 'upstreams.cut_off'
+STOPPING_CODE = 'vm.stopping'
 # Refusals of a peer that another peer may not share.
 PEER_REFUSALS_RETRIED = frozenset(
     (
@@ -21,6 +22,7 @@
         'table.unproven',
         'keys.stale',
         'crossing.refused',
+        STOPPING_CODE,
     )
 )
 _NOT_RUN = frozenset((EndKind.NOT_SENT, EndKind.NOT_RUN))
--- a/chestnutshift/edge/signals.py
+++ b/chestnutshift/edge/signals.py
@@ -38,7 +38,8 @@
         if number == signal.SIGHUP:
             self._settings_watch.request()
             return
-        self._state.stop.begin(boot_time())
+        grace_s = self._state.settings.bounds.grace_s
+        self._state.stop.begin(boot_time(), grace_s)
         self._state.phase = MemberPhase.STOPPING
         self._stopping.set()
         self._state.event_log.emit(events.STOPPING, signal=int(number))
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -1,17 +1,39 @@
 """Callers that go on sending while a VM process is stopped as planned."""
 
 import json
+import signal
 from typing import Any
 
 import trio
 
-from tests.processes.stop_callers import StoppingVm, stopping_vm
+from tests.callers.clients import Caller
+from tests.processes.callers import PORT
+from tests.processes.stop_callers import (
+    DEADLINE_MS,
+    StoppingVm,
+    request_id,
+    stopping_vm,
+)
+from tests.processes.stop_records import SENT_MAX_S, find_broken_off
 from tests.processes.upstreams import NAME
-from tests.processes.world import PAGE
+from tests.processes.world import PAGE, REPORT, SAFE, UPLOAD, raw_head
 
+OK = 200
+REFUSED = 503
 GRACE_S = 4
+# That of the users.
+LONG_GRACE_S = 6
 # Longer than the grace, and shorter than the timeout of the route.
 LONG = f'{PAGE}?work_s=8'
+# As long as the work of the users' reports on average, with their timeout.
+SLOW = f'{REPORT}?work_s=3.5'
+EARLY_S = 0.5
+LATE_S = 1.7
+AT_ONCE_S = 0.3
+LATE_SIGNAL_S = 0.7
+MARGIN_S = 0.1
+CALLERS = 3
+BODY_B = 20_000
 
 
 # The log gave the reason `closed` for what the end of a stop cut, and named no
@@ -39,3 +61,72 @@
     """Return the log lines of one event."""
     lines = map(json.loads, vm.world.vm.log_text.splitlines())
     return [line for line in lines if line['name'] == name]
+
+
+# LOST: a VM that stopped took requests that it could not finish, and cut them.
+def test_request_that_may_outlast_the_stop() -> None:
+    """It is refused at once, has not run, and its connection is closed."""
+    trio.run(_refuse_what_may_outlast_the_stop)
+
+
+async def _refuse_what_may_outlast_the_stop() -> None:
+    async with stopping_vm(GRACE_S) as vm:
+        vm.terminate()
+        await trio.sleep(EARLY_S)
+        refused = [await vm.ask(SLOW), await vm.ask(SLOW)]
+        served = await vm.ask(SAFE)
+        await trio.sleep_until(vm.stop.at + LATE_S)
+        refused.append(await vm.ask(LONG))
+        await vm.wait_for_exit()
+    assert served.status == OK
+    for request in refused:
+        assert request.status == REFUSED, request.describe(vm.stop)
+        assert request.request_id not in vm.upstream.works
+        assert request.ended_at - request.sent_at < AT_ONCE_S
+    assert not find_broken_off(vm.sent, vm.upstream.works)
+
+
+# LOST: a VM whose event loop was late with the signal took requests over 3 s
+# after it, and cut them.
+def test_signal_that_is_handled_late() -> None:
+    """What is sent over 3 s after the signal is not taken and then cut."""
+    trio.run(_stop_late)
+
+
+async def _stop_late() -> None:
+    async with stopping_vm(LONG_GRACE_S) as vm:
+        vm.world.vm.send_signal(signal.SIGSTOP)
+        vm.terminate()
+        await trio.sleep(LATE_SIGNAL_S)
+        vm.world.vm.send_signal(signal.SIGCONT)
+        await trio.sleep_until(vm.stop.at + SENT_MAX_S + MARGIN_S)
+        async with trio.open_nursery() as nursery:
+            for _ in range(CALLERS):
+                nursery.start_soon(vm.ask, SLOW)
+        await vm.wait_for_exit()
+    assert len(vm.sent) == CALLERS
+    assert not vm.lost(), vm.lost()
+
+
+# LOST: an upload whose body was still coming as the stop began was passed on
+# when there was no time left for it.
+def test_upload_that_is_whole_too_late() -> None:
+    """It is refused, and has not run."""
+    trio.run(_finish_upload_late)
+
+
+async def _finish_upload_late() -> None:
+    async with stopping_vm(GRACE_S) as vm:
+        stream = await trio.open_tcp_stream(vm.world.vm.address, PORT)
+        async with stream:
+            length = ('content-length', f'{BODY_B}')
+            target = f'{UPLOAD}?work_s=3'
+            head = raw_head('POST', target, length, deadline_ms=DEADLINE_MS)
+            await stream.send_all(head + bytes(BODY_B - 1))
+            vm.terminate()
+            await trio.sleep(LATE_S)
+            await stream.send_all(b'x')
+            answer = await Caller(stream).answer()
+        await vm.wait_for_exit()
+    assert answer.status == REFUSED
+    assert request_id(head) not in vm.upstream.works
