LOST: the end of a stop ends requests, not connections

Callers saw whole connections reset as the grace ended: with one request in progress, the whole answers that waited behind it and requests that had not run were lost.

Change: at 0.9 of the grace the work on each request in progress is cancelled, which the application turns into a refusal with a true word on its run (504 vm.stopped, or 503 vm.stopping if it was not sent); answers behind it follow in their order, and the connection ends in order. What is open at 0.95 is reset, as before. The second timer begins after the first, however late the event loop is.

Evidence: test_answers_behind_one_that_the_stop_ends and test_request_that_waits_until_the_stop_ends fail before. test_cut_requests_are_named played a cut that does not happen any more; it asks the same of the cut that remains, a streamed answer that its caller does not read, and the request behind it.

--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -75,7 +75,8 @@
         self._application = application
         self._stop = stop
         self._reader = RequestReader(self.read_ahead, limits, stop)
-        self._unanswered = UnansweredExchanges()
+        # The requests in progress, the oldest first.
+        self.unanswered = UnansweredExchanges()
         self._answered = trio.lowlevel.ParkingLot()
         # Set once the newest answer announces the end of the connection.
         self._is_closing = False
@@ -85,7 +86,7 @@
         self.disconnect_monitor = DisconnectMonitor(
             transport,
             self.read_ahead,
-            self._unanswered,
+            self.unanswered,
             half_close_is_disconnect=limits.half_close_is_disconnect,
         )
 
@@ -101,7 +102,7 @@
         it is the last one, unless requests behind it have arrived: their
         caller would get no answer to these.
         """
-        if self._unanswered[-1] is not exchange or self._refused is not None:
+        if self.unanswered[-1] is not exchange or self._refused is not None:
             return False
         is_ending = self._stop.is_stopping or self._reader.is_dropped
         if is_ending and not self._reader.may_read_on(_now()):
@@ -225,7 +226,7 @@
 
         Raises RefusalError if the last one can't be served.
         """
-        while not (self._unanswered and self._stop.is_late(_now())):
+        while not (self.unanswered and self._stop.is_late(_now())):
             head = await self._reader.next_head()
             if head is None or self._is_closing:
                 self._close_idle()
@@ -241,17 +242,17 @@
                 # Its body is on the connection before the next head.
                 await exchange.wait_for_turn()
                 await self._answer(exchange, nursery)
-            while len(self._unanswered) >= self.limits.pipelined_max:
+            while len(self.unanswered) >= self.limits.pipelined_max:
                 await self._answered.park()
             if not self._reader.advance():
                 return
 
     def _add_exchange(self, head: RequestHead) -> CallerExchange:
-        previous = self._unanswered[-1].done if self._unanswered else None
+        previous = self.unanswered[-1].done if self.unanswered else None
         exchange = CallerExchange(
-            self, self._reader.parser, head, previous, self._unanswered
+            self, self._reader.parser, head, previous, self.unanswered
         )
-        self._unanswered.append(exchange)
+        self.unanswered.append(exchange)
         self._reader.set_busy(True, _now())
         return exchange
 
@@ -265,12 +266,12 @@
             self._is_broken = self._is_broken or not is_answered
         finally:
             self.end.lost_count += not is_answered
-            self._unanswered.remove(exchange)
+            self.unanswered.remove(exchange)
             exchange.done.set()
             self._answered.unpark_all()
         if self._is_broken:
             nursery.cancel_scope.cancel()
-        elif not self._unanswered:
+        elif not self.unanswered:
             self._reader.set_busy(False, _now())
 
     async def _call_application(self, exchange: CallerExchange) -> bool:
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -45,6 +45,10 @@
 # The name of the ASGI extension that discards what has arrived of a body that
 # nobody reads any more. If that is all, the connection can go on.
 DISCARD_EXTENSION = 'chestnutshift.discard'
+# The name of the ASGI extension that sets the cancel scope of the work on the
+# request. It is cancelled as the VM ends what is in progress; the application
+# then refuses the request. Without one the connection is reset.
+WORK_EXTENSION = 'chestnutshift.work'
 
 BODILESS_STATUSES = frozenset((204, 304))
 _CLOSE = (b'connection', b'close')
@@ -96,6 +100,8 @@
         self.scope = trio.CancelScope()
         self.done = trio.Event()
         self.has_begun = False
+        # The scope of the application's work, if it has set one.
+        self.work: trio.CancelScope | None = None
         self._previous = previous
         self._is_abandoned = False
         self._connection = connection
@@ -168,6 +174,7 @@
                 WRITTEN_EXTENSION: self.write_held,
                 BEGUN_EXTENSION: lambda: self.has_begun,
                 DISCARD_EXTENSION: self._body.discard_arrived,
+                WORK_EXTENSION: partial(setattr, self, 'work'),
             },
             'state': {},
         }
--- a/chestnutshift/callers/limits.py
+++ b/chestnutshift/callers/limits.py
@@ -46,7 +46,10 @@
     refused_max: int = REFUSED_MAX
     # Connections that are accepted before other tasks run.
     batch_max: int = BATCH_MAX
+    # From the end of accepting until requests in progress are ended, and from
+    # then until their connections are reset.
     grace_s: float = defaults.GRACE_S
+    last_answers_s: float = 0
     idle_s: float = IDLE_S
     body_timeout_s: float = BODY_TIMEOUT_S
     linger_s: float = LINGER_S
--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -76,17 +76,15 @@
     ) -> None:
         """Serve until stopping is set, then finish requests in flight.
 
-        Answers that are incomplete after grace_s seconds are reset.
+        Those that are in progress after grace_s seconds are ended, and
+        connections that are open last_answers_s after that are reset.
         """
-        async with trio.open_nursery() as connections:
-            async with trio.open_nursery() as acceptors:
-                for listener in listeners:
-                    acceptors.start_soon(self._accept, listener, connections)
-                await stopping.wait()
-                acceptors.cancel_scope.cancel()
-            now = trio.current_time()
-            self.begin_stop(now)
-            connections.cancel_scope.deadline = now + self._limits.grace_s
+        async with trio.open_nursery() as ending:
+            async with trio.open_nursery() as connections:
+                await self._accept_until(stopping, listeners, connections)
+                self.begin_stop(trio.current_time())
+                ending.start_soon(self._end, connections.cancel_scope)
+            ending.cancel_scope.cancel()
 
     def begin_stop(self, now: float) -> None:
         """Close busy connections after their answer, idle ones soon."""
@@ -97,6 +95,30 @@
         for connection in self._open:
             connection.reader.close_idle(now + self._limits.stop_idle_s)
 
+    async def _accept_until(
+        self,
+        stopping: trio.Event,
+        listeners: list[Listener],
+        connections: trio.Nursery,
+    ) -> None:
+        async with trio.open_nursery() as acceptors:
+            for listener in listeners:
+                acceptors.start_soon(self._accept, listener, connections)
+            await stopping.wait()
+            acceptors.cancel_scope.cancel()
+
+    async def _end(self, connections: trio.CancelScope) -> None:
+        """End the requests in progress, then the connections.
+
+        Two timers could be due at once when the event loop is late; so the
+        second begins after the first.
+        """
+        await trio.sleep(self._limits.grace_s)
+        for connection in self._open:
+            connection.unanswered.end_work()
+        await trio.sleep(self._limits.last_answers_s)
+        connections.cancel()
+
     async def _accept(
         self, listener: Listener, connections: trio.Nursery
     ) -> None:
--- a/chestnutshift/callers/unanswered.py
+++ b/chestnutshift/callers/unanswered.py
@@ -14,6 +14,12 @@
         """Return whether requests behind the exchange are being served."""
         return self[-1] is not exchange
 
+    def end_work(self) -> None:
+        """Have applications end their work on the requests, if they can."""
+        for exchange in self:
+            if exchange.work is not None:
+                exchange.work.cancel()
+
     async def wait_for_streams(self, exchange: 'CallerExchange') -> None:
         """Wait until no answer before that of the exchange is streamed."""
         streamed = self._stream_before(exchange)
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -15,6 +15,7 @@
     FOLLOWED_EXTENSION,
     STREAM_EXTENSION,
     TURN_EXTENSION,
+    WORK_EXTENSION,
     WRITTEN_EXTENSION,
 )
 from chestnutshift.clocks import boot_time
@@ -31,6 +32,7 @@
 )
 from chestnutshift.edge.refusals import RETRY_AFTER_MIN_S
 from chestnutshift.edge.request_runner import RequestRunner
+from chestnutshift.edge.retry_decider import STOPPING_CODE
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import (
@@ -215,10 +217,12 @@
 
         One that has begun may be complete BEGUN_EXTENSION_S later. Raises
         RefusalError, MemoryFullError if the request has given way, and
-        StreamCutError if the time is over after a part of the answer was sent.
+        StreamCutError if the time is over after a part of the answer was sent,
+        or the VM stops then.
         """
         left_s = pending.deadline - boot_time()
         with trio.move_on_after(max(0, left_s)) as scope:
+            extensions[WORK_EXTENSION](scope)
             pending.memory.end = functools.partial(_give_way, pending, scope)
             until = scope.deadline + BEGUN_EXTENSION_S
             pending.writer.prolong = functools.partial(_prolong, scope, until)
@@ -229,11 +233,7 @@
             await self._gate.prepare(pending)
             return await self._run(pending)
         pending.memory.keep()
-        if pending.writer.has_begun():
-            raise StreamCutError(
-                'the deadline passed while the answer was streamed'
-            )
-        raise RefusalError(_deadline_problem(pending))
+        raise _end_of_work(pending, boot_time())
 
     async def _deliver(
         self,
@@ -287,6 +287,35 @@
     )
 
 
+def _end_of_work(
+    pending: PendingRequest, now: float
+) -> StreamCutError | RefusalError:
+    """Return why the answer is not complete: the deadline, or the stop."""
+    is_stopped = now < pending.deadline
+    if pending.writer.has_begun():
+        reason = 'the VM stopped' if is_stopped else 'the deadline passed'
+        return StreamCutError(f'{reason} while the answer was streamed')
+    if is_stopped:
+        return RefusalError(_stop_problem(pending))
+    return RefusalError(_deadline_problem(pending))
+
+
+def _stop_problem(pending: PendingRequest) -> Problem:
+    if pending.ran is Ran.NOT_RUN:
+        return Problem(
+            503,
+            STOPPING_CODE,
+            'the VM stopped before the request was sent',
+            retry_after_s=RETRY_AFTER_MIN_S,
+        )
+    return Problem(
+        GATEWAY_TIMEOUT_STATUS,
+        'vm.stopped',
+        'the VM stopped before the answer was complete',
+        Ran.UNKNOWN,
+    )
+
+
 def _deadline_problem(pending: PendingRequest) -> Problem:
     if pending.ran is Ran.NOT_RUN and not pending.sent_count:
         return Problem(
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -28,7 +28,7 @@
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.edge.starting import PortOpener
 from chestnutshift.edge.state import EdgeState
-from chestnutshift.edge.stopping import ACCEPT_RATIO, END_RATIO
+from chestnutshift.edge.stopping import ACCEPT_RATIO, END_RATIO, RESET_RATIO
 from chestnutshift.memory.sizes import affordable_connections
 
 # Idle connections stay open for requests this long after the stop began.
@@ -206,6 +206,7 @@
         refused_max=share.refused,
         batch_max=share.batch,
         grace_s=settings.bounds.grace_s * (END_RATIO - ACCEPT_RATIO),
+        last_answers_s=settings.bounds.grace_s * (RESET_RATIO - END_RATIO),
         find_waits=CallerWaits(state).find,
         stop_idle_s=STOP_IDLE_S,
         half_close_is_disconnect=True,
--- a/chestnutshift/edge/stopping.py
+++ b/chestnutshift/edge/stopping.py
@@ -5,9 +5,11 @@
 import attrs
 
 # Fractions of the grace period after which new connections are no longer
-# accepted, and after which what is still in progress is broken off.
+# accepted, after which requests in progress are refused, and after which the
+# connections are reset.
 ACCEPT_RATIO = 0.5
-END_RATIO = 0.95
+END_RATIO = 0.9
+RESET_RATIO = 0.95
 # From this fraction on, a request is taken only if its deadline is before the
 # end. The event loop of a busy VM is late with the signal and with requests.
 CERTAIN_RATIO = 0.4
--- a/chestnutshift/logs/lost_requests.py
+++ b/chestnutshift/logs/lost_requests.py
@@ -40,6 +40,7 @@
     TIMEOUT = 'timeout at an upstream'
     BROKEN = 'answer broken off'
     CALLER_LEFT = 'caller disconnected'
+    STOP = 'the VM stopped'
     LATE_WAIT = 'late: waited before it was sent'
     LATE_RETRY = 'late: an earlier attempt failed'
     LATE_QUEUE = 'late: queued at the upstream'
@@ -58,10 +59,13 @@
     'request.not_started': Cause.UNSENT,
     'request.deadline_passed': Cause.TIMEOUT,
     'upstreams.broken': Cause.BROKEN,
+    'vm.stopping': Cause.STOP,
+    'vm.stopped': Cause.STOP,
 }
 _CAUSE_OF_EVENT = {
     'request.aborted': Cause.BROKEN,
     'request.abandoned': Cause.CALLER_LEFT,
+    'request.cut': Cause.STOP,
 }
 
 
--- a/tests/processes/stop_callers.py
+++ b/tests/processes/stop_callers.py
@@ -36,10 +36,9 @@
         self.stop = Stop(trio.current_time(), self.grace_s)
         self.world.vm.send_signal(signal.SIGTERM)
 
-    async def wait_for_works(self, count: int) -> None:
-        """Wait until the upstream is at work on so many more requests."""
-        count += len(self.upstream.works)
-        while len(self.upstream.works) < count:
+    async def wait_for_targets(self, *targets: str) -> None:
+        """Wait until requests with these targets have been passed on."""
+        while not set(targets).issubset(self.upstream.targets):
             await trio.sleep(POLL_S)
 
     async def wait_for_exit(self) -> int:
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -15,11 +15,19 @@
     stopping_vm,
 )
 from tests.processes.stop_records import SENT_MAX_S, find_broken_off
-from tests.processes.upstreams import NAME
-from tests.processes.world import PAGE, REPORT, SAFE, UPLOAD, raw_head
+from tests.processes.world import (
+    PAGE,
+    REPORT,
+    SAFE,
+    UNSAFE,
+    UPLOAD,
+    raw_head,
+)
 
 OK = 200
 REFUSED = 503
+# An upstream was at work: nobody knows whether the request has run.
+BROKEN_OFF = 504
 GRACE_S = 4
 # That of the users.
 LONG_GRACE_S = 6
@@ -27,6 +35,9 @@
 LONG = f'{PAGE}?work_s=8'
 # As long as the work of the users' reports on average, with their timeout.
 SLOW = f'{REPORT}?work_s=3.5'
+# An answer that is streamed, longer than what kernels take.
+LARGE = f'{PAGE}?length_b=40000000'
+QUICK = f'{SAFE}?work_s=0'
 EARLY_S = 0.5
 LATE_S = 1.7
 AT_ONCE_S = 0.3
@@ -39,22 +50,77 @@
 # The log gave the reason `closed` for what the end of a stop cut, and named no
 # request: nothing led from a lost request to its cause.
 def test_cut_requests_are_named() -> None:
-    """A request that the end of the grace ends is named, with its age."""
+    """Those on a connection that the end of the grace resets are named."""
     trio.run(_name_what_is_cut)
 
 
 async def _name_what_is_cut() -> None:
-    async with stopping_vm(GRACE_S) as vm, trio.open_nursery() as nursery:
-        nursery.start_soon(vm.ask, LONG)
-        await vm.wait_for_works(1)
-        vm.terminate()
-        await vm.wait_for_exit()
+    async with stopping_vm(GRACE_S) as vm:
+        stream = await trio.open_tcp_stream(vm.world.vm.address, PORT)
+        streamed, behind = (
+            raw_head('GET', target, deadline_ms=DEADLINE_MS)
+            for target in (LARGE, QUICK)
+        )
+        async with stream:
+            # Nobody reads the answers.
+            await stream.send_all(streamed + behind)
+            await vm.wait_for_targets(LARGE, QUICK)
+            vm.terminate()
+            await vm.wait_for_exit()
+    aborted = _logged(vm, 'request.aborted')[0]
+    assert aborted['request'] == request_id(streamed)
+    assert 'the VM stopped' in aborted['detail']
     cut = _logged(vm, 'request.cut')[0]
-    assert cut['request'] == vm.sent[0].request_id
-    assert cut['upstream'] == NAME
+    assert cut['request'] == request_id(behind)
     assert GRACE_S / 2 < cut['stopping_s'] < cut['after_s']
     lost = _logged(vm, 'connection.lost')[0]
-    assert (lost['reason'], lost['requests']) == ('aborted', 1)
+    assert (lost['reason'], lost['requests']) == ('answer_broken', 2)
+    assert GRACE_S / 2 < lost['stopping_s']
+
+
+# LOST: the end of the grace reset each connection with a request in progress,
+# and the whole answers behind it with it.
+def test_answers_behind_one_that_the_stop_ends() -> None:
+    """Each request gets an answer: what is in progress a refusal."""
+    trio.run(_end_the_first)
+
+
+async def _end_the_first() -> None:
+    async with stopping_vm(GRACE_S) as vm, trio.open_nursery() as nursery:
+        nursery.start_soon(vm.send_ahead, (LONG, SAFE, SAFE, REPORT), 0)
+        await vm.wait_for_targets(LONG, REPORT)
+        vm.terminate()
+        await vm.wait_for_exit()
+    statuses = [request.status for request in vm.sent]
+    assert statuses == [BROKEN_OFF, OK, OK, OK]
+    assert not vm.lost(), vm.lost()
+    refused = _logged(vm, 'request.turned_down')[0]
+    assert (refused['code'], refused['ran']) == ('vm.stopped', 'unknown')
+
+
+# LOST: a request that must not run twice, and waited behind one in progress,
+# was lost at the end of the grace without a word that it had not run.
+def test_request_that_waits_until_the_stop_ends() -> None:
+    """It is told that it has not run, which is true."""
+    trio.run(_wait_for_the_end)
+
+
+async def _wait_for_the_end() -> None:
+    async with stopping_vm(GRACE_S) as vm:
+        stream = await trio.open_tcp_stream(vm.world.vm.address, PORT)
+        async with stream:
+            caller = Caller(stream)
+            first = raw_head('GET', LONG, deadline_ms=DEADLINE_MS)
+            length = ('content-length', '0')
+            unsafe = raw_head('POST', UNSAFE, length, deadline_ms=DEADLINE_MS)
+            await stream.send_all(first + unsafe)
+            await vm.wait_for_targets(LONG)
+            vm.terminate()
+            answers = [await caller.answer(), await caller.answer()]
+        await vm.wait_for_exit()
+    assert [answer.status for answer in answers] == [BROKEN_OFF, REFUSED]
+    assert answers[-1].headers['connection'] == 'close'
+    assert request_id(unsafe) not in vm.upstream.works
 
 
 def _logged(vm: StoppingVm, name: str) -> list[dict[str, Any]]:
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -36,7 +36,9 @@
             await answer(send, 200, b'', *HEALTH_HEADERS)
             return
         query = scope['query_string'].decode()
-        self.targets.append(f'{scope["path"]}?{query}')
+        self.targets.append(
+            f'{scope["path"]}?{query}' if query else scope['path']
+        )
         asked = {'pause_s': 0, 'work_s': 0, 'length_b': 0} | {
             name: float(texts[0]) for name, texts in parse_qs(query).items()
         }
