LOST: a VM that stops answers what comes behind a request in progress

Change: requests are read until shortly after the VM has ended those in progress. It decides for each whether it can still be finished; else it is refused, not run. The close is announced once nothing more has arrived.

--- a/chestnutshift/callers/limits.py
+++ b/chestnutshift/callers/limits.py
@@ -82,7 +82,8 @@
 class StopState:
     """Whether the VM is stopping; shared by all its connections.
 
-    Requests behind those in progress are read until reads_until.
+    Requests behind those in progress are read until reads_until, shortly after
+    those in progress have ended: the application refuses what it can't finish.
     """
 
     is_stopping: bool = False
--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -91,7 +91,6 @@
         if self._stop.is_stopping:
             return
         self._stop.is_stopping = True
-        self._stop.reads_until = now + self._limits.grace_s
         for connection in self._open:
             connection.reader.close_idle(now + self._limits.stop_idle_s)
 
@@ -114,9 +113,12 @@
         second begins after the first.
         """
         await trio.sleep(self._limits.grace_s)
+        last_answers_s = self._limits.last_answers_s
+        self._stop.reads_until = trio.current_time() + last_answers_s / 2
         for connection in self._open:
             connection.unanswered.end_work()
-        await trio.sleep(self._limits.last_answers_s)
+            connection.reader.close_idle(self._stop.reads_until)
+        await trio.sleep(last_answers_s)
         connections.cancel()
 
     async def _accept(
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -1,10 +1,12 @@
 """Callers that go on sending while a VM process is stopped as planned."""
 
+import itertools
 import json
 import signal
 from typing import Any
 
 import trio
+from nose2.tools import params
 
 from tests.callers.clients import Caller
 from tests.processes.callers import PORT
@@ -14,7 +16,11 @@
     request_id,
     stopping_vm,
 )
-from tests.processes.stop_records import SENT_MAX_S, find_broken_off
+from tests.processes.stop_records import (
+    LOSS_SLACK_S,
+    SENT_MAX_S,
+    find_broken_off,
+)
 from tests.processes.world import (
     PAGE,
     REPORT,
@@ -196,3 +202,34 @@
         await vm.wait_for_exit()
     assert answer.status == REFUSED
     assert request_id(head) not in vm.upstream.works
+
+
+# LOST: a VM that stopped did not read what came behind a request in progress,
+# and closed the connection after the answer: neither an answer nor a refusal.
+@params((LONG, 0.2), (f'{REPORT}?work_s=3', 0.05), (SLOW, 0.02))
+def test_requests_behind_one_in_progress(first: str, pause_s: float) -> None:
+    """Each that is sent before the close is announced gets an answer."""
+    trio.run(_send_behind, first, pause_s)
+
+
+async def _send_behind(first: str, pause_s: float) -> None:
+    async with stopping_vm(GRACE_S) as vm, trio.open_nursery() as nursery:
+        targets = (first, *itertools.repeat(SAFE, 400))
+        until = trio.current_time() + GRACE_S
+        nursery.start_soon(vm.send_ahead, targets, pause_s, until)
+        await vm.wait_for_targets(first)
+        vm.terminate()
+        await vm.wait_for_exit()
+    unanswered = [request for request in vm.sent if request.status is None]
+    # What crosses the close on its way is not read.
+    assert all(
+        request.ended_at - request.sent_at < LOSS_SLACK_S
+        for request in unanswered
+    ), [request.describe(vm.stop) for request in unanswered]
+    assert not vm.lost(), vm.lost()
+    late = [
+        request
+        for request in vm.sent
+        if request.sent_at > vm.stop.at + GRACE_S / 2
+    ]
+    assert late
