LOST: a VM that stops exits well within its grace

Cause (hypothesis 2): the connections were reset at 0.95 of the grace, as counted from when the signal was handled.

--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -26,6 +26,8 @@
 IDLE_MIN_S = 1.0
 # Idle connections are looked for once in this time, as that goes over all.
 SEARCH_PERIOD_S = 0.1
+# Part of the time for the last answers in which requests are read.
+LAST_READING_RATIO = 0.8
 
 Listener = BatchListener | trio.SSLListener
 # Told of an unexpected exception that ended a connection.
@@ -114,7 +116,8 @@
         """
         await trio.sleep(self._limits.grace_s)
         last_answers_s = self._limits.last_answers_s
-        self._stop.reads_until = trio.current_time() + last_answers_s / 2
+        reading_s = last_answers_s * LAST_READING_RATIO
+        self._stop.reads_until = trio.current_time() + reading_s
         for connection in self._open:
             connection.unanswered.end_work()
             connection.reader.close_idle(self._stop.reads_until)
--- a/chestnutshift/edge/stopping.py
+++ b/chestnutshift/edge/stopping.py
@@ -6,10 +6,11 @@
 
 # Fractions of the grace period after which new connections are no longer
 # accepted, after which requests in progress are refused, and after which the
-# connections are reset.
+# connections are reset. The process has to exit before the grace period is
+# over, also on a machine where all of this comes late.
 ACCEPT_RATIO = 0.5
-END_RATIO = 0.9
-RESET_RATIO = 0.95
+END_RATIO = 0.85
+RESET_RATIO = 0.92
 # From this fraction on, a request is taken only if its deadline is before the
 # end. The event loop of a busy VM is late with the signal and with requests.
 CERTAIN_RATIO = 0.4
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -48,6 +48,8 @@
 LATE_S = 1.7
 AT_ONCE_S = 0.3
 LATE_SIGNAL_S = 0.7
+# As much of the grace may be used, if nothing is late.
+EXIT_RATIO = 0.95
 MARGIN_S = 0.1
 CALLERS = 3
 BODY_B = 20_000
@@ -98,9 +100,10 @@
         vm.terminate()
         await vm.wait_for_exit()
     statuses = [request.status for request in vm.sent]
-    assert statuses == [BROKEN_OFF, OK, OK, OK]
+    assert statuses == [BROKEN_OFF, OK, OK, OK], statuses
     assert not vm.lost(), vm.lost()
-    refused = _logged(vm, 'request.turned_down')[0]
+    # Those before are of the VM's start.
+    refused = _logged(vm, 'request.turned_down')[-1]
     assert (refused['code'], refused['ran']) == ('vm.stopped', 'unknown')
 
 
@@ -233,3 +236,22 @@
         if request.sent_at > vm.stop.at + GRACE_S / 2
     ]
     assert late
+
+
+# LOST: on a busy machine a VM exited after its grace, when the platform sends
+# SIGKILL, and answers that had been sent were lost with unread bytes.
+def test_exit_is_well_within_the_grace() -> None:
+    """Also with a request in progress a part of the grace is left."""
+    trio.run(_exit_in_time)
+
+
+async def _exit_in_time() -> None:
+    async with stopping_vm(LONG_GRACE_S) as vm, trio.open_nursery() as nursery:
+        nursery.start_soon(vm.ask, LONG)
+        await vm.wait_for_targets(LONG)
+        vm.terminate()
+        assert await vm.wait_for_exit() == 0
+    assert vm.exited_at - vm.stop.at < LONG_GRACE_S * EXIT_RATIO
+    # An upstream is left at its work until the last sixth of the grace.
+    assert vm.sent[0].ended_at >= vm.stop.late_at
+    assert vm.sent[0].status == BROKEN_OFF
