Soak: stops under load, checked in the rule's own words

Cause: the soak excused every request that was sent up to 3 s after a SIGTERM and ended in the last sixth of the grace, whether or not its upstream was still at work; it did not ask for requests that a stop dropped without passing them on, nor for a refusal in place of work that was broken off; and hardly any request was alive at the end of a grace.

Change: upstreams record until when they were at work on each request, and only that excuses; what a stop drops or breaks off counts; stop_under_load has callers send long work (2 to 5.5 s, route timeout 5 s), and short requests behind it, until the process is gone.

--- a/tests/soak_edge/guarantees.py
+++ b/tests/soak_edge/guarantees.py
@@ -57,6 +57,11 @@
 # The last sixth of the settings' grace begins so long after a SIGTERM: what
 # an upstream still works at then may be broken off.
 GRACE_LATE_S = 4.0 * 5 / 6
+# A request that was not passed on is lost only if its connection ends so much
+# later than its last byte was sent.
+LOSS_SLACK_S = 0.2
+# The code by which a VM that stops breaks off what an upstream is at work on.
+STOPPED_CODE = 'vm.stopped'
 # From SIGTERM until this, a request is new enough for that.
 STOP_NEW_S = 3.0
 
@@ -288,26 +293,30 @@
 
 def find_lost_requests(
     sent_requests: Sequence[SentRequest],
-    passed_on: Container[str],
+    worked_until: Mapping[str, float],
     events: Mapping[str, Sequence[VmEvent]],
 ) -> list[str]:
     """Return lines for requests that VMs passed on and then never answered.
 
     Counted are those whose kept connection the VM closed before any byte of
-    the answer, while the caller waited. Excused is only a VM that was killed
-    meanwhile, or suspended up to the contact before, and a stop that ends its
-    grace. Around a SIGTERM or SIGHUP one is too many, otherwise four. events
+    the answer, while the caller waited, and those whose upstream's work the
+    end of a stop broke off. Excused is only a VM that was killed meanwhile, or
+    suspended up to the contact before, and a stop that ends its grace. Around
+    a SIGTERM or SIGHUP one is too many, otherwise four. worked_until is when
+    upstreams ended the work on each request that was passed on, by id. events
     are the signals that each VM got, by URL.
     """
     lost = [
         request
         for request in sent_requests
-        if request.is_closed and request.request_id in passed_on
+        if request.request_id in worked_until
+        and (request.is_closed or STOPPED_CODE in request.text)
     ]
     planned, others = [], []
     for request in lost:
         its_events = events_of(request, events.get(request.vm, ()))
-        if any(is_excuse(request, event) for event in its_events):
+        ended_at = worked_until[request.request_id]
+        if any(is_excuse(request, event, ended_at) for event in its_events):
             continue
         line = f'{request.request_id} was passed on by {request.vm} and closed'
         if any(_is_planned(request, event) for event in its_events):
@@ -319,6 +328,40 @@
     return planned + others
 
 
+def find_dropped_requests(
+    sent_requests: Sequence[SentRequest],
+    passed_on: Container[str],
+    events: Mapping[str, Sequence[VmEvent]],
+) -> list[str]:
+    """Return lines for requests that a stop dropped without a word.
+
+    They were not passed on, and got neither an answer nor a refusal, though
+    they had been sent whole for longer than the slack as their connection
+    ended.
+    """
+    return [
+        f'{request.request_id} was dropped by {request.vm} as it stopped, '
+        f'{request.ended_at - request.whole_at:.3f} s after it was sent'
+        for request in sent_requests
+        if _is_dropped(request)
+        and request.request_id not in passed_on
+        and _is_beside_stop(request, events.get(request.vm, ()))
+    ]
+
+
+def _is_dropped(request: SentRequest) -> bool:
+    is_late = request.ended_at - request.whole_at > LOSS_SLACK_S
+    return request.is_closed and is_late
+
+
+def _is_beside_stop(request: SentRequest, events: Sequence[VmEvent]) -> bool:
+    """Return whether the VM was told to stop, and not harmed besides."""
+    its_events = events_of(request, events)
+    return any(event.signal == signal.SIGTERM for event in its_events) and all(
+        event.signal in {signal.SIGTERM, signal.SIGHUP} for event in its_events
+    )
+
+
 def events_of(request: SentRequest, events: Sequence[VmEvent]) -> list[VmEvent]:
     """Return those up to the contact before the request, until its end."""
     return [
@@ -328,13 +371,20 @@
     ]
 
 
-def is_excuse(request: SentRequest, event: VmEvent) -> bool:
-    """Return whether a VM may close connections for this."""
+def is_excuse(
+    request: SentRequest, event: VmEvent, worked_until: float
+) -> bool:
+    """Return whether a VM may close connections for this.
+
+    The end of a stop is one only for what an upstream is still at work on in
+    the last sixth of the grace, if it was sent early enough.
+    """
     if event.signal == signal.SIGKILL:
         return event.at >= request.sent_at
     if event.signal == signal.SIGTERM:
         is_old = request.sent_at - event.at <= STOP_NEW_S
-        return is_old and request.ended_at - event.at >= GRACE_LATE_S
+        ended_at = min(request.ended_at, worked_until)
+        return is_old and ended_at - event.at >= GRACE_LATE_S
     return event.signal in {signal.SIGSTOP, signal.SIGCONT}
 
 
--- a/tests/soak_edge/losses.py
+++ b/tests/soak_edge/losses.py
@@ -8,6 +8,7 @@
 
 from tests.soak_edge.guarantees import (
     CONTACT_S,
+    LOSS_SLACK_S,
     RELOAD_S,
     SentRequest,
     events_of,
@@ -16,9 +17,7 @@
 from tests.soak_edge.upstreams import SoakUpstream
 from tests.soak_edge.vms import VmEvent
 
-# A request is lost only if its connection ends so much later than its last byte
-# was sent, or if it was passed on; not if it has used that part of its time.
-LOSS_SLACK_S = 0.2
+# Not lost is a request that has used that part of its time.
 USED_RATIO = 0.7
 # From a change of the route table, its confirmation and the settings' config.
 TABLE_SETTLED_S = RELOAD_S + 1
@@ -38,9 +37,12 @@
 
 @attrs.frozen
 class UpstreamRecords:
-    """Ids of requests that reached upstreams, and of those broken off there."""
+    """Requests that reached upstreams, and ids of those broken off there.
 
-    passed_on: Container[str]
+    worked_until is when the work on each that reached one ended, by id.
+    """
+
+    worked_until: Mapping[str, float]
     broken_off: Container[str]
 
 
@@ -48,17 +50,21 @@
     """Return the records; one that reached another later is not broken off."""
     arrived_at: dict[str, float] = {}
     broken_at: dict[str, float] = {}
+    worked_until: dict[str, float] = {}
     for upstream in upstreams:
         for arrival in upstream.arrivals:
             before = arrived_at.get(arrival.request_id, -math.inf)
             arrived_at[arrival.request_id] = max(before, arrival.at)
         broken_at |= upstream.broken_off
+        for request_id, ended_at in upstream.worked_until.items():
+            before = worked_until.get(request_id, -math.inf)
+            worked_until[request_id] = max(before, ended_at)
     broken_off = {
         request_id
         for request_id, at in broken_at.items()
         if at >= arrived_at[request_id]
     }
-    return UpstreamRecords(arrived_at, broken_off)
+    return UpstreamRecords(worked_until, broken_off)
 
 
 @attrs.frozen
@@ -87,12 +93,15 @@
     """
     problems = []
     for request in sent_requests:
-        if not _is_lost(request, upstream_records.passed_on):
+        if not _is_lost(request, upstream_records.worked_until):
             continue
         its_events = events_of(request, events.get(request.vm, ()))
         is_excused = (
             request.request_id in upstream_records.broken_off
-            or any(is_excuse(request, event) for event in its_events)
+            or any(
+                is_excuse(request, event, _work_end(request, upstream_records))
+                for event in its_events
+            )
             or any(_has_harmed(harm, request) for harm in impairments)
             or _has_used_time(request, changes)
         )
@@ -106,6 +115,11 @@
     return problems
 
 
+def _work_end(request: SentRequest, records: UpstreamRecords) -> float:
+    """Return when its work ended, long ago if it reached no upstream."""
+    return records.worked_until.get(request.request_id, -math.inf)
+
+
 def _is_lost(request: SentRequest, passed_on: Container[str]) -> bool:
     """Return whether a VM must have answered, and closed the connection."""
     if not (request.is_closed or request.is_cut):
--- a/tests/soak_edge/planned_work.py
+++ b/tests/soak_edge/planned_work.py
@@ -2,14 +2,16 @@
 
 import signal
 from collections.abc import Sequence
+from contextlib import suppress
 
 import trio
 
-from tests.soak_edge.connections import Connection
+from tests.soak_edge.connections import BROKEN, Connection, connected
 from tests.soak_edge.crowds import crowd, send_ahead
 from tests.soak_edge.deployment import SoakDeployment
-from tests.soak_edge.faults import FAULT_DURATION_S, FAULTS
+from tests.soak_edge.faults import FAULT_DURATION_S, FAULTS, STOP_TIMEOUT_S
 from tests.soak_edge.upstreams import SLOW_RATIO
+from tests.soak_edge.vms import SoakVm
 
 # What a timeout becomes a multiple of the first one, in turn.
 SHORT_RATIO = (0.06, 0.4)
@@ -27,6 +29,9 @@
 AHEAD = (1, 1, 1, 3, 8)
 PAUSE_S = (0, 0.03)
 SHORT_REQUESTS = (('/a/1', b''), ('/a/more/1', b''), ('/b/1', b'timed'))
+WORK_REQUESTS = (('/r/work', b''), ('/a/1', b''))
+STOP_CALLERS = (8, 40)
+BEFORE_STOP_S = (0, 0.5)
 LONG_REQUESTS = (('/a/long', b''), ('/b/long', b'timed'))
 
 
@@ -81,6 +86,39 @@
     await _answer_at_deadlines(deployment, (*SHORT_REQUESTS, *LONG_REQUESTS))
 
 
+@FAULTS.register('stop_under_load')
+async def stop_under_load(deployment: SoakDeployment) -> None:
+    """Stop a VM beside callers that send behind long work until it ends."""
+    rng = deployment.rng
+    vm = rng.choice(deployment.vms)
+    async with trio.open_nursery() as nursery:
+        for _ in range(rng.randint(*STOP_CALLERS)):
+            nursery.start_soon(_send_behind_work, deployment, vm)
+        await trio.sleep(rng.uniform(*BEFORE_STOP_S))
+        vm.send_signal(signal.SIGTERM)
+        with trio.move_on_after(STOP_TIMEOUT_S):
+            while vm.is_running:
+                await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    vm.kill()
+    vm.start()
+
+
+async def _send_behind_work(deployment: SoakDeployment, vm: SoakVm) -> None:
+    """Send a long request and short ones behind it, again and again."""
+    rng = deployment.rng
+    while True:
+        drawn = [(*rng.choice(WORK_REQUESTS), LONG_DEADLINE_MS * 2)]
+        drawn += [
+            (*rng.choice(SHORT_REQUESTS), LONG_DEADLINE_MS * 2)
+            for _ in range(rng.choice(AHEAD) - 1)
+        ]
+        with suppress(trio.TooSlowError, *BROKEN):
+            async with connected(deployment, vm) as connection:
+                await send_ahead(connection, drawn)
+        await trio.sleep(rng.uniform(*BEFORE_STOP_S))
+
+
 async def _answer_at_deadlines(
     deployment: SoakDeployment, requests: Sequence[tuple[str, bytes]]
 ) -> None:
--- a/tests/soak_edge/route_tables.py
+++ b/tests/soak_edge/route_tables.py
@@ -47,6 +47,7 @@
 ROUTES = (
     Route('search', '/a/', 'safe', 1.5, '600ms', 2, 2),
     Route('book', '/b/', 'unsafe', 2.5, '800ms', 1, 1),
+    Route('report', '/r/', 'safe', 5, '2s', 2, 2),
     Route('upload', '/u/', 'upload', 15, '5s', 1, 1),
 )
 # What it takes from search while it is there, callers always have a route.
--- a/tests/soak_edge/runner.py
+++ b/tests/soak_edge/runner.py
@@ -26,6 +26,7 @@
     find_broken_guarantees,
     find_broken_wishes,
     find_crash_repeats,
+    find_dropped_requests,
     find_excess_repeats,
     find_exceeded_limits,
     find_lost_requests,
@@ -155,15 +156,18 @@
     outcome.problems += find_older_refusals(
         deployment.sent_requests, deployment.issued_keys
     )
+    records = read_records(deployment.upstreams.values())
+    vm_events = {vm.callers_url: vm.events for vm in deployment.vms}
     outcome.problems += find_lost_requests(
-        deployment.sent_requests,
-        {arrival.request_id for arrival in arrivals},
-        {vm.callers_url: vm.events for vm in deployment.vms},
+        deployment.sent_requests, records.worked_until, vm_events
+    )
+    outcome.problems += find_dropped_requests(
+        deployment.sent_requests, records.worked_until, vm_events
     )
     outcome.problems += find_lost_beside_tables(
         deployment.sent_requests,
-        read_records(deployment.upstreams.values()),
-        {vm.callers_url: vm.events for vm in deployment.vms},
+        records,
+        vm_events,
         deployment.tables.changes,
         deployment.impairments,
     )
--- a/tests/soak_edge/test_guarantees.py
+++ b/tests/soak_edge/test_guarantees.py
@@ -16,6 +16,7 @@
     find_broken_guarantees,
     find_broken_wishes,
     find_crash_repeats,
+    find_dropped_requests,
     find_excess_repeats,
     find_exceeded_limits,
     find_lost_requests,
@@ -44,6 +45,10 @@
 )
 
 
+# r1 reached an upstream, which is at work on it.
+WORKED = {'r1': math.inf}
+
+
 def booking(
     status: int | None, key: str = 'k1', sent_at: float = 1
 ) -> SentRequest:
@@ -137,21 +142,23 @@
 
 
 def find_lost(
-    request: SentRequest, *events: tuple[float, signal.Signals]
+    request: SentRequest,
+    *events: tuple[float, signal.Signals],
+    worked_until: float = math.inf,
 ) -> list[str]:
     """Return what is found if the request reached an upstream."""
     sent = [VmEvent(*event) for event in events]
-    return find_lost_requests([request], {'r1'}, {VM: sent})
+    return find_lost_requests([request], {'r1': worked_until}, {VM: sent})
 
 
 def test_closed_requests_of_a_sound_vm() -> None:
     """Three are free; one that reached no upstream does not count."""
     closed = list(repeat(CLOSED, 4))
-    assert find_lost_requests(closed, {'r1'}, {})
-    assert not find_lost_requests(closed[:3], {'r1'}, {})
-    assert not find_lost_requests(closed, {'r2'}, {})
+    assert find_lost_requests(closed, WORKED, {})
+    assert not find_lost_requests(closed[:3], WORKED, {})
+    assert not find_lost_requests(closed, {'r2': math.inf}, {})
     answered = attrs.evolve(CLOSED, is_closed=False)
-    assert not find_lost_requests(repeat(answered, 4), {'r1'}, {})
+    assert not find_lost_requests(repeat(answered, 4), WORKED, {})
 
 
 def test_closed_requests_around_a_stop() -> None:
@@ -164,6 +171,45 @@
     assert find_lost(attrs.evolve(late, sent_at=13.2), (10.0, signal.SIGTERM))
 
 
+# LOST: whatever a stop cut late in its grace was excused, also answers that
+# were ready.
+def test_work_that_had_ended_before_the_cut() -> None:
+    """Excused is only what an upstream was at work on in the last sixth."""
+    late = attrs.evolve(CLOSED, ended_at=13.5)
+    stop = (10.0, signal.SIGTERM)
+    assert not find_lost(late, stop, worked_until=13.4)
+    assert find_lost(late, stop, worked_until=13.2)
+
+
+def test_work_that_a_stop_breaks_off() -> None:
+    """An answer of the VM's own in its place is the same as none."""
+    text = '{"code": "vm.stopped"}'
+    refused = attrs.evolve(CLOSED, is_closed=False, status=504, text=text)
+    stop = (9.0, signal.SIGTERM)
+    assert find_lost(refused, stop)
+    assert not find_lost(attrs.evolve(refused, ended_at=12.4), stop)
+    assert not find_lost(attrs.evolve(refused, text='answer to r1'), stop)
+
+
+# LOST: what a stop dropped without passing it on was not asked for.
+@params(
+    (10.7, signal.SIGTERM, True),
+    (10.9, signal.SIGTERM, False),
+    (math.inf, signal.SIGTERM, False),
+    (10.7, signal.SIGKILL, False),
+    (10.7, signal.SIGHUP, False),
+)
+def test_requests_that_a_stop_drops(
+    whole_at: float, number: signal.Signals, is_dropped: bool
+) -> None:
+    """They were sent whole for longer than the slack, and not passed on."""
+    request = attrs.evolve(CLOSED, whole_at=whole_at)
+    events = {VM: [VmEvent(9, number)]}
+    found = find_dropped_requests([request], {}, events)
+    assert bool(found) is is_dropped
+    assert not find_dropped_requests([request], WORKED, events)
+
+
 def test_closed_requests_of_a_vm_that_was_killed() -> None:
     """They end with it, also while it stops."""
     stop = (9.0, signal.SIGTERM)
@@ -223,7 +269,7 @@
     """Return what is found beside CHANGES if it reached an upstream."""
     return find_lost_beside_tables(
         [request],
-        records or UpstreamRecords({'r1'}, ()),
+        records or UpstreamRecords({'r1': math.inf}, ()),
         {VM: events},
         CHANGES,
         impairments,
@@ -258,7 +304,7 @@
 ) -> None:
     """They count later than the slack after their last byte."""
     request = attrs.evolve(LOST, whole_at=whole_at)
-    records = UpstreamRecords((), ())
+    records = UpstreamRecords({}, ())
     assert bool(find_beside(request, records=records)) is is_lost
     assert find_beside(request)
 
@@ -292,9 +338,9 @@
 
 def test_lost_requests_that_an_upstream_broke_off() -> None:
     """The upstream's end excuses."""
-    records = UpstreamRecords({'r1'}, {'r1'})
+    records = UpstreamRecords({'r1': math.inf}, {'r1'})
     assert not find_beside(LOST, records=records)
-    others = UpstreamRecords({'r1'}, {'r2'})
+    others = UpstreamRecords({'r1': math.inf}, {'r2'})
     assert find_beside(LOST, records=others)
 
 
@@ -310,8 +356,10 @@
     first.arrivals.append(Arrival('i-0', '', 'r1', 10))
     first.broken_off['r1'] = 10.2
     second.arrivals.append(Arrival('i-1', '', 'r1', later_at))
+    first.worked_until['r1'] = 10.2
+    second.worked_until['r1'] = later_at
     records = read_records((first, second))
-    assert 'r1' in records.passed_on
+    assert records.worked_until == {'r1': max(10.2, later_at)}
     assert ('r1' in records.broken_off) is is_broken_off
 
 
--- a/tests/soak_edge/upstreams.py
+++ b/tests/soak_edge/upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams of the soak, which record their runs and fail at random."""
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -21,6 +22,9 @@
 PROCESSING_S = (0.005, 0.08)
 SLOW_RATIO = 0.03
 SLOW_PROCESSING_S = 2.0
+# A request whose path contains this takes as long as what a stop may cut.
+WORK_MARK = 'work'
+WORK_S = (2.0, 5.5)
 # A request whose path contains this gets an answer that VMs stream.
 LONG_MARK = 'long'
 LONG_ANSWER_B = 400_000
@@ -102,7 +106,8 @@
     that it leaves if is_leaving is set. Refusals ask for a pause of pause_s.
     slow_ratio of the requests take long, deadline_ratio until about the
     deadline that it is told. broken_off are the times at which it broke
-    requests off, by id.
+    requests off, by id, worked_until those until which it was at work on them,
+    infinite while it is.
     on_crash is called with the name when a crashing request arrives, or midway
     through its answer if crashes_midway is set. arrivals and told are recorded
     where VMs have links of their own.
@@ -119,6 +124,7 @@
     slow_ratio: float = SLOW_RATIO
     deadline_ratio: float = 0
     broken_off: dict[str, float] = attrs.field(factory=dict)
+    worked_until: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[Arrival] = attrs.field(factory=list)
     told: list[Told] = attrs.field(factory=list)
     _at_work: set[str] = attrs.field(factory=set)
@@ -147,6 +153,7 @@
             Arrival(self.name, vm, request_id, time.monotonic())
         )
         self._at_work.add(request_id)
+        self.worked_until[request_id] = math.inf
         path, deadline_ms = scope['path'], headers[DEADLINE_HEADER]
         work = Work(
             request_id,
@@ -160,6 +167,7 @@
             await self._serve_work(work, send)
         finally:
             self._at_work.discard(request_id)
+            self.worked_until[request_id] = time.monotonic()
 
     def end_delays(self) -> None:
         """Take no longer than usual any more."""
@@ -210,6 +218,8 @@
         self.told.append(Told(self.name, vm, time.monotonic(), pause_s))
 
     async def _run(self, work: Work, send: Any, draw: float) -> None:
+        if WORK_MARK in work.path:
+            await trio.sleep(self.rng.uniform(*WORK_S))
         keeps_deadline = self.rng.random() < self.deadline_ratio
         if keeps_deadline:
             late_s = self.rng.uniform(*AT_DEADLINE_S)
