LOST: an upstream that resets before the turn of its long answer

Cause: what waits for its turn is read no further, so the reset was seen only after the first part had been written.

Change: between the turn and the first byte the connection is looked at once more. A reset there is a broken attempt of which nothing was sent: it is tried again or refused.

--- a/chestnutshift/edge/answer_writer.py
+++ b/chestnutshift/edge/answer_writer.py
@@ -24,15 +24,16 @@
     request_id, account and route identify the request once they are known,
     timeout_s is how long it may take, upstream where it is at work. has_begun
     tells whether bytes of the answer were sent; until then `start` may begin
-    another one. is_ready tells whether it has the whole answer, is_for_peer
-    whether a peer passed the request on. prolong is called as an answer begins
-    whose end is still to come.
+    another one. wait_for_turn returns once the answers before it on its
+    connection are written. is_ready tells whether it has the whole answer,
+    is_for_peer whether a peer passed the request on. prolong is called as an
+    answer begins whose end is still to come.
     """
 
     _send: Send
     _dialect: Dialect
     has_begun: Callable[[], bool]
-    _wait_for_turn: Callable[[], Awaitable[None]]
+    wait_for_turn: Callable[[], Awaitable[None]]
     request_id: str = ''
     account: str = ''
     route: str = ''
@@ -55,7 +56,7 @@
     async def write_part(self, content: bytes, is_last: bool) -> None:
         """Send the next part of the body."""
         if not is_last and not self.has_begun():
-            await self._wait_for_turn()
+            await self.wait_for_turn()
             self.prolong()
         await self._send(
             {
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -138,10 +138,6 @@
 RecordHead = Callable[[int, AnswerFacts], None]
 
 
-def _never() -> bool:
-    return False
-
-
 class StreamCutError(Exception):
     """A streamed answer broke off; the caller's connection is aborted."""
 
@@ -159,7 +155,9 @@
     _record_head: RecordHead
     _memory: Reservation
     # Whether requests behind this one on the connection are at work.
-    _is_followed: Callable[[], bool] = _never
+    _is_followed: Callable[[], bool]
+    # Returns once the answers before it are written.
+    _wait_for_turn: Callable[[], Awaitable[None]]
     end: AttemptEnd | None = None
     _chunks: list[bytes] = attrs.field(factory=list)
     _length_b: int = 0
@@ -208,6 +206,9 @@
         headers = self._dialect.caller_headers(answer.headers)
         await self._start_answer(answer.status, headers)
         self._chunks.append(part.content)
+        await self._wait_for_turn()
+        # Until its first byte is sent, another answer can take its place.
+        answer.check_unbroken()
         await self._stream(self._take_chunks())
         return False
 
--- a/chestnutshift/edge/passing_on.py
+++ b/chestnutshift/edge/passing_on.py
@@ -263,6 +263,7 @@
             _ignore_head,
             pending.memory,
             pending.is_followed,
+            pending.writer.wait_for_turn,
         )
 
     def _log_sent(self, pending: PendingRequest, vm: str, now: float) -> None:
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -310,6 +310,7 @@
             functools.partial(self._observer.record_head, upstream, watched),
             pending.memory,
             pending.is_followed,
+            pending.writer.wait_for_turn,
         )
         is_idempotent = pending.admitted.route.is_idempotent
         with watched.scope if is_idempotent else nullcontext():
--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -17,7 +17,11 @@
 
 from chestnutshift.conf import defaults
 from chestnutshift.exceptions import CodedError
-from chestnutshift.upstreams.connection_end import SendProgress, find_reset
+from chestnutshift.upstreams.connection_end import (
+    SendProgress,
+    find_reset,
+    has_reset_arrived,
+)
 
 READ_B = 65_536
 # Interim (1xx) answers that may come before the final one.
@@ -116,6 +120,14 @@
         """Wait for more body bytes; raises ExchangeBrokenError."""
         return await self._connection.receive()
 
+    def check_unbroken(self) -> None:
+        """Raise ExchangeLostError if the upstream has reset the connection.
+
+        Its rest is not read while nobody takes what has come.
+        """
+        if has_reset_arrived(self._connection.socket):
+            raise ExchangeLostError('the upstream reset the connection')
+
 
 def enable_tcp_keepalive(
     sock: trio.socket.SocketType,
@@ -139,6 +151,7 @@
         options: ConnectionOptions = DEFAULT_OPTIONS,
     ) -> None:
         """Take ownership of a stream that has just connected."""
+        self.socket = stream.socket
         self._stream = stream
         self._options = options
         self._h11 = h11.Connection(
--- a/chestnutshift/upstreams/connection_end.py
+++ b/chestnutshift/upstreams/connection_end.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import select
 import socket
 from collections.abc import Callable
 
@@ -52,6 +53,17 @@
         return has_tried and now - max(self.written_at, ended_at) >= RESET_S
 
 
+def has_reset_arrived(sock: trio.socket.SocketType) -> bool:
+    """Return whether the other side has reset the connection.
+
+    It is reported to the task that reads or sends next, all the same.
+    """
+    poll = select.poll()
+    # Errors are reported whatever is asked for.
+    poll.register(sock, 0)
+    return any(found & select.POLLERR for _, found in poll.poll(0))
+
+
 async def find_reset(
     progress: SendProgress,
     sock: trio.socket.SocketType,
