--- a/tests/processes/test_world.py
+++ b/tests/processes/test_world.py
@@ -18,5 +18,5 @@
             await world.wait_until_served(vm)
             for path in (UNSAFE, UPLOAD):
                 answer = await world.ask(vm, path, b'body')
-                assert answer.status_code == OK
+                assert answer.status_code == OK, answer.text
             assert 0 < vm.resident_b <= vm.resident_peak_b
