LOST: a grace that a reload shortened counts for connections too

After a reload from 30 s to 4 s a VM that was told to stop went on until its request in progress was answered, 8 s, beyond its grace: there the platform sends SIGKILL.

Cause: found by reading; the times of the ports were taken from the settings of the start, the end of accepting from those in force.

Change: the ports get the times as the stop begins.

--- a/chestnutshift/callers/listener.py
+++ b/chestnutshift/callers/listener.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from contextlib import closing
 
+import attrs
 import trio
 
 from chestnutshift.callers.accepting import (
@@ -88,6 +89,12 @@
                 ending.start_soon(self._end, connections.cancel_scope)
             ending.cancel_scope.cancel()
 
+    def set_grace(self, grace_s: float, last_answers_s: float) -> None:
+        """Set the times of a stop that is about to begin, see CallerLimits."""
+        self._limits = attrs.evolve(
+            self._limits, grace_s=grace_s, last_answers_s=last_answers_s
+        )
+
     def begin_stop(self, now: float) -> None:
         """Close busy connections after their answer, idle ones soon."""
         if self._stop.is_stopping:
--- a/chestnutshift/edge/ports.py
+++ b/chestnutshift/edge/ports.py
@@ -170,9 +170,14 @@
         stop_serving: trio.Event,
     ) -> None:
         await self._stopping.wait()
+        # As of now: a reload may have changed it.
+        grace_s = self._state.settings.bounds.grace_s
         for listener in listeners:
+            listener.set_grace(
+                grace_s * (END_RATIO - ACCEPT_RATIO),
+                grace_s * (RESET_RATIO - END_RATIO),
+            )
             listener.begin_stop(trio.current_time())
-        grace_s = self._state.settings.bounds.grace_s
         await trio.sleep(grace_s * ACCEPT_RATIO)
         stop_serving.set()
 
@@ -205,8 +210,6 @@
         ),
         refused_max=share.refused,
         batch_max=share.batch,
-        grace_s=settings.bounds.grace_s * (END_RATIO - ACCEPT_RATIO),
-        last_answers_s=settings.bounds.grace_s * (RESET_RATIO - END_RATIO),
         find_waits=CallerWaits(state).find,
         stop_idle_s=STOP_IDLE_S,
         half_close_is_disconnect=True,
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -37,6 +37,7 @@
 GRACE_S = 4
 # That of the users.
 LONG_GRACE_S = 6
+RELOADED_GRACE_S = 30
 # Longer than the grace, and shorter than the timeout of the route.
 LONG = f'{PAGE}?work_s=8'
 # As long as the work of the users' reports on average, with their timeout.
@@ -255,3 +256,29 @@
     # An upstream is left at its work until the last sixth of the grace.
     assert vm.sent[0].ended_at >= vm.stop.late_at
     assert vm.sent[0].status == BROKEN_OFF
+
+
+# LOST: a grace that a reload had shortened did not count for connections: the
+# process outlasted it, and was killed with requests in progress.
+def test_grace_that_a_reload_shortened() -> None:
+    """The next stop goes by it."""
+    trio.run(_stop_after_reload)
+
+
+async def _stop_after_reload() -> None:
+    async with stopping_vm(RELOADED_GRACE_S) as vm:
+        settings = vm.world.vm.settings
+        shorter = settings.read_text().replace(
+            f'grace = "{RELOADED_GRACE_S}s"', f'grace = "{GRACE_S}s"'
+        )
+        settings.write_text(shorter)
+        vm.world.vm.send_signal(signal.SIGHUP)
+        while not _logged(vm, 'edge.reloaded'):
+            await trio.sleep(MARGIN_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(vm.ask, LONG)
+            await vm.wait_for_targets(LONG)
+            vm.terminate()
+            await vm.wait_for_exit()
+    assert vm.exited_at - vm.stop.at < GRACE_S
+    assert vm.sent[0].status == BROKEN_OFF
