LOST: the first product refuses what is in progress as its grace ends

The end of the grace reset the connection of each request in progress, with no word on its run.

Change: at 0.9 of the grace the work is cancelled, and the request refused: 504 vm.stopped with a true word on its run. The rest of the grace is for the answers.

Evidence: tests.forwarding.test_stops fails before; tests.scenarios (9) pass.

--- a/chestnutshift/forwarding/application.py
+++ b/chestnutshift/forwarding/application.py
@@ -1,12 +1,13 @@
 """The ASGI application that serves callers' requests."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from typing import Any
 
 import attrs
 import trio
 
-from chestnutshift.callers.exchange import BEGUN_EXTENSION
+from chestnutshift.callers.exchange import BEGUN_EXTENSION, WORK_EXTENSION
 from chestnutshift.events.log import EventLog
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding import events
@@ -65,7 +66,7 @@
             request, send, scope['extensions'][BEGUN_EXTENSION]
         )
         try:
-            await self._serve(execution, receive)
+            await self._serve(execution, receive, scope['extensions'])
         except (CallerDisconnectedError, trio.Cancelled):
             # CallerConnection cancels the request of a caller that disconnects.
             self._event_log.emit(
@@ -113,6 +114,7 @@
         self,
         execution: RequestExecution,
         receive: Receive,
+        extensions: Mapping[str, Any],
     ) -> None:
         now = trio.current_time()
         accepted = self._acceptor.accept(execution.request, now)
@@ -121,10 +123,11 @@
         execution.admitted = True
         body = RequestBody(receive, accepted.preset.body_limit_b)
         scope = trio.CancelScope(deadline=accepted.deadline)
+        extensions[WORK_EXTENSION](scope)
         with self._cancelled_on_key_refusal(accepted.identity, scope), scope:
             await self._run(accepted, execution, body)
         if scope.cancelled_caught and not execution.finished:
-            raise RefusalError(_deadline_passed(execution.ran))
+            raise RefusalError(_end_of_work(execution.ran, accepted.deadline))
         await execution.deliver()
         self._measures.answered(
             accepted.service.name,
@@ -195,7 +198,7 @@
             self._claimed_scopes.discard(shield)
             job.claim_tracker.end()
         if shield.cancelled_caught and not job.execution.finished:
-            raise RefusalError(_deadline_passed(job.execution.ran))
+            raise RefusalError(_end_of_work(job.execution.ran, deadline))
 
     async def _begin_claim(
         self,
@@ -241,7 +244,12 @@
     )
 
 
-def _deadline_passed(ran: Ran) -> Problem:
+def _end_of_work(ran: Ran, deadline: float) -> Problem:
+    """Return why the work on a request was ended: its deadline, or a stop."""
+    if trio.current_time() < deadline:
+        return Problem(
+            504, 'vm.stopped', 'the VM stopped before the answer began', ran
+        )
     return Problem(
         504,
         'request.deadline_passed',
--- a/chestnutshift/vms/serving.py
+++ b/chestnutshift/vms/serving.py
@@ -26,6 +26,9 @@
 from chestnutshift.vms.state import VmState
 
 BACKLOG = 512
+# Fraction of the grace after which requests in progress are refused; those that
+# have ended by then are answered in the rest of it.
+REQUESTS_RATIO = 0.9
 
 
 def make_callers_application(
@@ -81,7 +84,8 @@
         header_limit_b=callers.header_limit_b,
         header_timeout_s=callers.header_timeout_s,
         connections_max=callers.connections_max,
-        grace_s=state.settings.grace_s,
+        grace_s=state.settings.grace_s * REQUESTS_RATIO,
+        last_answers_s=state.settings.grace_s * (1 - REQUESTS_RATIO),
     )
     listeners = await open_listeners(
         callers.address,
