--- a/chestnutshift/edge/process.py
+++ b/chestnutshift/edge/process.py
@@ -105,8 +105,10 @@
             nursery.cancel_scope.cancel()
         if isinstance(opened, StartError):
             raise opened
-        stopped_after_s = state.stop.age_s(boot_time())
-        state.event_log.emit(events.STOPPED, after_s=stopped_after_s)
+        stopping_s = state.stop.age_s(boot_time())
+        if stopping_s is not None:
+            stopping_s = round(stopping_s, 3)
+        state.event_log.emit(events.STOPPED, after_s=stopping_s)
         self._lines.flush()
 
     def _raise_descriptor_limit(self) -> None:
