--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -170,7 +170,7 @@
 
 def make_settings(store_port: int) -> EdgeSettings:
     """Return settings of a VM on free ports."""
-    ports = [free_port() for _ in range(6)]
+    ports = free_ports(6)
     return EdgeSettings(
         vm='vm-1',
         address=ADDRESS,
@@ -189,6 +189,14 @@
     )
 
 
+def free_ports(count: int) -> list[int]:
+    """Return so many TCP ports that are free at the moment, each once."""
+    ports: set[int] = set()
+    while len(ports) < count:
+        ports.add(free_port())
+    return list(ports)
+
+
 def free_port() -> int:
     """Return a TCP port that is free at the moment.
 
