--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,8 +2,7 @@
 # Build the stand-ins of the second review: they are Python and need no
 # library, so it is enough that they compile.
 cd "$(dirname "$0")/.." || exit 1
-for number in 6 7 8 9 10; do
-    if [ -f "review/$number/play.py" ]; then
-        python3 -m py_compile review/world2.py "review/$number/play.py" || exit 1
-    fi
+for file in review/world2.py review/6/play.py review/7/play.py \
+    review/8/play.py review/9/play.py review/10/play.py; do
+    python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file" || exit 1
 done
--- a/review/world2.py
+++ b/review/world2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import struct
@@ -432,6 +433,7 @@
         if expected not in (None, self.name):
             writer.write(format_answer(421, self.facts()))
             return
+        self.world.record.write(f'{self.name} runs {arrival.request_id}')
         self.running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -602,6 +604,7 @@
         """Send one request to a VM over a new channel; return the Answer."""
         self._count += 1
         answer = Answer(f'{vm.name}.{self._count}', now())
+        self.record.write(f'request {answer.request_id} {path} is sent')
         limit_s = options.get('limit_s', 4.0)
         try:
             await asyncio.wait_for(
@@ -736,9 +739,15 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+def _end(_number, _frame):
+    sys.exit(COULD_NOT_RUN)
+
+
 def run(folder, play):
     """Play a case, and exit as the review asks."""
     world = World(folder)
+    # The processes are ended below, also if this one is to end early.
+    signal.signal(signal.SIGTERM, _end)
 
     async def play_and_stop():
         try:
@@ -754,6 +763,9 @@
     finally:
         for vm in world.vms:
             vm.end()
+        left = [vm.name for vm in world.vms if vm.process.poll() is None]
+        world.record.write(f'processes left: {left}')
+        shutil.rmtree(world.folder, ignore_errors=True)
     world.record.say('the rule was broken' if is_broken else 'the rule held')
     world.record.close()
     sys.exit(BROKEN if is_broken else HELD)
