--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -13,6 +13,8 @@
 from chestnutshift.steering.upstreams import LoadReport
 from chestnutshift.upstreams.connection import OutboundRequest
 
+_BODILESS_METHODS = frozenset((b'GET', b'HEAD'))
+
 
 @attrs.frozen
 class InboundRequest:
@@ -35,6 +37,18 @@
     key: str | None = None
     length_b: int | None = None
 
+    def framing_headers(self, body_b: int | None) -> Headers:
+        """Return the headers that frame the body for an upstream.
+
+        body_b is its length, None for a body that is still being received.
+        """
+        if body_b is None and self.length_b is None:
+            return [(b'transfer-encoding', b'chunked')]
+        length_b = self.length_b if body_b is None else body_b
+        if length_b or body_b is None or self.method not in _BODILESS_METHODS:
+            return [(b'content-length', b'%d' % length_b)]
+        return []
+
 
 @attrs.frozen
 class AnswerFacts:
--- a/chestnutshift/platform/durations.py
+++ b/chestnutshift/platform/durations.py
@@ -1,22 +1,26 @@
 """The platform's notation of durations: a number and its unit."""
 
 import math
-import re
 
+from chestnutshift.decimals import read_decimal
 from chestnutshift.platform.exceptions import MalformedError
+from chestnutshift.platform.fields import read_as
 
-# With so many digits a duration is finite, and a float exact to the unit.
-_DURATION = re.compile(r'([0-9]{1,15}(?:\.[0-9]{1,9})?)(ms|s)')
-_SECONDS = {'ms': 0.001, 's': 1.0}
+# Durations are added to times; with a larger one the sum is no longer exact.
+DURATION_MAX_S = 1e15
+# The longer name first: both end in the shorter one.
+_UNITS_PER_S = {'ms': 1000, 's': 1}
 
 
-def read_duration(text: object) -> float:
-    """Parse a duration into seconds; raise MalformedError."""
-    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
-    if match is None:
-        raise MalformedError(f'{text!r} is not a duration')
-    number, unit = match.groups()
-    return float(number) * _SECONDS[unit]
+def read_duration(text: object, name: str = 'duration') -> float:
+    """Parse a duration into seconds; raise MalformedError, with the name."""
+    if isinstance(text, str):
+        for unit, per_s in _UNITS_PER_S.items():
+            if text.endswith(unit):
+                number = text.removesuffix(unit)
+                maximum = DURATION_MAX_S * per_s
+                return read_as(name, read_decimal, number, maximum) / per_s
+    raise MalformedError(f'{name}: {text!r} is not a number with a unit')
 
 
 def write_duration(duration_s: float) -> str:
--- a/chestnutshift/platform/fields.py
+++ b/chestnutshift/platform/fields.py
@@ -1,11 +1,18 @@
 """Typed access to the fields of the platform's documents."""
 
 import json
-from collections.abc import Iterator, Mapping
-from typing import Any
-
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, TypeVar
+
+from chestnutshift.decimals import (
+    UnreadableNumberError,
+    check_integer,
+    check_number,
+)
 from chestnutshift.platform.exceptions import MalformedError
 
+Number = TypeVar('Number', int, float)
+
 # Messages between VMs carry integers up to this one, a signed 64-bit number.
 INTEGER_MAX = 2**63 - 1
 NUMBER_MAX = 1e15
@@ -79,19 +86,21 @@
     return text
 
 
+def read_as(
+    name: str, read: Callable[..., Number], text: object, *bounds: float
+) -> Number:
+    """Return what a reader of numbers returns; raise MalformedError."""
+    try:
+        return read(text, *bounds)
+    except UnreadableNumberError as error:
+        raise MalformedError(f'{name}: {error.detail}') from error
+
+
 def number_of(
-    fields: Mapping[str, Any],
-    name: str,
-    default: float = 0,
+    fields: Mapping[str, Any], name: str, default: float = 0
 ) -> float:
     """Return a number from 0 to NUMBER_MAX; raise MalformedError."""
-    number = fields.get(name, default)
-    is_number = isinstance(number, (int, float))
-    if not is_number or isinstance(number, bool):
-        raise MalformedError(f'{name} is not a number')
-    if not 0 <= number <= NUMBER_MAX:
-        raise MalformedError(f'{name} is out of range')
-    return number
+    return read_as(name, check_number, fields.get(name, default), NUMBER_MAX)
 
 
 def integer_of(
@@ -101,12 +110,7 @@
     maximum: int = INTEGER_MAX,
 ) -> int:
     """Return an integer from 0 to maximum; raise MalformedError."""
-    number = fields.get(name, default)
-    if not isinstance(number, int) or isinstance(number, bool):
-        raise MalformedError(f'{name} is not an integer')
-    if not 0 <= number <= maximum:
-        raise MalformedError(f'{name} is out of range')
-    return number
+    return read_as(name, check_integer, fields.get(name, default), maximum)
 
 
 def flag_of(
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -150,7 +150,7 @@
     if math.isfinite(remaining_s):
         remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS_PER_S))
         headers.append((names.DEADLINE, b'%d' % remaining_ms))
-    headers += _framing(request, body_b)
+    headers += request.framing_headers(body_b)
     return OutboundRequest(request.method, request.target, headers)
 
 
@@ -199,18 +199,6 @@
     return key.strip().decode('latin-1')
 
 
-def _framing(request: InboundRequest, body_b: int | None) -> Headers:
-    if body_b:
-        return [(b'content-length', b'%d' % body_b)]
-    if body_b is None and request.length_b is not None:
-        return [(b'content-length', b'%d' % request.length_b)]
-    if body_b is None:
-        return [(b'transfer-encoding', b'chunked')]
-    if request.method in {b'GET', b'HEAD'}:
-        return []
-    return [(b'content-length', b'0')]
-
-
 def _cold_s(text: bytes | None) -> float | None:
     milliseconds = _parse_digits(text)
     if milliseconds is None:
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -1,16 +1,18 @@
 """Decoding of the platform's configuration into a route table."""
 
-import re
 from collections.abc import Mapping
 from typing import Any
 
+from chestnutshift.decimals import read_digits
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import MalformedError
 from chestnutshift.platform.fields import (
+    INTEGER_MAX,
     flag_of,
     integer_of,
     number_of,
     object_of,
+    read_as,
     read_document,
     read_table,
     required_text,
@@ -27,8 +29,6 @@
 )
 
 HEXADECIMAL_BASE = 16
-# A version fits into a signed 64-bit number, as heartbeats carry it.
-_VERSION = re.compile('[0-9a-fA-F]{1,15}')
 _LARGE_ANSWER_KIND = 'download'
 # Requests of every other kind, uploads included, may run at most once.
 _IDEMPOTENT_KINDS = frozenset(('safe', _LARGE_ANSWER_KIND))
@@ -60,9 +60,9 @@
 def read_version(document: Mapping[str, Any]) -> int:
     """Parse the table's version, a hexadecimal number."""
     text = required_text(document, 'version')
-    if _VERSION.fullmatch(text) is None:
-        raise MalformedError(f'{text!r} is not a hexadecimal version')
-    return int(text, HEXADECIMAL_BASE)
+    # Heartbeats carry it.
+    bounds = (INTEGER_MAX, HEXADECIMAL_BASE)
+    return read_as('version', read_digits, text, *bounds)
 
 
 def _rows(document: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
@@ -97,7 +97,7 @@
 
 def _duration_of(fields: Mapping[str, Any], name: str) -> float | None:
     text = fields.get(name)
-    return None if text is None else read_duration(text)
+    return None if text is None else read_duration(text, name)
 
 
 def _route(row: Mapping[str, Any]) -> Route:
--- a/chestnutshift/platform/settings.py
+++ b/chestnutshift/platform/settings.py
@@ -115,8 +115,8 @@
 def _first_port(network: Mapping[str, Any]) -> int:
     """Return the first of the ports for traffic between VMs."""
     ports = network.get('internal_ports')
-    if not isinstance(ports, list) or not ports:
-        raise MalformedError('internal_ports is missing or not a list')
+    if not isinstance(ports, list) or not ports or isinstance(ports[0], float):
+        raise MalformedError('internal_ports is not a list of integers')
     fields = {'internal_ports': ports[0]}
     first_max = PORT_MAX - FURTHER_PORTS
     return integer_of(fields, 'internal_ports', maximum=first_max)
@@ -142,17 +142,19 @@
         endpoint=Endpoint(*split_address(required_text(store, 'addr'))),
         reads_rate=max(QUANTITY_MIN, number_of(store, 'reads_per_s', 1000)),
         writes_rate=max(QUANTITY_MIN, number_of(store, 'writes_per_s', 100)),
-        registration_period_s=_duration_s(platform.get('beat', '1s')),
+        registration_period_s=_duration_s(platform, 'beat', '1s'),
     )
 
 
-def _duration_s(text: object) -> float:
-    return max(QUANTITY_MIN, read_duration(text))
+def _duration_s(
+    fields: Mapping[str, Any], name: str, default: str = ''
+) -> float:
+    return max(QUANTITY_MIN, read_duration(fields.get(name, default), name))
 
 
 def _bounds(bounds: Mapping[str, Any]) -> Bounds:
     changes: dict[str, float | bool] = {
-        bound: _duration_s(bounds[name])
+        bound: _duration_s(bounds, name)
         for bound, name in _DURATION_NAMES.items()
         if name in bounds
     }
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -1,6 +1,7 @@
 """The client of the platform's store: reads, long polls and writes."""
 
 import base64
+import contextlib
 import json
 from collections.abc import Mapping, Sequence
 from typing import Any
@@ -10,6 +11,7 @@
 import trio
 
 from chestnutshift.clocks import boot_time
+from chestnutshift.decimals import UnreadableNumberError, read_digits
 from chestnutshift.edge.exceptions import LostHistoryError
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.exceptions import CodedError
@@ -21,7 +23,12 @@
     MalformedError,
     StoreUnavailableError,
 )
-from chestnutshift.platform.fields import integer_of, read_document, text_of
+from chestnutshift.platform.fields import (
+    INTEGER_MAX,
+    integer_of,
+    read_document,
+    text_of,
+)
 from chestnutshift.storage.records import ABSENT_VERSION
 from chestnutshift.upstreams.connection import (
     ConnectionOptions,
@@ -34,8 +41,6 @@
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
 CONNECTIONS_MAX = 6
-# Longer numbers do not fit into a heartbeat.
-ERA_DIGITS_MAX = 18
 # The timeout of a call that does not wait for changes. It starts anew with
 # each part of an answer: a large answer over a slow link takes many times as
 # long.
@@ -286,8 +291,9 @@
     """Return the era that an answer names; 0 for none or a malformed one."""
     for name in names.STORE_ERA:
         text = find_header(headers, name) or b''
-        if text.isdigit() and len(text) <= ERA_DIGITS_MAX:
-            return int(text)
+        # Heartbeats carry it.
+        with contextlib.suppress(UnreadableNumberError):
+            return read_digits(text.decode('latin-1'), INTEGER_MAX)
     return 0
 
 
@@ -295,7 +301,7 @@
     if 'now' not in document:
         return None
     try:
-        return read_duration(document['now'])
+        return read_duration(document['now'], 'now')
     except MalformedError as error:
         raise StoreUnavailableError(error.detail) from error
 
--- a/chestnutshift/platform/upstream_rows.py
+++ b/chestnutshift/platform/upstream_rows.py
@@ -4,19 +4,20 @@
 from ipaddress import ip_address
 from typing import Any
 
+from chestnutshift.decimals import read_digits
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import MalformedError
 from chestnutshift.platform.fields import (
     check_header_text,
     integer_of,
     object_of,
+    read_as,
     read_document,
     required_text,
 )
 from chestnutshift.steering.upstreams import Registration
 
 PORT_MAX = 65_535
-PORT_DIGITS_MAX = 5
 SLOTS_MAX = 100_000
 # The longest time for which an upstream may say that it stays cold.
 COLD_MAX_S = 86_400.0
@@ -51,7 +52,7 @@
 
 def _cold_for_s(status: Mapping[str, Any]) -> float:
     text = status.get('cold_left')
-    cold_for_s = 0 if text is None else read_duration(text)
+    cold_for_s = 0 if text is None else read_duration(text, 'cold_left')
     if cold_for_s > COLD_MAX_S:
         raise MalformedError(f'cold_left is out of range: {text}')
     return cold_for_s
@@ -77,10 +78,4 @@
         ip_address(address)
     except ValueError as error:
         raise MalformedError(f'{address!r} is not an IP address') from error
-    is_short = len(digits) <= PORT_DIGITS_MAX
-    if not (is_short and digits.isascii() and digits.isdecimal()):
-        raise MalformedError(f'{text!r} has no port')
-    port = int(digits)
-    if port > PORT_MAX:
-        raise MalformedError(f'the port of {text!r} is out of range')
-    return address, port
+    return address, read_as('the port', read_digits, digits, PORT_MAX)
