--- a/chestnutshift/decimals.py
+++ b/chestnutshift/decimals.py
@@ -5,6 +5,10 @@
 """
 
 import re
+from collections.abc import Callable, Collection, Iterable
+from typing import TypeVar
+
+import attrs
 
 from chestnutshift.exceptions import CodedError
 
@@ -14,7 +18,9 @@
     r'[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]+)?'
 )
 _DIGITS = {10: re.compile('[0-9]+'), 16: re.compile('[0-9a-fA-F]+')}
+# Characters of a text in an error message.
 SHOWN_MAX = 40
+Number = TypeVar('Number')
 
 
 class UnreadableNumberError(CodedError):
@@ -23,6 +29,41 @@
     code = 'number.unreadable'
 
 
+@attrs.define
+class NumberReader:
+    """Reads numbers of headers; malformed has the others, with the reason."""
+
+    malformed: dict[str, str] = attrs.field(factory=dict)
+
+    def read(
+        self,
+        header: bytes,
+        text: bytes | None,
+        parse: Callable[[str], Number],
+    ) -> Number | None:
+        """Return what the parser makes of a text, None if it has nothing."""
+        if text is None:
+            return None
+        try:
+            return parse(text.decode('latin-1').strip())
+        except UnreadableNumberError as error:
+            self.malformed[header.decode()] = error.detail
+            return None
+
+    def read_all(
+        self,
+        headers: Iterable[tuple[bytes, bytes]],
+        names: Collection[bytes],
+        parse: Callable[[str], Number],
+    ) -> set[Number | None]:
+        """Return the numbers of all headers with these names."""
+        return {
+            self.read(name, text, parse)
+            for name, text in headers
+            if name in names
+        }
+
+
 def check_number(number: object, maximum: float) -> float:
     """Return a decoded number from 0 to maximum.
 
--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -63,8 +64,9 @@
     is_rate_limit_malformed tells that it names one that can't be read.
     is_leaving tells whether the upstream announces that it leaves.
     retry_after_s is when to come back, None if it names no number of seconds.
-    unknown_headers are the names of headers that the dialect
-    does not know.
+    malformed_headers are the headers that should hold numbers and can't be
+    read, each with the reason. unknown_headers are the names of headers that
+    the dialect does not know.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     is_rate_limit_malformed: bool = False
     is_leaving: bool = False
     retry_after_s: float | None = None
+    malformed_headers: Mapping[str, str] = attrs.field(factory=dict)
     unknown_headers: frozenset[bytes] = frozenset()
 
 
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -154,6 +154,12 @@
     'An upstream named a limit that is no decimal number; it is ignored.',
     logging.WARNING,
 )
+HEADER_MALFORMED = define(
+    8046,
+    'upstream.header_malformed',
+    'An upstream sent a header that can not be read; it is ignored.',
+    logging.WARNING,
+)
 NOT_STARTED = define(
     8070,
     'edge.not_started',
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -57,6 +57,12 @@
             "fleet's budget, denied by it, or why they are free.",
             ('service', 'decision'),
         )
+        self.headers_malformed = counter(
+            'headers_malformed_total',
+            'Headers of upstreams that can not be read and are ignored, by '
+            'name.',
+            ('header',),
+        )
 
 
 class CrossingMetrics:
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -116,7 +116,11 @@
         settings = self.settings
         bounds = settings.bounds
         self.directory = UpstreamDirectory(settings.regions)
-        self.upstream_reports = UpstreamReports(self.directory, self.event_log)
+        self.upstream_reports = UpstreamReports(
+            self.directory,
+            self.event_log,
+            self.metrics.attempts.headers_malformed,
+        )
         self.policy = POLICIES.get(POLICY)(
             self.directory,
             settings.failure_domain,
--- a/chestnutshift/edge/upstream_reports.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Mapping
 
 import attrs
+from prometheus_client import Counter
 
 from chestnutshift.edge import events
 from chestnutshift.edge.dialect import AnswerFacts
@@ -38,6 +39,8 @@
 
     _directory: UpstreamDirectory
     _event_log: EventLog
+    # By the header's name.
+    _headers_malformed: Counter
     _hashed: Mapping[int, Upstream] = attrs.field(factory=dict)
     # The directory's generation of which the upstreams are hashed.
     _generation: int = -1
@@ -120,6 +123,7 @@
         source: str,
     ) -> None:
         """Record what the head of an answer asks of this VM."""
+        self._report_malformed(upstream, facts)
         if facts.is_leaving:
             self.record_leaving(upstream, source=source)
         if status == UNAVAILABLE and facts.retry_after_s:
@@ -183,6 +187,20 @@
             if hash_run(upstream.registration) in heartbeat.leaving:
                 self.record_leaving(upstream, source=heartbeat.vm)
 
+    def _report_malformed(self, upstream: Upstream, facts: AnswerFacts) -> None:
+        """Count each header that can't be read, and log it once a run."""
+        for header, reason in facts.malformed_headers.items():
+            self._headers_malformed.labels(header).inc()
+            if header in upstream.malformed_headers:
+                continue
+            upstream.malformed_headers.add(header)
+            self._event_log.emit(
+                events.HEADER_MALFORMED,
+                upstream=upstream.name,
+                header=header,
+                detail=reason,
+            )
+
     def _by_hash(self) -> Mapping[int, Upstream]:
         if self._generation != self._directory.generation:
             self._generation = self._directory.generation
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -1,10 +1,17 @@
 """Translate the heads of requests and answers."""
 
+import contextlib
 import math
 import re
-from collections.abc import Collection
 from typing import Any
 
+import attrs
+
+from chestnutshift.decimals import (
+    SHOWN_MAX,
+    NumberReader,
+    UnreadableNumberError,
+)
 from chestnutshift.edge.dialect import (
     DIALECTS,
     AnswerFacts,
@@ -15,6 +22,7 @@
     HOP_BY_HOP,
     end_to_end_headers,
     find_header,
+    keep_alive_timeout,
 )
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import Headers
@@ -37,7 +45,7 @@
     names.EXPECTED_UPSTREAM,
 }
 _HTTP_BAD_REQUEST = 400
-_DECIMAL = re.compile(rb'\d+(\.\d+)?')
+_DECIMAL = re.compile(r'[0-9]+(\.[0-9]+)?')
 
 
 @DIALECTS.register('platform')
@@ -64,7 +72,7 @@
             object_key=find_header(headers, names.OBJECT_KEY) or b'',
             timeout_s=_timeout_s(headers),
             key=_key(headers),
-            length_b=_parse_digits(find_header(headers, b'content-length')),
+            length_b=_length_b(headers),
         )
 
     def write_request(
@@ -99,28 +107,33 @@
     def read_answer(self, headers: Headers) -> AnswerFacts:
         """Parse the headers of an upstream's answer."""
         fields = dict(headers)
-        limit_texts = {
-            text for name, text in headers if name in names.RATE_LIMIT
-        }
-        rate_limit = _parse_decimal(limit_texts)
+        numbers = NumberReader()
+        rests_s = numbers.read_all(headers, (b'retry-after',), _parse_decimal)
+        limits = numbers.read_all(headers, names.RATE_LIMIT, _parse_decimal)
+        is_limit_malformed = len(limits) > 1 or None in limits
+        keep_alive_text = keep_alive_timeout(fields.get(b'keep-alive', b''))
         return AnswerFacts(
             request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
             upstream=fields.get(names.UPSTREAM, b'').decode('latin-1'),
             is_sealed=names.SEAL in fields,
             is_not_run=names.NOT_RUN in fields,
             is_encoded=b'content-encoding' in fields,
-            keep_alive_s=_keep_alive_s(fields.get(b'keep-alive', b'')),
-            load=_load(fields.get(names.LOAD)),
-            cold_s=_cold_s(fields.get(names.COLD_MS)),
-            rate_limit=rate_limit,
-            retry_after_s=_longest(
-                [text for name, text in headers if name == b'retry-after']
+            keep_alive_s=numbers.read(
+                b'keep-alive', keep_alive_text, _parse_digits
+            ),
+            load=numbers.read(names.LOAD, fields.get(names.LOAD), _load),
+            cold_s=numbers.read(
+                names.COLD_MS, fields.get(names.COLD_MS), _cold_s
             ),
+            rate_limit=None if is_limit_malformed else next(iter(limits), None),
+            # Of several the longest counts.
+            retry_after_s=max(rests_s - {None}, default=None),
             is_leaving=any(
                 name in names.LEAVING and text.strip() == names.IS_LEAVING
                 for name, text in headers
             ),
-            is_rate_limit_malformed=bool(limit_texts) and rate_limit is None,
+            is_rate_limit_malformed=is_limit_malformed,
+            malformed_headers=numbers.malformed,
             unknown_headers=fields.keys() - names.ANSWER_HEADERS,
         )
 
@@ -158,37 +171,26 @@
     return RefusalError(Problem(_HTTP_BAD_REQUEST, 'request.malformed', detail))
 
 
-def _parse_digits(text: bytes | None) -> int | None:
-    if text is None or len(text) > DIGITS_MAX or not text.isdigit():
-        return None
+def _parse_digits(text: str) -> int:
+    if len(text) > DIGITS_MAX or not (text.isascii() and text.isdigit()):
+        raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is not digits')
     return int(text)
 
 
-def _parse_decimal(texts: Collection[bytes]) -> float | None:
-    """Return the number of the only text, None for any other texts."""
-    if len(texts) != 1:
-        return None
-    text = next(iter(texts)).strip()
-    is_decimal = _DECIMAL.fullmatch(text) and len(text) <= DIGITS_MAX
-    return float(text) if is_decimal else None
-
-
-def _longest(texts: Collection[bytes]) -> float | None:
-    """Return the largest of the numbers, None if there is none."""
-    numbers = [_parse_decimal([text]) for text in texts]
-    return max(
-        (number for number in numbers if number is not None), default=None
-    )
+def _parse_decimal(text: str) -> float:
+    if len(text) > DIGITS_MAX or not _DECIMAL.fullmatch(text):
+        raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is not decimal')
+    return float(text)
 
 
 def _timeout_s(headers: Headers) -> float | None:
     text = find_header(headers, names.DEADLINE)
     if text is None:
         return None
-    milliseconds = _parse_digits(text)
-    if milliseconds is None:
-        raise _malformed_request('the deadline is not in milliseconds')
-    return milliseconds / MILLISECONDS_PER_S
+    try:
+        return _parse_digits(text.decode('latin-1')) / MILLISECONDS_PER_S
+    except UnreadableNumberError as error:
+        raise _malformed_request(f'the deadline: {error.detail}') from error
 
 
 def _key(headers: Headers) -> str | None:
@@ -199,24 +201,23 @@
     return key.strip().decode('latin-1')
 
 
-def _cold_s(text: bytes | None) -> float | None:
-    milliseconds = _parse_digits(text)
-    if milliseconds is None:
-        return None
-    cold_s = milliseconds / MILLISECONDS_PER_S
-    return cold_s if cold_s <= COLD_MAX_S else None
+def _length_b(headers: Headers) -> int | None:
+    """Return the length of a body, None for none or for a huge number."""
+    text = find_header(headers, b'content-length') or b''
+    with contextlib.suppress(UnreadableNumberError):
+        return _parse_digits(text.decode('latin-1'))
+    return None
 
 
-def _keep_alive_s(text: bytes) -> float | None:
-    for part in text.split(b','):
-        name, _, seconds = part.strip().partition(b'=')
-        if name.lower() == b'timeout':
-            return _parse_digits(seconds.strip())
-    return None
+def _cold_s(text: str) -> float:
+    cold_s = _parse_digits(text) / MILLISECONDS_PER_S
+    if cold_s > COLD_MAX_S:
+        raise UnreadableNumberError(f'{text} is out of range')
+    return cold_s
 
 
-def _load(text: bytes | None) -> LoadReport | None:
-    parts = [_parse_digits(part.strip()) for part in (text or b'').split(b',')]
-    if len(parts) != len(('running', 'waiting', 'slots')) or None in parts:
-        return None
-    return LoadReport(*parts)
+def _load(text: str) -> LoadReport:
+    parts = text.split(',')
+    if len(parts) != len(attrs.fields(LoadReport)):
+        raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is no load')
+    return LoadReport(*(_parse_digits(part.strip()) for part in parts))
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -78,6 +78,8 @@
     rate_limit: float | None = None
     rate_limit_at: float = -math.inf
     has_malformed_limit: bool = False
+    # Headers that it sent and that could not be read; each is logged once.
+    malformed_headers: set[str] = attrs.field(factory=set)
     has_announced_leaving: bool = False
     paused_until: float = -math.inf
     in_flight: int = 0
--- a/tests/edge/test_pauses.py
+++ b/tests/edge/test_pauses.py
@@ -1,12 +1,15 @@
 """Upstreams that turn requests away and say for how long."""
 
+import re
 from unittest.mock import patch
 
 import trio
 from trio.testing import trio_test
 
 from chestnutshift.clocks import boot_time
+from chestnutshift.edge import events
 from chestnutshift.edge.dialect import AnswerFacts
+from chestnutshift.events.log import EventFilter
 from chestnutshift.upstreams.connections import UpstreamConnections
 from tests.edge.world import World, running_edge, until
 
@@ -155,3 +158,35 @@
         world.upstreams[0].headers = ((b'retry-after', b'-5'),)
         await _ask_many(world)
         assert len(world.upstreams[0].received) >= REQUESTS
+
+
+# Guards against a header that is dropped in silence: nothing told an ignored
+# Retry-After from an answer without one.
+@trio_test
+async def test_dropped_headers_are_told() -> None:
+    """Each is counted, and logged once a run of the upstream, with reason."""
+    async with running_edge('shed') as world:
+        world.upstreams[0].headers = (
+            (b'retry-after', b'soon'),
+            (b'x-chestnutshift-server-load', b'1,2'),
+            (b'x-chestnutshift-cold-ms', b'9' * 20),
+            (b'keep-alive', b'timeout=never'),
+            (b'server-limit', b'many'),
+        )
+        await _ask_many(world)
+        log = world.state.event_log
+        number = events.HEADER_MALFORMED.number
+        told = [event.facts for event in log.select(EventFilter(number=number))]
+        page = world.state.metrics.render().decode()
+        assert sorted(facts['header'] for facts in told) == [
+            'keep-alive',
+            'retry-after',
+            'server-limit',
+            'x-chestnutshift-cold-ms',
+            'x-chestnutshift-server-load',
+        ]
+        assert any("'soon'" in facts['detail'] for facts in told)
+        counts = re.findall(
+            r'headers_malformed_total\{header="retry-after"\} (\S+)', page
+        )
+        assert float(counts[0]) == len(world.upstreams[0].received)
