--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -74,7 +74,6 @@
     is_sealed: bool
     is_not_run: bool
     is_encoded: bool
-    keep_alive_s: float | None = None
     load: LoadReport | None = None
     cold_s: float | None = None
     rate_limit: float | None = None
--- a/chestnutshift/forwarding/heads.py
+++ b/chestnutshift/forwarding/heads.py
@@ -125,15 +125,6 @@
     return None
 
 
-def keep_alive_timeout(text: bytes) -> bytes | None:
-    """Return the timeout in a Keep-Alive header, None if it has none."""
-    for part in text.split(b','):
-        name, _, seconds = part.strip().partition(b'=')
-        if name.lower() == b'timeout':
-            return seconds
-    return None
-
-
 def end_to_end_headers(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Return the headers without the dropped names.
 
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -1,8 +1,6 @@
 """Translate the heads of requests and answers."""
 
-import contextlib
 import math
-import re
 from typing import Any
 
 import attrs
@@ -11,6 +9,10 @@
     SHOWN_MAX,
     NumberReader,
     UnreadableNumberError,
+    parse_decimal,
+    read_decimal,
+    read_digits,
+    read_whole,
 )
 from chestnutshift.edge.dialect import (
     DIALECTS,
@@ -22,16 +24,21 @@
     HOP_BY_HOP,
     end_to_end_headers,
     find_header,
-    keep_alive_timeout,
 )
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.forwarding.requests import Headers
 from chestnutshift.platform import names
+from chestnutshift.platform.durations import DURATION_MAX_S
+from chestnutshift.platform.fields import INTEGER_MAX, NUMBER_MAX
 from chestnutshift.platform.upstream_rows import COLD_MAX_S
 from chestnutshift.steering.upstreams import LoadReport
 from chestnutshift.upstreams.connection import OutboundRequest
 
-DIGITS_MAX = 12
+# Requests at an upstream; loads are added up and compared.
+COUNT_MAX = 10**12
+# Builds before this one read twelve characters of these headers at most.
+DEADLINE_MAX_MS = 10**12 - 1
+RETRY_AFTER_MAX_S = 10**8 - 1
 MILLISECONDS_PER_S = 1000
 _JSON = (b'content-type', b'application/json')
 # Headers of a caller that are not forwarded: the key, and headers that this
@@ -45,7 +52,6 @@
     names.EXPECTED_UPSTREAM,
 }
 _HTTP_BAD_REQUEST = 400
-_DECIMAL = re.compile(r'[0-9]+(\.[0-9]+)?')
 
 
 @DIALECTS.register('platform')
@@ -62,6 +68,7 @@
         request_id = find_header(headers, names.REQUEST_ID)
         if not request_id:
             raise _malformed_request('the request has no id')
+        length = find_header(headers, b'content-length')
         return InboundRequest(
             request_id=request_id.decode('latin-1'),
             method=scope['method'].encode(),
@@ -72,7 +79,7 @@
             object_key=find_header(headers, names.OBJECT_KEY) or b'',
             timeout_s=_timeout_s(headers),
             key=_key(headers),
-            length_b=_length_b(headers),
+            length_b=NumberReader().read(b'', length, _length_b),
         )
 
     def write_request(
@@ -108,19 +115,15 @@
         """Parse the headers of an upstream's answer."""
         fields = dict(headers)
         numbers = NumberReader()
-        rests_s = numbers.read_all(headers, (b'retry-after',), _parse_decimal)
-        limits = numbers.read_all(headers, names.RATE_LIMIT, _parse_decimal)
+        rests_s = numbers.read_all(headers, (b'retry-after',), _rest_s)
+        limits = numbers.read_all(headers, names.RATE_LIMIT, _limit)
         is_limit_malformed = len(limits) > 1 or None in limits
-        keep_alive_text = keep_alive_timeout(fields.get(b'keep-alive', b''))
         return AnswerFacts(
             request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
             upstream=fields.get(names.UPSTREAM, b'').decode('latin-1'),
             is_sealed=names.SEAL in fields,
             is_not_run=names.NOT_RUN in fields,
             is_encoded=b'content-encoding' in fields,
-            keep_alive_s=numbers.read(
-                b'keep-alive', keep_alive_text, _parse_digits
-            ),
             load=numbers.read(names.LOAD, fields.get(names.LOAD), _load),
             cold_s=numbers.read(
                 names.COLD_MS, fields.get(names.COLD_MS), _cold_s
@@ -149,7 +152,8 @@
         """Return the headers of a refusal that this system generates."""
         headers = [_JSON, (names.REQUEST_ID, request_id.encode('latin-1'))]
         if retry_after_s is not None:
-            headers.append((b'retry-after', b'%.3f' % retry_after_s))
+            rest_s = min(RETRY_AFTER_MAX_S, retry_after_s)
+            headers.append((b'retry-after', b'%.3f' % rest_s))
         return headers
 
 
@@ -161,8 +165,8 @@
 ) -> OutboundRequest:
     headers = [*request.headers, *headers]
     if math.isfinite(remaining_s):
-        remaining_ms = max(1, math.floor(remaining_s * MILLISECONDS_PER_S))
-        headers.append((names.DEADLINE, b'%d' % remaining_ms))
+        remaining_ms = min(DEADLINE_MAX_MS, remaining_s * MILLISECONDS_PER_S)
+        headers.append((names.DEADLINE, b'%d' % max(1, remaining_ms)))
     headers += request.framing_headers(body_b)
     return OutboundRequest(request.method, request.target, headers)
 
@@ -171,16 +175,13 @@
     return RefusalError(Problem(_HTTP_BAD_REQUEST, 'request.malformed', detail))
 
 
-def _parse_digits(text: str) -> int:
-    if len(text) > DIGITS_MAX or not (text.isascii() and text.isdigit()):
-        raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is not digits')
-    return int(text)
+def _limit(text: str) -> float:
+    return read_decimal(text, NUMBER_MAX)
 
 
-def _parse_decimal(text: str) -> float:
-    if len(text) > DIGITS_MAX or not _DECIMAL.fullmatch(text):
-        raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is not decimal')
-    return float(text)
+def _rest_s(text: str) -> float:
+    """Return how long to rest; a time that is past asks for no rest."""
+    return max(0, min(DURATION_MAX_S, parse_decimal(text)))
 
 
 def _timeout_s(headers: Headers) -> float | None:
@@ -188,9 +189,10 @@
     if text is None:
         return None
     try:
-        return _parse_digits(text.decode('latin-1')) / MILLISECONDS_PER_S
+        milliseconds = read_decimal(text.decode('latin-1'), math.inf)
     except UnreadableNumberError as error:
         raise _malformed_request(f'the deadline: {error.detail}') from error
+    return min(DEADLINE_MAX_MS, milliseconds) / MILLISECONDS_PER_S
 
 
 def _key(headers: Headers) -> str | None:
@@ -201,23 +203,17 @@
     return key.strip().decode('latin-1')
 
 
-def _length_b(headers: Headers) -> int | None:
-    """Return the length of a body, None for none or for a huge number."""
-    text = find_header(headers, b'content-length') or b''
-    with contextlib.suppress(UnreadableNumberError):
-        return _parse_digits(text.decode('latin-1'))
-    return None
+def _length_b(text: str) -> int:
+    return read_digits(text, INTEGER_MAX)
 
 
 def _cold_s(text: str) -> float:
-    cold_s = _parse_digits(text) / MILLISECONDS_PER_S
-    if cold_s > COLD_MAX_S:
-        raise UnreadableNumberError(f'{text} is out of range')
-    return cold_s
+    maximum = COLD_MAX_S * MILLISECONDS_PER_S
+    return read_decimal(text, maximum) / MILLISECONDS_PER_S
 
 
 def _load(text: str) -> LoadReport:
     parts = text.split(',')
     if len(parts) != len(attrs.fields(LoadReport)):
         raise UnreadableNumberError(f'{text[:SHOWN_MAX]!r} is no load')
-    return LoadReport(*(_parse_digits(part.strip()) for part in parts))
+    return LoadReport(*(read_whole(part.strip(), COUNT_MAX) for part in parts))
--- a/chestnutshift/steering/upstreams.py
+++ b/chestnutshift/steering/upstreams.py
@@ -13,6 +13,8 @@
 REPORT_AGE_MAX_S = 0.5
 # Number of recently requested objects that are recorded for each upstream.
 RECENT_OBJECTS_MAX = 256
+# Heartbeats carry limits in thousandths of a request per second.
+RATE_LIMIT_UNIT = 0.001
 
 
 @attrs.frozen
@@ -151,7 +153,7 @@
         """
         if answered_at <= self.rate_limit_at:
             return False
-        has_changed = limit != self.rate_limit
+        has_changed = not _is_same_limit(limit, self.rate_limit)
         self.rate_limit_at = answered_at
         self.rate_limit = limit
         return has_changed
@@ -198,3 +200,10 @@
     def object_age_s(self, object_key: bytes, now: float) -> float:
         """Return how long ago this VM sent it a request for the object."""
         return now - self._recent_objects.get(object_key, -math.inf)
+
+
+def _is_same_limit(limit: float | None, other: float | None) -> bool:
+    """Return whether two limits are equal as peers tell them."""
+    if limit is None or other is None:
+        return limit is other
+    return math.isclose(limit, other, rel_tol=0, abs_tol=RATE_LIMIT_UNIT)
