Pauses: as long as they are asked for, and one if no length can be read

Change: such an answer pauses the upstream for 3 s (UNREADABLE_PAUSE_S); the users' upstreams asked for 3 s, and each further refusal begins it anew. The cut at ten minutes is gone: a slip ends with the upstream's next start, and `upstream.paused` tells its length. A negative number is a time that is past.

--- a/chestnutshift/edge/dialect.py
+++ b/chestnutshift/edge/dialect.py
@@ -63,7 +63,8 @@
     accepts from all VMs together, None if it names no limit;
     is_rate_limit_malformed tells that it names one that can't be read.
     is_leaving tells whether the upstream announces that it leaves.
-    retry_after_s is when to come back, None if it names no number of seconds.
+    retry_after_s is when to come back, None if it names no number of seconds;
+    is_retry_after_malformed tells that it names a time that can't be read.
     malformed_headers are the headers that should hold numbers and can't be
     read, each with the reason. unknown_headers are the names of headers that
     the dialect does not know.
@@ -80,6 +81,7 @@
     is_rate_limit_malformed: bool = False
     is_leaving: bool = False
     retry_after_s: float | None = None
+    is_retry_after_malformed: bool = False
     malformed_headers: Mapping[str, str] = attrs.field(factory=dict)
     unknown_headers: frozenset[bytes] = frozenset()
 
--- a/chestnutshift/edge/upstream_reports.py
+++ b/chestnutshift/edge/upstream_reports.py
@@ -27,8 +27,9 @@
 COLD_REPORT_MIN_S = 0.3
 # Likewise for the time at which an upstream named its limit.
 RATE_LIMIT_REPORT_MIN_S = 0.1
-# Longest pause: an upstream must not turn itself off for long by a slip.
-PAUSE_MAX_S = 600.0
+# The pause of an upstream that asks for one whose length can't be read. Each
+# further answer of the kind begins it anew.
+UNREADABLE_PAUSE_S = 3.0
 # How long VMs tell each other that an upstream no longer names a limit.
 RATE_LIMIT_END_TOLD_S = 10.0
 
@@ -126,14 +127,15 @@
         self._report_malformed(upstream, facts)
         if facts.is_leaving:
             self.record_leaving(upstream, source=source)
-        if status == UNAVAILABLE and facts.retry_after_s:
+        pause_s = _pause_s(facts) if status == UNAVAILABLE else 0
+        if pause_s:
             # No answer ends a pause that another one asked for.
-            until = now + min(PAUSE_MAX_S, facts.retry_after_s)
+            until = now + pause_s
             upstream.paused_until = max(upstream.paused_until, until)
             self._event_log.emit(
                 events.UPSTREAM_PAUSED,
                 upstream=upstream.name,
-                retry_after_s=facts.retry_after_s,
+                retry_after_s=pause_s,
                 source=source,
             )
 
@@ -209,3 +211,11 @@
                 for upstream in self._directory
             }
         return self._hashed
+
+
+def _pause_s(facts: AnswerFacts) -> float:
+    """Return the pause that a refusal asks for, 0 for none."""
+    pause_s = facts.retry_after_s or 0
+    if facts.is_retry_after_malformed:
+        return max(UNREADABLE_PAUSE_S, pause_s)
+    return pause_s
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -131,6 +131,7 @@
             rate_limit=None if is_limit_malformed else next(iter(limits), None),
             # Of several the longest counts.
             retry_after_s=max(rests_s - {None}, default=None),
+            is_retry_after_malformed=None in rests_s,
             is_leaving=any(
                 name in names.LEAVING and text.strip() == names.IS_LEAVING
                 for name, text in headers
