--- a/chestnutshift/decimals.py
+++ b/chestnutshift/decimals.py
@@ -18,6 +18,8 @@
     r'[+-]?(?:[0-9]+(?:\.[0-9]*)?|\.[0-9]+)(?:[eE][+-]?[0-9]+)?'
 )
 _DIGITS = {10: re.compile('[0-9]+'), 16: re.compile('[0-9a-fA-F]+')}
+# Messages between VMs carry integers up to this one, a signed 64-bit number.
+INTEGER_MAX = 2**63 - 1
 # Characters of a text in an error message.
 SHOWN_MAX = 40
 Number = TypeVar('Number')
--- a/chestnutshift/forwarding/requests.py
+++ b/chestnutshift/forwarding/requests.py
@@ -1,5 +1,6 @@
 """Callers' requests: the head, and the body as it arrives."""
 
+import math
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
@@ -7,6 +8,7 @@
 import attrs
 
 from chestnutshift.configuration.model import Configuration, Service
+from chestnutshift.decimals import UnreadableNumberError, read_decimal
 from chestnutshift.exceptions import CodedError
 from chestnutshift.forwarding.problems import Problem, RefusalError
 from chestnutshift.keys.credentials import read_key
@@ -18,7 +20,6 @@
 # A part of a buffered body that is sent at a time.
 CHUNK_B = 65_536
 DEADLINE_HEADER = b'chestnutshift-deadline-ms'
-DEADLINE_DIGITS_MAX = 12
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 _ID_CHARACTERS = frozenset(
     b'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.',
@@ -88,15 +89,17 @@
         limit_ms = self.header(DEADLINE_HEADER)
         if limit_ms is None:
             return preset_s
-        if not limit_ms.isdigit() or len(limit_ms) > DEADLINE_DIGITS_MAX:
+        try:
+            deadline_ms = read_decimal(limit_ms.decode('latin-1'), math.inf)
+        except UnreadableNumberError as error:
             raise RefusalError(
                 Problem(
                     400,
                     'request.deadline',
-                    'Chestnutshift-Deadline-Ms must be a whole number of ms',
+                    f'Chestnutshift-Deadline-Ms: {error.detail}',
                 ),
-            )
-        return min(preset_s, int(limit_ms) / 1000)
+            ) from error
+        return min(preset_s, deadline_ms / 1000)
 
 
 def read_request(scope: dict) -> CallerRequest:
--- a/chestnutshift/forwarding/targets.py
+++ b/chestnutshift/forwarding/targets.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from chestnutshift.decimals import UnreadableNumberError, read_decimal
 from chestnutshift.forwarding.acceptance import Accepted
 from chestnutshift.forwarding.claims import ClaimTracker
 from chestnutshift.forwarding.crossing import (
@@ -33,6 +34,7 @@
 
 CROSSING_NONCE_B = 12
 SHED_RETRY_AFTER_S = 1.0
+RETRY_AFTER_MAX_S = 86_400.0
 LEAVING_HEADER = b'chestnutshift-leaving'
 
 
@@ -161,5 +163,8 @@
 
 
 def _retry_after_s(headers: dict[bytes, bytes]) -> float:
-    seconds = headers.get(b'retry-after', b'')
-    return float(seconds) if seconds.isdigit() else SHED_RETRY_AFTER_S
+    text = headers.get(b'retry-after', b'').decode('latin-1')
+    try:
+        return read_decimal(text, RETRY_AFTER_MAX_S)
+    except UnreadableNumberError:
+        return SHED_RETRY_AFTER_S
--- a/chestnutshift/idempotency/tickets.py
+++ b/chestnutshift/idempotency/tickets.py
@@ -10,6 +10,11 @@
 
 import attrs
 
+from chestnutshift.decimals import (
+    INTEGER_MAX,
+    UnreadableNumberError,
+    read_digits,
+)
 from chestnutshift.idempotency.exceptions import (
     TicketExpiredError,
     TicketForgedError,
@@ -43,9 +48,11 @@
     if len(fields) != _FIELD_COUNT or fields[0] != _PREFIX:
         return None
     vm, incarnation, _, expires_at, mac = fields[1:]
-    if not expires_at.isdecimal():
+    try:
+        expiry = read_digits(expires_at, INTEGER_MAX)
+    except UnreadableNumberError:
         return None
-    return Ticket(key, Holder(vm, incarnation), int(expires_at), mac)
+    return Ticket(key, Holder(vm, incarnation), expiry, mac)
 
 
 @attrs.define
--- a/chestnutshift/lookup/prefixes.py
+++ b/chestnutshift/lookup/prefixes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from chestnutshift.decimals import UnreadableNumberError, read_digits
 from chestnutshift.lookup.exceptions import (
     InvalidAddressError,
     InvalidBlockError,
@@ -61,14 +62,15 @@
         """
         address, _, suffix = text.partition('/')
         family, key = parse_address(address)
-        if not suffix.isdecimal():
-            raise InvalidBlockError(f'{text!r} has no prefix length')
-        length = int(suffix)
-        host_bits = KEY_BITS[family] - length
-        if host_bits < 0 or key & ((1 << host_bits) - 1):
+        try:
+            length = read_digits(suffix, KEY_BITS[family])
+        except UnreadableNumberError as error:
             raise InvalidBlockError(
-                f'{text!r} is too long or has host bits set'
-            )
+                f'the prefix length of {text!r}: {error.detail}'
+            ) from error
+        host_bits = KEY_BITS[family] - length
+        if key & ((1 << host_bits) - 1):
+            raise InvalidBlockError(f'{text!r} has host bits set')
         return cls(family, length, key >> host_bits)
 
     @property
--- a/chestnutshift/operators/timeline.py
+++ b/chestnutshift/operators/timeline.py
@@ -7,6 +7,11 @@
 import trio
 
 from chestnutshift.conf.loader import structure
+from chestnutshift.decimals import (
+    INTEGER_MAX,
+    UnreadableNumberError,
+    read_digits,
+)
 from chestnutshift.events.log import Event, EventFilter, merge
 from chestnutshift.exceptions import CodedError
 from chestnutshift.links.handlers import Handlers
@@ -41,9 +46,10 @@
     numbers = {}
     for name in ('number', 'since'):
         text = arguments.get(name) or '0'
-        if not text.isdigit():
-            raise BadRequestError(f'{name} must be a whole number')
-        numbers[name] = int(text)
+        try:
+            numbers[name] = read_digits(text, INTEGER_MAX)
+        except UnreadableNumberError as error:
+            raise BadRequestError(f'{name}: {error.detail}') from error
     return EventFilter(
         request=arguments.get('request', ''),
         account=arguments.get('account', ''),
--- a/chestnutshift/platform/fields.py
+++ b/chestnutshift/platform/fields.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from chestnutshift.decimals import (
+    INTEGER_MAX,
     UnreadableNumberError,
     check_integer,
     check_number,
@@ -13,8 +14,6 @@
 
 Number = TypeVar('Number', int, float)
 
-# Messages between VMs carry integers up to this one, a signed 64-bit number.
-INTEGER_MAX = 2**63 - 1
 NUMBER_MAX = 1e15
 
 
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chestnutshift.decimals import (
+    INTEGER_MAX,
     SHOWN_MAX,
     NumberReader,
     UnreadableNumberError,
@@ -29,7 +30,7 @@
 from chestnutshift.forwarding.requests import Headers
 from chestnutshift.platform import names
 from chestnutshift.platform.durations import DURATION_MAX_S
-from chestnutshift.platform.fields import INTEGER_MAX, NUMBER_MAX
+from chestnutshift.platform.fields import NUMBER_MAX
 from chestnutshift.platform.upstream_rows import COLD_MAX_S
 from chestnutshift.steering.upstreams import LoadReport
 from chestnutshift.upstreams.connection import OutboundRequest
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -3,11 +3,10 @@
 from collections.abc import Mapping
 from typing import Any
 
-from chestnutshift.decimals import read_digits
+from chestnutshift.decimals import INTEGER_MAX, read_digits
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import MalformedError
 from chestnutshift.platform.fields import (
-    INTEGER_MAX,
     flag_of,
     integer_of,
     number_of,
--- a/chestnutshift/platform/store.py
+++ b/chestnutshift/platform/store.py
@@ -11,7 +11,11 @@
 import trio
 
 from chestnutshift.clocks import boot_time
-from chestnutshift.decimals import UnreadableNumberError, read_digits
+from chestnutshift.decimals import (
+    INTEGER_MAX,
+    UnreadableNumberError,
+    read_digits,
+)
 from chestnutshift.edge.exceptions import LostHistoryError
 from chestnutshift.edge.settings import Endpoint
 from chestnutshift.exceptions import CodedError
@@ -23,12 +27,7 @@
     MalformedError,
     StoreUnavailableError,
 )
-from chestnutshift.platform.fields import (
-    INTEGER_MAX,
-    integer_of,
-    read_document,
-    text_of,
-)
+from chestnutshift.platform.fields import integer_of, read_document, text_of
 from chestnutshift.storage.records import ABSENT_VERSION
 from chestnutshift.upstreams.connection import (
     ConnectionOptions,
--- a/chestnutshift/storage/backends/http.py
+++ b/chestnutshift/storage/backends/http.py
@@ -12,6 +12,7 @@
 import trio
 
 from chestnutshift.conf import defaults
+from chestnutshift.decimals import UnreadableNumberError, read_decimal
 from chestnutshift.storage.backends.base import BACKENDS, SCAN_LIMIT, Platform
 from chestnutshift.storage.exceptions import (
     ConflictError,
@@ -29,6 +30,7 @@
 # Doubles after each attempt of a commit.
 RETRY_DELAY_S = 0.05
 DEFAULT_RETRY_AFTER_S = 1.0
+RETRY_AFTER_MAX_S = 60.0
 
 # Raised only before the request is sent.
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
@@ -317,7 +319,8 @@
 
 
 def _retry_after_s(response: httpx.Response) -> float:
+    text = response.headers.get('retry-after')
     try:
-        return float(response.headers['retry-after'])
-    except (KeyError, ValueError):
+        return read_decimal(text, RETRY_AFTER_MAX_S)
+    except UnreadableNumberError:
         return DEFAULT_RETRY_AFTER_S
--- a/tests/forwarding/test_refusals.py
+++ b/tests/forwarding/test_refusals.py
@@ -3,6 +3,7 @@
 import json
 
 import trio
+from nose2.tools import params
 from trio.testing import trio_test
 
 from bench.one_vm import KEY
@@ -88,6 +89,22 @@
     assert len(first.heads) + len(second.heads) == 1
 
 
+# Guards against a time to come back that is lost for its notation.
+@params((b'3', '3'), (b'2.3333333333333335', '3'), (b'1e1', '10'))
+@trio_test
+async def test_time_of_a_refusal(text: bytes, seconds: str):
+    """Any notation of an upstream's Retry-After reaches the caller."""
+
+    async def script(upstream, stream) -> None:
+        while await upstream.next_head(stream):
+            await stream.send_all(SHEDDING.replace(b': 3', b': %b' % text))
+
+    async with forwarding(ScriptedUpstream(script)) as world:
+        answer = await world.get()
+        assert _read_problem(answer) == (503, 'upstreams.shed', 'no')
+        assert answer.headers['retry-after'] == seconds
+
+
 @trio_test
 async def test_not_connected():
     """Without a connection to any upstream the refusal says not run."""
@@ -121,8 +138,24 @@
     )
     assert 0 < int(sent.partition(b'\r\n')[0]) <= 1500
     async with forwarding(upstream) as world:
-        answer = await world.get('chestnutshift-deadline-ms: x')
-        assert _read_problem(answer) == (400, 'request.deadline', 'no')
+        for text in ('x', '-1', 'inf'):
+            answer = await world.get(f'chestnutshift-deadline-ms: {text}')
+            assert _read_problem(answer) == (400, 'request.deadline', 'no')
+
+
+# Guards against a caller that is refused for how it prints its deadline.
+@params('1333.3333333333333', '1.3e3', '0000000000001333', '9' * 30)
+@trio_test
+async def test_notations_of_a_deadline(text: str):
+    """Any number of milliseconds is a deadline."""
+
+    async def script(upstream, stream) -> None:
+        await upstream.next_head(stream)
+        await stream.send_all(reply(b'body'))
+
+    async with forwarding(ScriptedUpstream(script)) as world:
+        answer = await world.get(f'chestnutshift-deadline-ms: {text}')
+        assert answer.status == 200
 
 
 @trio_test
--- a/tests/idempotency/test_tickets.py
+++ b/tests/idempotency/test_tickets.py
@@ -159,3 +159,13 @@
 def test_other_keys_are_no_tickets(key):
     """Keys that callers chose are not parsed as tickets."""
     assert parse_ticket(key) is None
+
+
+# Guards against a request that fails within the program for its key.
+@params('9' * 5000, '\u00b2', '-1', '1.5', '')
+def test_expiry_that_is_no_number(text: str):
+    """A key of this form is no ticket."""
+    ticket = make_isolated()[0].issue_ticket('konya', START)
+    expiry = f'~{parse_ticket(ticket).expires_at}~'
+    assert expiry in ticket
+    assert parse_ticket(ticket.replace(expiry, f'~{text}~')) is None
--- a/tests/lookup/test_table.py
+++ b/tests/lookup/test_table.py
@@ -162,7 +162,10 @@
     for address in ('', 'x', '10.0.0', '10.0.0.0/8', 'fe80::1%lo', '1\x002'):
         with CASE.assertRaises(InvalidAddressError):
             make_table({}).locate(address)
-    for block in ('10.0.0.0', '10.0.0.1/8', '10.0.0.0/33', '2001:db8::/65'):
+    for block in (
+        '10.0.0.0', '10.0.0.1/8', '10.0.0.0/33', '2001:db8::/65',
+        '10.0.0.0/\u00b2', f'10.0.0.0/{"8" * 5000}',
+    ):  # fmt: skip
         with CASE.assertRaises(InvalidBlockError):
             Prefix.parse(block)
 
