Route tables: what can be read is in force, the rest is refused

Moved routes went on at the old service for good, withdrawn keys for 4.3 s; then all keys got 503.

Cause: the decoder raised for any part, and the VM kept the older table in force although it knew that it was replaced.

Change, decision 0017: each row is decoded alone. A route with an unreadable field or service is closed (503 route.unreadable), an unreadable account has no key (503 instead of 401 for keys that no other account has), the usual bounds hold for unreadable ones. A table of which nobody can tell what it concerns refuses all requests (table.unreadable), and the VM isn't ready. No request goes by a table that is known to be replaced. The decisions are in routes.assembly, the adapter decodes.

Tests: test_malformed_route_tables asked for the refusal of a table for any malformed part; those parts are now asked for one by one (closed, without keys, usual bounds), and more forms that make the whole malformed stand in their places.

--- a/chestnutshift/edge/admission.py
+++ b/chestnutshift/edge/admission.py
@@ -8,7 +8,7 @@
 from chestnutshift.edge.dialect import InboundRequest
 from chestnutshift.edge.state import EdgeState
 from chestnutshift.forwarding.problems import Problem, RefusalError
-from chestnutshift.routes.model import Account, Route
+from chestnutshift.routes.model import Account, Route, RouteTable
 
 if TYPE_CHECKING:
     from chestnutshift.edge.crossings import Progress
@@ -40,6 +40,24 @@
     'a newer route table may have what this VM does not know',
     retry_after_s=0.3,
 )
+TABLE_UNREADABLE = Problem(
+    503,
+    'table.unreadable',
+    'this VM can not read the newest route table',
+    retry_after_s=1,
+)
+ROUTE_UNREADABLE = Problem(
+    503,
+    'route.unreadable',
+    'this VM can not read the rule for this route',
+    retry_after_s=1,
+)
+ACCOUNT_UNREADABLE = Problem(
+    503,
+    'keys.unreadable',
+    'the key may belong to a client account that this VM can not read',
+    retry_after_s=1,
+)
 
 
 @attrs.frozen
@@ -84,12 +102,8 @@
     now: float,
 ) -> Admitted:
     """Return the request with its route and account; raises RefusalError."""
-    table, index = state.table, state.index
-    if table is None or index is None:
-        raise RefusalError(NO_TABLE)
-    route = index.find(request.host, request.path)
-    if route is None:
-        raise refuse_unknown(state, NO_ROUTE, now)
+    table = readable_table(state)
+    route = find_route(state, request, now)
     account = None
     if table.needs_keys and not route.is_open:
         account = authenticate(state, request, now)
@@ -102,6 +116,34 @@
     )
 
 
+def readable_table(state: EdgeState) -> RouteTable:
+    """Return the route table in force; raises RefusalError.
+
+    No request goes by a table older than one that can't be read.
+    """
+    problem = state.trust.table_problem
+    if problem:
+        raise _refuse_unreadable(TABLE_UNREADABLE, problem)
+    if state.table is None:
+        raise RefusalError(NO_TABLE)
+    return state.table
+
+
+def find_route(state: EdgeState, request: InboundRequest, now: float) -> Route:
+    """Return the route of a request; raises RefusalError."""
+    route = state.index.find(request.host, request.path)
+    if route is None:
+        raise refuse_unknown(state, NO_ROUTE, now)
+    if route.problem:
+        raise _refuse_unreadable(ROUTE_UNREADABLE, route.problem)
+    return route
+
+
+def _refuse_unreadable(problem: Problem, reason: str) -> RefusalError:
+    detail = f'{problem.detail}: {reason}'
+    return RefusalError(attrs.evolve(problem, detail=detail))
+
+
 def refuse_unknown(
     state: EdgeState, problem: Problem, now: float
 ) -> RefusalError:
@@ -136,6 +178,8 @@
     if request.key is None:
         raise refuse_unknown(state, KEY_MISSING, now)
     account = state.table.account_by_key.get(request.key)
+    if account is None and state.table.has_unreadable_accounts:
+        raise RefusalError(ACCOUNT_UNREADABLE)
     if account is None:
         raise refuse_unknown(state, KEY_UNKNOWN, now)
     return account
--- a/chestnutshift/edge/crossings.py
+++ b/chestnutshift/edge/crossings.py
@@ -7,10 +7,10 @@
 
 from chestnutshift.edge.admission import (
     KEY_UNKNOWN,
-    NO_ROUTE,
-    NO_TABLE,
     Admitted,
     check_trust,
+    find_route,
+    readable_table,
     refuse_unknown,
 )
 from chestnutshift.edge.dialect import InboundRequest
@@ -114,15 +114,11 @@
     The peer has checked the key and charged the account. This VM decides by
     its own route table, which may be newer.
     """
-    table, index = state.table, state.index
-    if table is None or index is None:
-        raise RefusalError(NO_TABLE)
+    table = readable_table(state)
     progress = received.progress
     if table.version < progress.table:
         raise RefusalError(TABLE_OLDER)
-    route = index.find(request.host, request.path)
-    if route is None:
-        raise refuse_unknown(state, NO_ROUTE, now)
+    route = find_route(state, request, now)
     account = None
     if table.needs_keys and not route.is_open:
         check_trust(state, now)
--- a/chestnutshift/edge/events.py
+++ b/chestnutshift/edge/events.py
@@ -107,6 +107,13 @@
     'Peers name a newer route table than this VM has, which lasts.',
     logging.WARNING,
 )
+TABLE_PART_UNREADABLE = define(
+    8047,
+    'table.part_unreadable',
+    'A part of the route table in force can not be read; what it concerns is '
+    'refused.',
+    logging.WARNING,
+)
 EVACUATIONS_CHANGED = define(
     8021,
     'evacuations.changed',
--- a/chestnutshift/edge/metrics.py
+++ b/chestnutshift/edge/metrics.py
@@ -136,6 +136,27 @@
         )
 
 
+class StoreMetrics:
+    """Metrics of what the store is asked and answers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Create the counters in the registry."""
+        counter = functools.partial(
+            Counter, namespace=PREFIX, registry=registry
+        )
+        self.calls = counter(
+            'store_calls_total',
+            'Calls to the store by source and outcome.',
+            ('source', 'outcome'),
+        )
+        self.rows_malformed = counter(
+            'rows_malformed_total',
+            'Rows of the store that can not be read and are ignored, by '
+            'source.',
+            ('source',),
+        )
+
+
 class StateGauges:
     """Gauges that are set when the metrics are asked for."""
 
@@ -157,6 +178,15 @@
             'table_behind_seconds',
             'How long peers have named a newer route table than this VM has.',
         )
+        self.unreadable_parts = gauge(
+            'table_unreadable_parts',
+            'Parts of the route table in force that can not be read.',
+        )
+        self.table_unreadable = gauge(
+            'table_unreadable',
+            'Whether the newest route table can not be read, so that this VM '
+            'refuses all requests.',
+        )
         self.peers = gauge('peers_heard', 'Peers heard lately.')
         self.in_flight = gauge(
             'upstream_requests_in_flight',
@@ -196,12 +226,7 @@
             'Health checks of upstreams in doubt by outcome.',
             'outcome',
         )
-        self.store_calls = self._counter(
-            'store_calls_total',
-            'Calls to the store by source and outcome.',
-            'source',
-            'outcome',
-        )
+        self.store = StoreMetrics(self.registry)
         self.limit_questions = self._counter(
             'limit_questions_total',
             'Questions to the VM that decides on an account by outcome.',
--- a/chestnutshift/edge/metrics_page.py
+++ b/chestnutshift/edge/metrics_page.py
@@ -34,6 +34,9 @@
     gauges = state.metrics.state
     gauges.proof_age.set(state.freshness.age_s(now))
     gauges.table_version.set(state.table_version)
+    problems = state.table.problems if state.table else ()
+    gauges.unreadable_parts.set(len(problems))
+    gauges.table_unreadable.set(bool(state.trust.table_problem))
     gauges.newest_table.set(state.trust.peer_tables.newest)
     gauges.table_behind.set(state.trust.behind_s(now))
     gauges.peers.set(len(state.fleet.live_peers(now)))
--- a/chestnutshift/edge/state.py
+++ b/chestnutshift/edge/state.py
@@ -178,6 +178,8 @@
         """Return whether this VM is ready for callers."""
         if self.phase is not MemberPhase.SERVING or self.table is None:
             return False
+        if self.trust.table_problem:
+            return False
         return not self.table.needs_keys or self.trust.accepts_keys(now)
 
     def adopt(self, table: RouteTable) -> bool:
--- a/chestnutshift/edge/state_updater.py
+++ b/chestnutshift/edge/state_updater.py
@@ -14,6 +14,9 @@
 from chestnutshift.steering.store_clock import StoreClock
 from chestnutshift.steering.upstreams import Registration
 
+# Logged parts of a route table that can't be read; there may be thousands.
+PROBLEMS_LOGGED_MAX = 16
+
 
 @attrs.define
 class StateUpdater:
@@ -24,8 +27,8 @@
     _store_clock: StoreClock = attrs.field(factory=StoreClock)
     # The newest position of the views of each table.
     _positions: dict[str, StorePosition] = attrs.field(factory=dict)
-    # Malformed operator rows: their content is unknown, so no proof counts.
-    _malformed_keys: set[str] = attrs.field(factory=set)
+    # Operator rows that can't be read, with the reason: no proof counts.
+    _malformed_rows: dict[str, str] = attrs.field(factory=dict)
 
     def apply_operators(
         self,
@@ -40,12 +43,12 @@
         self._prepare_for_copy(view, now)
         if view.is_whole:
             self._evacuations.clear_requested()
-            self._malformed_keys.clear()
+            self._malformed_rows.clear()
         for change in view.changes:
             self._log_malformed_row('operators', change)
-            self._malformed_keys.discard(change.key)
+            self._malformed_rows.pop(change.key, None)
             if change.problem:
-                self._malformed_keys.add(change.key)
+                self._malformed_rows[change.key] = change.problem
                 continue
             if isinstance(change.state, RouteTable):
                 self._adopt(change.state)
@@ -53,7 +56,8 @@
                 self._evacuations.update(change.key, change.state)
         # A store that returned from an older copy lacks the newest table until
         # the operator writes it again, and proves none.
-        if not self._malformed_keys and not trust.is_behind:
+        trust.table_problem = '; '.join(self._malformed_rows.values())
+        if not self._malformed_rows and not trust.is_behind:
             self._state.record_proof(self._sent_at_bound(view, now), now)
         self._evacuate(now)
 
@@ -160,7 +164,14 @@
                 before=before.version if before else 0,
                 routes=len(table.routes),
                 accounts=len(table.accounts),
+                unreadable=len(table.problems),
             )
+            for problem in table.problems[:PROBLEMS_LOGGED_MAX]:
+                self._state.event_log.emit(
+                    events.TABLE_PART_UNREADABLE,
+                    version=table.version,
+                    detail=problem,
+                )
 
     def _evacuate(self, now: float) -> None:
         state = self._state
@@ -192,6 +203,7 @@
         if change.fault is not None:
             report_fault(self._state, 'row', change.fault, key=change.key)
         if change.problem:
+            self._state.metrics.store.rows_malformed.labels(source).inc()
             self._state.event_log.emit(
                 events.ROW_MALFORMED,
                 source=source,
--- a/chestnutshift/edge/table_polling.py
+++ b/chestnutshift/edge/table_polling.py
@@ -136,7 +136,7 @@
         self._failures = 0
 
     def _count(self, outcome: str) -> None:
-        self._state.metrics.store_calls.labels(self._name, outcome).inc()
+        self._state.metrics.store.calls.labels(self._name, outcome).inc()
 
     async def _back_off(self, error: CodedError) -> None:
         self._count(error.code)
--- a/chestnutshift/edge/table_trust.py
+++ b/chestnutshift/edge/table_trust.py
@@ -27,6 +27,8 @@
 
     _state: 'EdgeState' = attrs.field(repr=False)
     peer_tables: PeerTables = attrs.field(factory=PeerTables)
+    # What keeps the newest route table of the store from being read.
+    table_problem: str = ''
     # Until when a newer table that peers name may be one that the store lost.
     # At other times it is on its way to this VM, and proofs end soon.
     older_copy_until: float = -math.inf
--- a/chestnutshift/platform/heads.py
+++ b/chestnutshift/platform/heads.py
@@ -1,5 +1,6 @@
 """Translate the heads of requests and answers."""
 
+import functools
 import math
 from typing import Any
 
@@ -53,6 +54,8 @@
     names.EXPECTED_UPSTREAM,
 }
 _HTTP_BAD_REQUEST = 400
+_READ_LIMIT = functools.partial(read_decimal, maximum=NUMBER_MAX)
+_READ_LENGTH = functools.partial(read_digits, maximum=INTEGER_MAX)
 
 
 @DIALECTS.register('platform')
@@ -80,7 +83,7 @@
             object_key=find_header(headers, names.OBJECT_KEY) or b'',
             timeout_s=_timeout_s(headers),
             key=_key(headers),
-            length_b=NumberReader().read(b'', length, _length_b),
+            length_b=NumberReader().read(b'', length, _READ_LENGTH),
         )
 
     def write_request(
@@ -117,7 +120,7 @@
         fields = dict(headers)
         numbers = NumberReader()
         rests_s = numbers.read_all(headers, (b'retry-after',), _rest_s)
-        limits = numbers.read_all(headers, names.RATE_LIMIT, _limit)
+        limits = numbers.read_all(headers, names.RATE_LIMIT, _READ_LIMIT)
         is_limit_malformed = len(limits) > 1 or None in limits
         return AnswerFacts(
             request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
@@ -177,10 +180,6 @@
     return RefusalError(Problem(_HTTP_BAD_REQUEST, 'request.malformed', detail))
 
 
-def _limit(text: str) -> float:
-    return read_decimal(text, NUMBER_MAX)
-
-
 def _rest_s(text: str) -> float:
     """Return how long to rest; a time that is past asks for no rest."""
     return max(0, min(DURATION_MAX_S, parse_decimal(text)))
@@ -205,10 +204,6 @@
     return key.strip().decode('latin-1')
 
 
-def _length_b(text: str) -> int:
-    return read_digits(text, INTEGER_MAX)
-
-
 def _cold_s(text: str) -> float:
     maximum = COLD_MAX_S * MILLISECONDS_PER_S
     return read_decimal(text, maximum) / MILLISECONDS_PER_S
--- a/chestnutshift/platform/route_tables.py
+++ b/chestnutshift/platform/route_tables.py
@@ -1,8 +1,11 @@
 """Decoding of the platform's configuration into a route table."""
 
-from collections.abc import Mapping
+import functools
+from collections.abc import Callable, Mapping
 from typing import Any
 
+import attrs
+
 from chestnutshift.decimals import INTEGER_MAX, read_digits
 from chestnutshift.platform.durations import read_duration
 from chestnutshift.platform.exceptions import MalformedError
@@ -18,6 +21,14 @@
     text_of,
     texts_of,
 )
+from chestnutshift.routes.assembly import (
+    KeyedAccount,
+    Part,
+    Unreadable,
+    assemble_table,
+    read_part,
+    route_or_closed,
+)
 from chestnutshift.routes.model import (
     Account,
     CallerBounds,
@@ -34,25 +45,17 @@
 
 
 def decode_route_table(content: bytes) -> RouteTable:
-    """Decode a route table; raise MalformedError if any part is malformed."""
+    """Decode a route table; parts that can't be read are told in it.
+
+    Raise MalformedError if it can't be told which requests they concern.
+    """
     document = read_document(content)
-    services = _services(document)
-    routes = tuple(_route(row) for row in _rows(document, 'routes'))
-    for route in routes:
-        _check_services(route, services)
-    accounts: dict[str, Account] = {}
-    account_by_key: dict[str, Account] = {}
-    for row in _rows(document, 'tenants'):
-        account = _account(row)
-        accounts[account.name] = account
-        account_by_key.update(dict.fromkeys(texts_of(row, 'api_keys'), account))
-    return RouteTable(
-        version=read_version(document),
-        routes=routes,
-        services=services,
-        accounts=accounts,
-        account_by_key=account_by_key,
-        bounds=_bounds(object_of(document, 'limits')),
+    return assemble_table(
+        read_version(document),
+        services=_parts_of(document, 'services', _service),
+        routes=[_route(row) for row in _rows(document, 'routes')],
+        accounts=_parts_of(document, 'tenants', _account),
+        bounds=read_part('limits', _bounds, document),
     )
 
 
@@ -60,8 +63,7 @@
     """Parse the table's version, a hexadecimal number."""
     text = required_text(document, 'version')
     # Heartbeats carry it.
-    bounds = (INTEGER_MAX, HEXADECIMAL_BASE)
-    return read_as('version', read_digits, text, *bounds)
+    return read_as('version', read_digits, text, INTEGER_MAX, HEXADECIMAL_BASE)
 
 
 def _rows(document: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
@@ -70,17 +72,15 @@
     return list(read_table(document[name]))
 
 
-def _services(document: Mapping[str, Any]) -> dict[str, Service]:
-    services = (_service(row) for row in _rows(document, 'services'))
-    return {service.name: service for service in services}
-
-
-def _check_services(route: Route, services: Mapping[str, Service]) -> None:
-    for part in route.parts:
-        if part.service not in services:
-            raise MalformedError(
-                f'route {route.name}: unknown service {part.service!r}'
-            )
+def _parts_of(
+    document: Mapping[str, Any],
+    name: str,
+    decode: Callable[[Mapping[str, Any]], Part],
+) -> list[Part | Unreadable]:
+    return [
+        read_part(f'{name} {row.get("name")!r:.40}', decode, row)
+        for row in _rows(document, name)
+    ]
 
 
 def _service(row: Mapping[str, Any]) -> Service:
@@ -100,11 +100,19 @@
 
 
 def _route(row: Mapping[str, Any]) -> Route:
-    kind = text_of(row, 'kind')
-    return Route(
+    route = Route(
         name=required_text(row, 'name'),
         host=required_text(row, 'host').lower(),
         prefix=required_text(row, 'prefix'),
+    )
+    decode = functools.partial(_with_rule, route)
+    return route_or_closed(route, read_part(f'route {route.name}', decode, row))
+
+
+def _with_rule(route: Route, row: Mapping[str, Any]) -> Route:
+    kind = text_of(row, 'kind')
+    return attrs.evolve(
+        route,
         parts=_parts(row),
         is_idempotent=kind in _IDEMPOTENT_KINDS,
         has_large_answers=kind == _LARGE_ANSWER_KIND,
@@ -135,21 +143,24 @@
     return tuple(parts)
 
 
-def _account(row: Mapping[str, Any]) -> Account:
+def _account(row: Mapping[str, Any]) -> KeyedAccount:
     has_priority = 'priority' in row
-    return Account(
+    account = Account(
         name=required_text(row, 'name'),
         priority=integer_of(row, 'priority') if has_priority else None,
         rate=number_of(row, 'rate_per_s'),
         burst=number_of(row, 'burst'),
         homes=frozenset(texts_of(row, 'home_regions')),
     )
+    return KeyedAccount(account, texts_of(row, 'api_keys'))
 
 
-def _bounds(limits: Mapping[str, Any]) -> CallerBounds:
+def _bounds(document: Mapping[str, Any]) -> CallerBounds:
+    limits = object_of(document, 'limits')
+    usual = CallerBounds()
     return CallerBounds(
-        header_limit_b=integer_of(limits, 'max_header_bytes', 16_384),
-        body_limit_b=integer_of(limits, 'max_body_bytes', 67_108_864),
-        header_timeout_s=_duration_of(limits, 'header_timeout') or 3,
-        idle_timeout_s=_duration_of(limits, 'idle_timeout') or 15,
+        integer_of(limits, 'max_header_bytes', usual.header_limit_b),
+        integer_of(limits, 'max_body_bytes', usual.body_limit_b),
+        _duration_of(limits, 'header_timeout') or usual.header_timeout_s,
+        _duration_of(limits, 'idle_timeout') or usual.idle_timeout_s,
     )
