Store: an evacuation counts by its key, whatever its content

Seen by reading, shown by a test only: an evacuation whose content was no base64 was treated as malformed and not in force, and such content in any other row of the operators' table, of no interest here, kept all keys out.

Cause: content that can't be read was reported before the row was decoded, though the key of an evacuation says all.

Change: the decoder gets empty content and decides. test_rows_whose_key_says_all fails on the parent commit.

--- a/chestnutshift/platform/sources.py
+++ b/chestnutshift/platform/sources.py
@@ -62,12 +62,13 @@
         )
 
     def _change(self, row: StoredRow) -> Change[State]:
-        if row.content is None:
-            return Change(row.key, None, problem=row.problem)
+        if row.content is None and not row.problem:
+            return Change(row.key, None)
         try:
-            return Change(row.key, self._decode(row.key, row.content))
+            # The key of some rows says all.
+            return Change(row.key, self._decode(row.key, row.content or b''))
         except MalformedError as error:
-            return Change(row.key, None, problem=error.detail)
+            return Change(row.key, None, problem=row.problem or error.detail)
         except Exception as error:
             # One row must not hide the others. Whoever applies the view logs
             # and counts the fault.
--- a/tests/edge/test_unreadable_tables.py
+++ b/tests/edge/test_unreadable_tables.py
@@ -137,3 +137,17 @@
     state = operators.state
     assert len(list(_events(state, events.TABLE_PART_UNREADABLE))) == 16
     assert len(state.table.problems) == 1000
+
+
+# EVAC: the content of an evacuation, which says nothing, kept it from force;
+# and one of a foreign row kept all keys out.
+def test_rows_whose_key_says_all() -> None:
+    """They count; a foreign row concerns nobody."""
+    operators = _Operators()
+    operators.write('evacuate/a1', None, problem='no content')
+    operators.write('foreign', None, problem='no content')
+    state = operators.state
+    assert state.directory.evacuated == {'a1'}
+    assert status_of(state, NOW, KEYED_PATH) == 0
+    operators.write('evacuate/a1', None)
+    assert not state.directory.evacuated
