--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -27,6 +27,8 @@
 # Interim (1xx) answers that may come before the final one.
 INTERIM_ANSWERS_MAX = 32
 SWITCHING_PROTOCOLS = 101
+# Of the three digits that the parser takes (RFC 9110, 15).
+STATUS_MAX = 599
 BODILESS_STATUSES = frozenset((204, 304))
 # TCP keepalive and user timeout, after which the kernel closes a connection
 # whose peer acknowledges nothing.
@@ -261,6 +263,8 @@
             if interim_count > INTERIM_ANSWERS_MAX:
                 raise ExchangeBrokenError('too many interim answers')
             event = self._next_event()
+        if event.status_code > STATUS_MAX:
+            raise ExchangeBrokenError(f'no status: {event.status_code}')
         headers = _without_void_length(list(event.headers))
         has_end = _has_end(method, event.status_code, headers)
         self._is_open_ended = not has_end
--- a/tests/forwarding/test_answers.py
+++ b/tests/forwarding/test_answers.py
@@ -54,6 +54,15 @@
                 raise AssertionError(f'ended as if complete: {content!r}')
 
 
+# MIXED: an answer whose status is none of HTTP was passed on.
+@trio_test
+async def test_status_that_is_none_of_http():
+    """The request may have run."""
+    for status in (b'000 No', b'600 No', b'999 No'):
+        upstream = answering(reply(b'body', status=status))
+        assert await _get_refusal(upstream) == (502, 'unknown')
+
+
 @trio_test
 async def test_closed_without_answer():
     """An upstream that closes without an answer may have run the request."""
