--- a/chestnutshift/callers/body_reader.py
+++ b/chestnutshift/callers/body_reader.py
@@ -1,5 +1,6 @@
 """Reads the body of one request."""
 
+import sys
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +11,7 @@
     MalformedBodyError,
     SlowBodyError,
 )
+from chestnutshift.conf import defaults
 from chestnutshift.forwarding.requests import CallerDisconnectedError, Headers
 
 if TYPE_CHECKING:
@@ -32,6 +34,8 @@
         self._parser = parser
         self._is_read = not _has_body(headers) and self._read_end()
         self._is_delivered = False
+        # Whether chunks arrived that are not parsed yet.
+        self._has_unparsed = False
 
     @property
     def is_read(self) -> bool:
@@ -47,6 +51,9 @@
         """
         if self._is_delivered:
             await trio.sleep_forever()
+        if self._has_unparsed:
+            # Thousands of tiny chunks may have arrived at once.
+            await trio.lowlevel.checkpoint()
         body = b'' if self._is_read else self._read_arrived()
         while not body and not self._is_read:
             await self._read_more()
@@ -60,20 +67,23 @@
         if self._is_read:
             return
         with suppress(MalformedBodyError, CallerDisconnectedError):
-            self._read_arrived()
+            self._read_arrived(sys.maxsize)
 
-    def _read_arrived(self) -> bytes:
-        chunks = []
-        while True:
+    def _read_arrived(self, chunks_max: int = defaults.CHUNKS_AT_ONCE) -> bytes:
+        chunks: list[bytes] = []
+        self._has_unparsed = False
+        while not (self._has_unparsed or self._is_read):
             event = self._next_event()
             if event is h11.NEED_DATA:
                 break
-            if not isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
+                chunks.append(event.data)
+                self._has_unparsed = len(chunks) >= chunks_max
+            else:
                 # Trailers are dropped: they may contain the caller's key.
                 self._is_read = True
-                break
-            chunks.append(event.data)
-        self._connection.read_ahead.settle()
+        if not self._has_unparsed:
+            self._connection.read_ahead.settle()
         return b''.join(chunks)
 
     def _read_end(self) -> bool:
--- a/chestnutshift/conf/defaults.py
+++ b/chestnutshift/conf/defaults.py
@@ -24,6 +24,8 @@
 WARM_UP_S = 20.0
 REPORT_AGE_S = 3.0
 HEADER_LIMIT_B = 16_384
+# Chunks of a body that are parsed before other tasks run.
+CHUNKS_AT_ONCE = 256
 # Callers' heads are buffered, so no configuration may allow longer ones.
 HEADER_LIMIT_MAX_B = 1_048_576
 BODY_LIMIT_B = 134_217_728
--- a/chestnutshift/upstreams/connection.py
+++ b/chestnutshift/upstreams/connection.py
@@ -17,6 +17,7 @@
 
 from chestnutshift.conf import defaults
 from chestnutshift.exceptions import CodedError
+from chestnutshift.upstreams.chunk_pace import ChunkPace
 from chestnutshift.upstreams.connection_end import (
     SendProgress,
     find_reset,
@@ -169,6 +170,9 @@
         self._progress = SendProgress(self._sent_at)
         # Whether the answer ends when the upstream closes the connection.
         self._is_open_ended = False
+        # Whether chunks of the body were read that are not parsed yet.
+        self._has_unparsed = False
+        self._pace = ChunkPace()
         enable_tcp_keepalive(stream.socket, options.unacknowledged_ms)
 
     @property
@@ -275,24 +279,35 @@
         return UpstreamAnswer(event.status_code, headers, self)
 
     def receive_nowait(self) -> AnswerPart:
-        """Return the body bytes already received, without waiting."""
-        chunks = []
-        while True:
+        """Return body bytes already received, without waiting.
+
+        More may be left: a read may bring thousands of tiny chunks.
+        """
+        chunks: list[bytes] = []
+        while len(chunks) < defaults.CHUNKS_AT_ONCE:
             event = self._next_event()
             if event is h11.NEED_DATA:
+                self._has_unparsed = False
                 return AnswerPart(b''.join(chunks), is_last=False)
             if not isinstance(event, h11.Data):
                 return AnswerPart(b''.join(chunks), is_last=True)
             chunks.append(event.data)
+        self._has_unparsed = True
+        return AnswerPart(b''.join(chunks), is_last=False)
 
     async def receive(self) -> AnswerPart:
         """Wait for bytes from the upstream and return those of the body."""
-        await self._read()
+        if self._has_unparsed:
+            await self._pace.wait()
+        else:
+            await self._read()
         return self.receive_nowait()
 
     def _begin(self, request: OutboundRequest) -> bytes:
         self._sent_at = trio.current_time()
         self._is_unanswered = True
+        self._has_unparsed = False
+        self._pace = ChunkPace()
         return self._h11.send(
             h11.Request(
                 method=request.method,
