--- a/chestnutshift/crashes/register.py
+++ b/chestnutshift/crashes/register.py
@@ -7,7 +7,7 @@
 import enum
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -180,19 +180,40 @@
         What ended under a request that is refused by itself speaks against no
         other.
         """
-        all_ends = self._ended_at
         if len(suspect.ended_at) < REFUSED_WEIGHT:
             return False
-        if suspect.weight((), all_ends) < REFUSED_WEIGHT:
+        if self._weight(suspect) < REFUSED_WEIGHT:
             return False
         explained = {
             run
             for other in self
             if len(other.ended_at) > len(suspect.ended_at)
-            and other.weight((), all_ends) >= REFUSED_WEIGHT
+            and self._weight(other) >= REFUSED_WEIGHT
             for run in other.ended_at
         }
-        return suspect.weight(explained, all_ends) >= REFUSED_WEIGHT
+        return self._weight(suspect, explained) >= REFUSED_WEIGHT
+
+    def _weight(
+        self, suspect: Suspect, explained: Collection[int] = ()
+    ) -> float:
+        """Return how much the ends speak against the suspect.
+
+        Several requests may crash upstreams at the same time: under each of
+        them upstreams end again and again, and they are no other cause of each
+        other's ends.
+        """
+        if not suspect.is_repeated:
+            return suspect.weight(explained, self._ended_at)
+        repeated = {
+            run
+            for other in self
+            if other is not suspect and other.is_repeated
+            for run in other.runs
+        }
+        other_ends = {
+            run: at for run, at in self._ended_at.items() if run not in repeated
+        }
+        return suspect.weight(explained, other_ends)
 
     def _drop_surplus(self) -> None:
         while len(self._suspects) > SUSPECTS_MAX:
--- a/chestnutshift/crashes/suspects.py
+++ b/chestnutshift/crashes/suspects.py
@@ -19,6 +19,9 @@
 REPEATED_WEIGHT = 0.5
 # Weight of the ends of a moment that probably have another cause.
 OTHER_CAUSE_WEIGHT = 0.5
+# From so many times on at which it ended upstreams a request probably is the
+# cause: popular requests succeed in between.
+REPEATED_TIMES = 3
 # Bits of the parts of a run's number: domain, address, run.
 RUN_BITS = 32
 ADDRESS_BITS = 16
@@ -55,6 +58,16 @@
         factory=lambda: deque(maxlen=FURTHER_RUNS_MAX)
     )
 
+    @property
+    def runs(self) -> frozenset[int]:
+        """The runs that ended under it, as far as they are kept."""
+        return frozenset((*self.ended_at, *self._further_runs))
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether runs ended under it at several times, and no success."""
+        return self._times() >= REPEATED_TIMES
+
     @property
     def changed_at(self) -> float:
         """When an end or a success was last recorded."""
@@ -147,6 +160,16 @@
                 moments.append([run])
         return moments
 
+    def _times(self) -> int:
+        """Return at how many times runs ended, counting one loss once."""
+        count = 0
+        loss_until = -math.inf
+        for at in sorted(self.ended_at.values()):
+            if at > loss_until:
+                count += 1
+                loss_until = at + DOMAIN_LOSS_S
+        return count
+
     def _one_per_domain(self, runs: list[int]) -> list[int]:
         """Return the runs that count, the first first."""
         counted: list[int] = []
@@ -166,10 +189,13 @@
         own = {run >> RUN_BITS for run in (*self.ended_at, *self._further_runs)}
         since = self.ended_at[moment[0]] - MOMENT_S
         until = self.ended_at[moment[-1]] + MOMENT_S
-        return any(
+        others = sum(
             since < at < until and run >> RUN_BITS not in own
             for run, at in all_ends.items()
         )
+        # Of a cause that is not the request most ends are under others.
+        others_min = len(moment) if self.is_repeated else 1
+        return others >= others_min
 
 
 def run_number(domain: int, address: int, run: int) -> int:
--- a/tests/crashes/fleet.py
+++ b/tests/crashes/fleet.py
@@ -17,7 +17,9 @@
 RESTART_S = 3.0
 # From an end until it is proved.
 PROOF_S = (0.05, 1.0)
-GUILTY = 1
+# Fingerprints of requests that end each upstream that runs them.
+GUILTY = range(1, 4)
+FIRST_INNOCENT = 4
 
 
 @attrs.define(eq=False)
@@ -25,14 +27,10 @@
     """An upstream process: its run, and when it is back after an end."""
 
     number: int
+    domain: int
     run: int
     back_at: float = 0
 
-    @property
-    def domain(self) -> int:
-        """The number of its failure domain."""
-        return self.number // UPSTREAMS_PER_DOMAIN
-
 
 @attrs.define(eq=False)
 class SimRequest:
@@ -51,14 +49,16 @@
     """VMs that send requests to upstreams and tell each other of suspects.
 
     arrivals are the times at which guilty requests reached an upstream, ends
-    those at which upstreams ended under them; refused counts refusals of
-    other requests.
+    those at which upstreams ended under them, by fingerprint; refused counts
+    refusals of other requests.
     """
 
     rng: random.Random
+    upstreams_per_domain: int = UPSTREAMS_PER_DOMAIN
+    restart_s: float = RESTART_S
     now: float = 0
-    arrivals: list[float] = attrs.field(factory=list)
-    ends: list[float] = attrs.field(factory=list)
+    arrivals: dict[int, list[float]] = attrs.field(init=False)
+    ends: dict[int, list[float]] = attrs.field(init=False)
     refused: int = 0
     served: int = 0
     _registers: list[CrashRegister] = attrs.field(init=False)
@@ -69,11 +69,16 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the VMs and upstreams."""
+        self.arrivals = {fingerprint: [] for fingerprint in GUILTY}
+        self.ends = {fingerprint: [] for fingerprint in GUILTY}
         self._registers = [CrashRegister(vm) for vm in VMS]
-        count = DOMAINS * UPSTREAMS_PER_DOMAIN
         self._upstreams = [
-            SimUpstream(number, self._next_run(number))
-            for number in range(count)
+            SimUpstream(
+                number,
+                number // self.upstreams_per_domain,
+                self._next_run(number),
+            )
+            for number in range(DOMAINS * self.upstreams_per_domain)
         ]
 
     def run(self, duration_s: float, step: Callable[['Fleet'], None]) -> None:
@@ -100,7 +105,7 @@
         if standing is Standing.REFUSED or (
             standing is Standing.ON_TRIAL and is_tried
         ):
-            self.refused += fingerprint != GUILTY
+            self.refused += fingerprint not in GUILTY
             return
         self._start(
             fingerprint, vm, work_s, is_single=standing is not Standing.CLEAR
@@ -121,8 +126,8 @@
         # Each request has its preferred upstreams, the first that is up.
         ranked = sorted(up, key=lambda one: hash((fingerprint, one.number)))
         upstream = self.rng.choice(ranked[:2])
-        if fingerprint == GUILTY:
-            self.arrivals.append(self.now)
+        if fingerprint in GUILTY:
+            self.arrivals[fingerprint].append(self.now)
             work_s = 0
         self._running.append(
             SimRequest(
@@ -139,8 +144,8 @@
         for request in tuple(self._running):
             if request not in self._running or request.ends_at > self.now:
                 continue
-            if request.fingerprint == GUILTY:
-                self.ends.append(self.now)
+            if request.fingerprint in GUILTY:
+                self.ends[request.fingerprint].append(self.now)
                 self._end(request.upstream)
                 continue
             self._running.remove(request)
@@ -153,7 +158,7 @@
         lost = [one for one in self._running if one.upstream is upstream]
         self._running = [one for one in self._running if one not in lost]
         upstream.run = self._next_run(upstream.number)
-        upstream.back_at = self.now + RESTART_S
+        upstream.back_at = self.now + self.restart_s
         for request in lost:
             proven_at = self.now + self.rng.uniform(*PROOF_S)
             self._proofs.append((proven_at, request, self.now))
@@ -181,5 +186,5 @@
 
     def _next_run(self, address: int) -> int:
         self._run_count += 1
-        domain = address // UPSTREAMS_PER_DOMAIN
+        domain = address // self.upstreams_per_domain
         return run_number(domain, address, self._run_count)
--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -4,9 +4,11 @@
 import random
 
 import attrs
+from nose2.tools import params
 
 from tests.crashes.fleet import (
     DOMAINS,
+    FIRST_INNOCENT,
     STEP_S,
     UPSTREAMS_PER_DOMAIN,
     Fleet,
@@ -15,6 +17,7 @@
 
 SEEDS = range(50)
 # Bounds of the users: retries after the third end, from this time after it.
+ENDS_BEFORE_BOUND = 3
 RETRIES_MAX = 3
 CONTACT_S = 3.0
 FINGERPRINTS = 40
@@ -25,7 +28,7 @@
     """Send requests of other fingerprints, a few of them popular."""
     if fleet.rng.random() < rate * STEP_S:
         rank = int(fleet.rng.paretovariate(0.8))
-        fingerprint = 2 + min(rank, FINGERPRINTS)
+        fingerprint = FIRST_INNOCENT + min(rank, FINGERPRINTS)
         fleet.send(fingerprint, fleet.rng.uniform(0.3, 3.5))
 
 
@@ -42,11 +45,56 @@
                 fleet.send(1, 0)
 
         fleet.run(60, step)
-        bound_from = fleet.ends[2] + CONTACT_S
-        late = [at for at in fleet.arrivals if at > bound_from]
+        late = _late_arrivals(fleet, 1)
         assert len(late) <= RETRIES_MAX, (seed, late)
 
 
+def _check_at_the_same_time(fleet: Fleet, count: int, rate: float) -> None:
+    """Send several crashing requests; each must stop as one alone does."""
+    fingerprints = range(1, 1 + count)
+
+    def step(fleet: Fleet) -> None:
+        _send_others(fleet, 15)
+        for fingerprint in fingerprints:
+            if fleet.rng.random() < rate * STEP_S:
+                fleet.send(fingerprint, 0)
+
+    fleet.run(20, step)
+    for fingerprint in fingerprints:
+        late = _late_arrivals(fleet, fingerprint)
+        assert len(late) <= RETRIES_MAX, (fingerprint, late)
+
+
+# BUDGET: of two requests that ended upstreams at the same time, each passed for
+# the cause of the other's ends, and none was recognized for six seconds and
+# more.
+@params((2, 1.0), (3, 2.0), (2, 3.0))
+def test_crashing_requests_at_the_same_time(count: int, rate: float) -> None:
+    """Each stops as one alone does, where upstreams are left."""
+    for seed in SEEDS:
+        fleet = Fleet(
+            random.Random(seed), upstreams_per_domain=4, restart_s=2.0
+        )
+        _check_at_the_same_time(fleet, count, rate)
+
+
+# BUDGET: the same, where most upstreams of the service are down at a time.
+@params((3, 1.0), (2, 1.0), (2, 3.0), (2, 5.0), (3, 3.0))
+def test_crashing_requests_among_few_upstreams(count: int, rate: float) -> None:
+    """Each stops as one alone does."""
+    for seed in SEEDS:
+        _check_at_the_same_time(Fleet(random.Random(seed)), count, rate)
+
+
+def _late_arrivals(fleet: Fleet, fingerprint: int) -> list[float]:
+    """Return when it reached upstreams later than the bound permits."""
+    ends = fleet.ends[fingerprint]
+    if len(ends) < ENDS_BEFORE_BOUND:
+        return []
+    bound_from = ends[ENDS_BEFORE_BOUND - 1] + CONTACT_S
+    return [at for at in fleet.arrivals[fingerprint] if at > bound_from]
+
+
 @attrs.frozen
 class MassCrashes:
     """Losses of domains and regions, and an upstream that flaps."""
