--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -49,8 +49,11 @@
         assert len(late) <= RETRIES_MAX, (seed, late)
 
 
-def _check_at_the_same_time(fleet: Fleet, count: int, rate: float) -> None:
+def _check_at_the_same_time(
+    seed: int, count: int, rate: float, **sizes: float
+) -> None:
     """Send several crashing requests; each must stop as one alone does."""
+    fleet = Fleet(random.Random(seed), **sizes)
     fingerprints = range(1, 1 + count)
 
     def step(fleet: Fleet) -> None:
@@ -62,7 +65,7 @@
     fleet.run(20, step)
     for fingerprint in fingerprints:
         late = _late_arrivals(fleet, fingerprint)
-        assert len(late) <= RETRIES_MAX, (fingerprint, late)
+        assert len(late) <= RETRIES_MAX, (seed, fingerprint, late)
 
 
 # BUDGET: of two requests that ended upstreams at the same time, each passed for
@@ -72,10 +75,9 @@
 def test_crashing_requests_at_the_same_time(count: int, rate: float) -> None:
     """Each stops as one alone does, where upstreams are left."""
     for seed in SEEDS:
-        fleet = Fleet(
-            random.Random(seed), upstreams_per_domain=4, restart_s=2.0
+        _check_at_the_same_time(
+            seed, count, rate, upstreams_per_domain=4, restart_s=2.0
         )
-        _check_at_the_same_time(fleet, count, rate)
 
 
 # BUDGET: the same, where most upstreams of the service are down at a time.
@@ -83,7 +85,7 @@
 def test_crashing_requests_among_few_upstreams(count: int, rate: float) -> None:
     """Each stops as one alone does."""
     for seed in SEEDS:
-        _check_at_the_same_time(Fleet(random.Random(seed)), count, rate)
+        _check_at_the_same_time(seed, count, rate)
 
 
 def _late_arrivals(fleet: Fleet, fingerprint: int) -> list[float]:
