--- a/chestnutshift/callers/connection.py
+++ b/chestnutshift/callers/connection.py
@@ -268,6 +268,7 @@
             self.end.lost_count += not is_answered
             self.unanswered.remove(exchange)
             exchange.done.set()
+            exchange.length.set(is_long=False)
             self._answered.unpark_all()
         if self._is_broken:
             nursery.cancel_scope.cancel()
--- a/chestnutshift/callers/exchange.py
+++ b/chestnutshift/callers/exchange.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from chestnutshift.callers.answer_length import AnswerLength
 from chestnutshift.callers.body_reader import BodyReader
 from chestnutshift.callers.request_parser import RequestParser
 from chestnutshift.callers.unanswered import UnansweredExchanges
@@ -30,9 +31,12 @@
 # request is cancelled then too, but later at a VM that is behind.
 DEPARTURE_EXTENSION = 'chestnutshift.departure'
 # The name of the ASGI extension that waits until no earlier answer of the
-# connection is being streamed. If one breaks off, the connection is reset, and
-# the requests behind it are lost: they must not have been sent on.
+# connection is or may be streamed. If one breaks off, the connection is reset,
+# and the requests behind it are lost: they must not have been sent on.
 STREAM_EXTENSION = 'chestnutshift.stream'
+# The name of the ASGI extension that sets whether the answer may be too long
+# to buffer, so that it is streamed. Requests behind it wait for its end.
+LONG_EXTENSION = 'chestnutshift.long'
 # The name of the ASGI extension that tells whether later requests of the
 # connection are being served, so that a stream that breaks off loses them.
 FOLLOWED_EXTENSION = 'chestnutshift.followed'
@@ -100,6 +104,7 @@
         self.scope = trio.CancelScope()
         self.done = trio.Event()
         self.has_begun = False
+        self.length = AnswerLength()
         # The scope of the application's work, if it has set one.
         self.work: trio.CancelScope | None = None
         self._previous = previous
@@ -175,6 +180,7 @@
                 BEGUN_EXTENSION: lambda: self.has_begun,
                 DISCARD_EXTENSION: self._body.discard_arrived,
                 WORK_EXTENSION: partial(setattr, self, 'work'),
+                LONG_EXTENSION: self.length.set,
             },
             'state': {},
         }
--- a/chestnutshift/callers/unanswered.py
+++ b/chestnutshift/callers/unanswered.py
@@ -21,18 +21,29 @@
                 exchange.work.cancel()
 
     async def wait_for_streams(self, exchange: 'CallerExchange') -> None:
-        """Wait until no answer before that of the exchange is streamed."""
-        streamed = self._stream_before(exchange)
-        while streamed is not None:
-            await streamed.done.wait()
-            streamed = self._stream_before(exchange)
+        """Wait until no answer before that of the exchange is streamed.
 
-    def _stream_before(
+        Nor may one be streamed later, as far as that is known.
+        """
+        earlier = self._holding_back(exchange)
+        while earlier is not None:
+            await _wait_for_change(earlier)
+            earlier = self._holding_back(exchange)
+
+    def _holding_back(
         self, exchange: 'CallerExchange'
     ) -> 'CallerExchange | None':
         for earlier in self:
             if earlier is exchange:
                 return None
-            if earlier.is_streaming:
+            if earlier.is_streaming or earlier.length.may_be_long:
                 return earlier
         return None
+
+
+async def _wait_for_change(exchange: 'CallerExchange') -> None:
+    """Wait until the requests behind the exchange may go on, or nearly."""
+    if exchange.length.is_known:
+        await exchange.done.wait()
+    else:
+        await exchange.length.wait()
--- a/chestnutshift/edge/attempts.py
+++ b/chestnutshift/edge/attempts.py
@@ -37,6 +37,8 @@
 # Likewise while requests behind it on the caller's connection are at work,
 # which would be lost with a stream that breaks off.
 FOLLOWED_BUFFER_B = 4_194_304
+# Answers beyond may be followed by one that is too long for that.
+LONG_ANSWER_B = FOLLOWED_BUFFER_B // 2
 # A refusal counts without what its body has beyond this; so does a health
 # check. The connection is closed then.
 DISCARDED_MAX_B = 65_536
--- a/chestnutshift/edge/forwarder.py
+++ b/chestnutshift/edge/forwarder.py
@@ -13,6 +13,7 @@
     DEPARTURE_EXTENSION,
     DISCARD_EXTENSION,
     FOLLOWED_EXTENSION,
+    LONG_EXTENSION,
     STREAM_EXTENSION,
     TURN_EXTENSION,
     WORK_EXTENSION,
@@ -183,6 +184,9 @@
         writer.request_id = request.request_id
         admitted = self._gate.admit(request, scope['headers'], now)
         self._state.admitted_at = now
+        scope['extensions'][LONG_EXTENSION](
+            self._request_runner.may_be_long(admitted)
+        )
         writer.route = admitted.route.name
         writer.account = admitted.account_name
         writer.timeout_s = request_timeout_s(admitted)
--- a/chestnutshift/edge/request_runner.py
+++ b/chestnutshift/edge/request_runner.py
@@ -10,6 +10,7 @@
 from chestnutshift.edge.admission import Admitted
 from chestnutshift.edge.attempt_observer import AttemptObserver
 from chestnutshift.edge.attempts import (
+    LONG_ANSWER_B,
     AnswerCollector,
     AttemptEnd,
     EndKind,
@@ -68,6 +69,14 @@
         estimate = self._service_time_estimate(pending.admitted)
         self._check_stop(pending, estimate.mean_s, now)
 
+    def may_be_long(self, admitted: Admitted) -> bool:
+        """Return whether the answer may be too long to buffer.
+
+        It is streamed then, and if it breaks off, the requests behind it on the
+        caller's connection are lost.
+        """
+        return self._service_time_estimate(admitted).longest_b > LONG_ANSWER_B
+
     async def run(self, pending: PendingRequest) -> Reply:
         """Return an upstream's answer; raises RefusalError if there is none.
 
--- a/chestnutshift/steering/service_time.py
+++ b/chestnutshift/steering/service_time.py
@@ -16,6 +16,8 @@
 
 # Weight of a new sample in the exponential moving averages.
 SAMPLE_WEIGHT = 0.05
+# What is left of the longest answer with each shorter one.
+LONGEST_KEPT = 0.99
 # Initial estimates, as multiples of the route's latency objective.
 WARM_PRIOR = 0.45
 COLD_PRIOR = 1.45
@@ -69,12 +71,14 @@
     """Mean response times in seconds, without queueing.
 
     mean_s is the mean of all answers, answer_b the mean length of an answer's
-    body in bytes.
+    body in bytes. longest_b is about the longest lately, infinite while none is
+    known of a route with large answers.
     """
 
     mean_s: float
     _means_s: dict[CacheState, float]
     answer_b: float = 0
+    longest_b: float = 0
 
     @classmethod
     def from_route(cls, route: Route) -> 'ServiceTimeEstimate':
@@ -84,6 +88,7 @@
         )
         if route.has_large_answers:
             estimate.answer_b = LARGE_ANSWER_B
+            estimate.longest_b = math.inf
         return estimate
 
     @classmethod
@@ -116,3 +121,5 @@
     def learn_length(self, answer_b: int) -> None:
         """Record the length of an answer's body in bytes."""
         self.answer_b += SAMPLE_WEIGHT * (answer_b - self.answer_b)
+        known_b = self.longest_b if math.isfinite(self.longest_b) else 0
+        self.longest_b = max(answer_b, known_b * LONGEST_KEPT)
