--- a/tests/edge/test_stream_deadlines.py
+++ b/tests/edge/test_stream_deadlines.py
@@ -104,6 +104,9 @@
     """It is refused, and the request before it is answered."""
     upstream = Upstream()
     async with _calling_world(upstream) as (world, caller):
+        # Requests wait behind answers that may be long until one is known.
+        await caller.send(_request(QUICK))
+        assert (await caller.answer()).body == b'body'
         await caller.send(_request(SLOW) + _request(DOWNLOAD, SHORT_MS))
         await until(lambda: DOWNLOAD in upstream.received)
         await trio.sleep(2 * SHORT_MS / MS_PER_S)
