--- a/tests/edge/test_datagram_port.py
+++ b/tests/edge/test_datagram_port.py
@@ -14,6 +14,16 @@
 DATAGRAM_COUNT = 78
 
 
+# Guards against a test that fails at the start of a VM: the port that was drawn
+# for its datagrams was another VM's, as only connections were asked for.
+def test_drawn_port_is_free_for_datagrams() -> None:
+    """A port that a UDP socket has is not drawn."""
+    taken, free = free_port(), free_port()
+    with closing(DatagramPort(ADDRESS, taken)):
+        with patch('random.randrange', side_effect=[taken, taken, free]):
+            assert free_port() == free
+
+
 @trio_test
 async def test_queued_datagrams_are_read_in_one_batch() -> None:
     """Heartbeats of 78 peers queue while a large route table is decoded."""
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -198,19 +198,26 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free at the moment.
+    """Return a port that is free at the moment, for TCP and UDP.
 
     It is below those that connections take, which might take it meanwhile.
     """
     while True:
         port = random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((ADDRESS, port))
-            except OSError:
-                # Another test has it.
-                continue
-        return port
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(
+            port, socket.SOCK_DGRAM
+        ):
+            return port
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    """Return whether no other test has the port."""
+    with socket.socket(type=kind) as sock:
+        try:
+            sock.bind((ADDRESS, port))
+        except OSError:
+            return False
+    return True
 
 
 def make_process(
