review: the stand-ins are files beside the cases

A folder under review/ is a case, so kit3 and servers3 stand as files like those of the earlier reviews.

--- a/review/kit3/kit.py
+++ b/review/kit3.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from urllib.parse import parse_qsl
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 START_S = 20.0
 KEY = 's989anu6wsjnbanfqasn'
 TENANT = 'cuka620'
@@ -480,6 +480,8 @@
         self.temporary = tempfile.mkdtemp(prefix='chestnut-review-')
 
     def run(self, main, limit_s=110):
+        # Whoever ends the script early has its processes end as well.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
             broken = asyncio.run(asyncio.wait_for(main(self), limit_s))
         except Exception as error:  # noqa: BLE001
